Set down the design, the supervisor tree and the core types

The project needs one shape before parts are built side by side: duties that own their state, joined by bounded rings, under a supervisor tree on suture.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# make test runs every check of CI; make demo runs the main job.
+SEED ?= 20261204
+GO_FILES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+# Packages with property tests take the fixed seed; the flag is unknown to others.
+PROPERTY_PACKAGES = $(shell go list -f '{{.ImportPath}} {{.TestImports}} {{.XTestImports}}' ./... | grep 'pgregory.net/rapid' | cut -d' ' -f1)
+OTHER_PACKAGES = $(filter-out $(PROPERTY_PACKAGES),$(shell go list ./...))
+# Tests listed in KNOWN-RED.txt ("test: Name" lines) are passed over and printed.
+KNOWN_RED = $(shell sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
+SKIP = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+TEST_FLAGS = -race -count=1 -timeout 15m $(SKIP)
+
+.PHONY: test format vet lint build unit demo proto bench
+
+test: format vet lint build unit
+
+format:
+	@unformatted=$$(go tool gofumpt -l $(GO_FILES)); \
+	if [ -n "$$unformatted" ]; then echo "not formatted by gofumpt:"; echo "$$unformatted"; exit 1; fi
+
+vet:
+	go vet ./...
+
+lint:
+	go tool staticcheck ./...
+
+build:
+	go build ./...
+
+unit:
+	@if [ -n "$(KNOWN_RED)" ]; then echo "passed over (KNOWN-RED.txt):"; cat KNOWN-RED.txt; fi
+	go test $(TEST_FLAGS) $(OTHER_PACKAGES)
+	@if [ -n "$(PROPERTY_PACKAGES)" ]; then echo go test $(TEST_FLAGS) -rapid.seed=$(SEED) $(PROPERTY_PACKAGES); \
+	go test $(TEST_FLAGS) $(PROPERTY_PACKAGES) -rapid.seed=$(SEED) -rapid.nofailfile; fi
+
+demo:
+	@mkdir -p bin
+	go build -o bin/ ./cmd/...
+	./bin/lacewingfork-demo
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./decision/... ./supervise/...
+
+# Regenerates the committed code; needs protoc (Debian's protobuf-compiler).
+proto:
+	@mkdir -p bin
+	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH=$(CURDIR)/bin:$$PATH protoc --go_out=. --go_opt=module=lacewingfork.example/lacewingfork \
+		--go-drpc_out=. --go-drpc_opt=module=lacewingfork.example/lacewingfork peerpb/peer.proto
--- /dev/null
+++ b/decision/configuration/configuration.go
@@ -0,0 +1,84 @@
+// Package configuration holds the values that operators publish and the rules
+// by which they come into force.
+package configuration
+
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Configuration is one published version. It is immutable.
+type Configuration struct {
+	Services []Service
+	Teams    []Team
+	Limits   Limits
+}
+
+// Service is a latency-critical service that callers may use.
+type Service struct {
+	Name       fleet.Service
+	Operations []Operation
+	// Regions lists where the service's backend servers are; empty means all.
+	Regions []fleet.Region
+}
+
+// Operation is one call of a service.
+type Operation struct {
+	Name  fleet.Operation
+	Class fleet.Class
+	// Idempotent operations may run more than once for one request.
+	Idempotent bool
+	// Deadline applies when the caller names none; at most Limits.MaxDeadline.
+	Deadline time.Duration
+	// ExpectedRunTime is the prior for the run time until runs are observed.
+	ExpectedRunTime time.Duration
+}
+
+// Team is a group of callers or job owners with a quota.
+type Team struct {
+	Name fleet.Team
+	// Share is the part of the slots that the team is guaranteed, from 0 to
+	// 1; idle shares may be borrowed.
+	Share float64
+	// MaxJobs bounds the waiting and running jobs of the team.
+	MaxJobs int
+}
+
+// Limits bounds what callers and jobs may use.
+type Limits struct {
+	MaxDeadline time.Duration
+	// LongShare is the part of each backend server's slots that long work
+	// may hold, from 0 to 1.
+	LongShare float64
+	// LongRunTime is the run time above which work counts as long.
+	LongRunTime time.Duration
+	// EvictionsPerMinute bounds evictions in a partition.
+	EvictionsPerMinute int
+	// RegionBytesPerSecond bounds traffic to other regions of one instance.
+	RegionBytesPerSecond int64
+}
+
+// DefaultLimits apply where a publication is silent.
+var DefaultLimits = Limits{
+	MaxDeadline:          60 * time.Second,
+	LongShare:            0.5,
+	LongRunTime:          2 * time.Second,
+	EvictionsPerMinute:   6,
+	RegionBytesPerSecond: 500_000, // 6 instances use 24 of the link's 30 Mbit/s
+}
+
+// Find returns an operation of a service, or nil.
+func (c *Configuration) Find(service fleet.Service, operation fleet.Operation) *Operation {
+	for i := range c.Services {
+		if c.Services[i].Name != service {
+			continue
+		}
+		for j := range c.Services[i].Operations {
+			if c.Services[i].Operations[j].Name == operation {
+				return &c.Services[i].Operations[j]
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/platformapi/platformapi.go
@@ -0,0 +1,135 @@
+// Package platformapi describes the platform as the system meets it: the
+// append-only log service, the lagging instance list, and the workers that run
+// batch tasks under leases. The interfaces are implemented by the HTTP client
+// in this package; the types are the JSON bodies of its calls.
+package platformapi
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+var (
+	// ErrUnavailable means that the platform did not answer or refused. An
+	// append that returns it may still have taken effect.
+	ErrUnavailable = errors.New("platform is unavailable")
+	// ErrTruncated means that the requested offset is older than the oldest
+	// record kept.
+	ErrTruncated = errors.New("records before the oldest kept offset are gone")
+	// ErrFenced means that a worker has seen a newer epoch.
+	ErrFenced = errors.New("epoch is older than one the worker has seen")
+)
+
+// Record is one record of a stream.
+type Record struct {
+	Offset fleet.Offset `json:"offset"`
+	Data   []byte       `json:"data"`
+}
+
+// Batch is the answer to a read.
+type Batch struct {
+	Oldest  fleet.Offset `json:"oldest"` // oldest offset kept
+	Next    fleet.Offset `json:"next"`   // offset to read from next
+	End     fleet.Offset `json:"end"`    // offset after the newest record
+	Records []Record     `json:"records"`
+}
+
+// Log is the append-only log service.
+type Log interface {
+	// Append adds one record of at most 1 MiB and returns its offset. After
+	// an error the record may or may not be in the stream.
+	Append(ctx context.Context, stream string, data []byte) (fleet.Offset, error)
+	// Read returns records from an offset on. With no record there yet it
+	// waits up to wait (at most 30 s). ErrTruncated comes with a Batch that
+	// names the oldest offset kept.
+	Read(ctx context.Context, stream string, from fleet.Offset, wait time.Duration) (Batch, error)
+}
+
+// Snapshot is the lagging list of instances.
+type Snapshot struct {
+	// AgeMillis is the age of the list when the platform answered.
+	AgeMillis      int64                 `json:"age_ms"`
+	Instances      []fleet.Instance      `json:"instances"`
+	BackendServers []fleet.BackendServer `json:"backend_servers"`
+}
+
+// InstanceList is the platform's list of live and leaving instances.
+type InstanceList interface {
+	List(ctx context.Context) (Snapshot, error)
+}
+
+// TaskState is a task's state on its worker.
+type TaskState string
+
+const (
+	TaskRunning      TaskState = "running"
+	TaskSucceeded    TaskState = "succeeded"
+	TaskFailed       TaskState = "failed"
+	TaskCheckpointed TaskState = "checkpointed" // stopped after a checkpoint
+	TaskStopped      TaskState = "stopped"
+)
+
+// StartTask asks a worker to start one attempt of a task.
+type StartTask struct {
+	Task       fleet.TaskID      `json:"task"`
+	Attempt    int               `json:"attempt"`
+	Partition  fleet.PartitionID `json:"partition"`
+	Epoch      fleet.Epoch       `json:"epoch"`
+	Class      string            `json:"class"` // kind of work, for interference estimates
+	Resources  fleet.Resources   `json:"resources"`
+	RunMillis  int64             `json:"run_ms"` // work to do; the stand-in's run time
+	Checkpoint string            `json:"checkpoint,omitempty"`
+	Parameters string            `json:"parameters,omitempty"`
+	// LeaseMillis bounds the time that the worker runs the task without a
+	// renewal; it stops the task by itself afterwards.
+	LeaseMillis int64 `json:"lease_ms"`
+}
+
+// TaskReport is what a worker says of one task.
+type TaskReport struct {
+	Task       fleet.TaskID `json:"task"`
+	Attempt    int          `json:"attempt"`
+	Epoch      fleet.Epoch  `json:"epoch"`
+	State      TaskState    `json:"state"`
+	Checkpoint string       `json:"checkpoint,omitempty"`
+	// ProgressMillis is the work done so far.
+	ProgressMillis int64  `json:"progress_ms"`
+	Throttled      bool   `json:"throttled"`
+	Error          string `json:"error,omitempty"`
+}
+
+// UsageReport is what a worker measured. It lags.
+type UsageReport struct {
+	BackendServer fleet.BackendServerID `json:"backend_server"`
+	// AgeMillis is the age of the sample when the platform answered.
+	AgeMillis    int64 `json:"age_ms"`
+	RequestSlots int   `json:"request_slots"` // slots that requests used
+	Connections  int   `json:"connections"`
+	MilliCPU     int64 `json:"milli_cpu"`
+	MemoryMiB    int64 `json:"memory_mib"`
+	// Latencies holds the mean service time of each service since the last
+	// sample, in microseconds.
+	Latencies map[fleet.Service]int64 `json:"latencies_us,omitempty"`
+	Tasks     []TaskReport            `json:"tasks,omitempty"`
+}
+
+// Workers drives the tasks on the workers and reads their usage reports.
+type Workers interface {
+	// Usage returns the newest report of each worker in a data centre.
+	Usage(ctx context.Context, dataCentre fleet.DataCentre) ([]UsageReport, error)
+	// Start is idempotent for the same task, attempt and epoch.
+	Start(ctx context.Context, worker fleet.BackendServerID, start StartTask) error
+	// Renew extends the lease of every task of the partition on the worker.
+	Renew(ctx context.Context, worker fleet.BackendServerID, partition fleet.PartitionID, epoch fleet.Epoch, lease time.Duration) error
+	// Checkpoint saves the task's progress and stops it; the report carries
+	// the checkpoint. It is idempotent.
+	Checkpoint(ctx context.Context, worker fleet.BackendServerID, task fleet.TaskID, attempt int, epoch fleet.Epoch) (TaskReport, error)
+	// Throttle slows the task down or lifts that again.
+	Throttle(ctx context.Context, worker fleet.BackendServerID, task fleet.TaskID, attempt int, epoch fleet.Epoch, throttled bool) error
+	// Stop ends the task without a checkpoint. It is idempotent.
+	Stop(ctx context.Context, worker fleet.BackendServerID, task fleet.TaskID, attempt int, epoch fleet.Epoch) (TaskReport, error)
+}
--- /dev/null
+++ b/supervise/ring.go
@@ -0,0 +1,128 @@
+// Package supervise holds the three parts that every process is built from:
+// the Ring that joins duties, the Duty that owns a piece of state, and the
+// Tree that starts duties and restarts those that fail.
+package supervise
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrRingFull is returned by Put when a ring that refuses has no free place.
+var ErrRingFull = errors.New("ring is full")
+
+// FullPolicy says what Put does when a ring has no free place.
+type FullPolicy int
+
+const (
+	// Refuse returns ErrRingFull at once.
+	Refuse FullPolicy = iota
+	// Wait blocks until a place is free or the context ends.
+	Wait
+	// DropOldest discards the oldest item; the newest state wins.
+	DropOldest
+)
+
+// String returns the policy's name as shown in the state dump.
+func (p FullPolicy) String() string {
+	switch p {
+	case Refuse:
+		return "refuse"
+	case Wait:
+		return "wait"
+	case DropOldest:
+		return "drop-oldest"
+	default:
+		return "unknown"
+	}
+}
+
+// Ring is a bounded queue between duties. Any number of goroutines may Put;
+// one duty receives from Items. A receiver blocks on the channel, so nothing
+// polls while a ring is empty.
+type Ring[T any] struct {
+	name    string
+	policy  FullPolicy
+	items   chan T
+	refused atomic.Uint64
+	dropped atomic.Uint64
+}
+
+// NewRing returns a ring with the given capacity (at least 1).
+func NewRing[T any](name string, capacity int, policy FullPolicy) *Ring[T] {
+	return &Ring[T]{name: name, policy: policy, items: make(chan T, max(1, capacity))}
+}
+
+// Put adds an item by the ring's policy. It returns ErrRingFull when the ring
+// refuses and the context's error when the wait ends first.
+func (r *Ring[T]) Put(ctx context.Context, item T) error {
+	select {
+	case r.items <- item:
+		return nil
+	default:
+	}
+	switch r.policy {
+	case Wait:
+		return r.putWait(ctx, item)
+	case DropOldest:
+		r.putDroppingOldest(item)
+		return nil
+	default:
+		r.refused.Add(1)
+		return errors.Wrap(ErrRingFull, r.name)
+	}
+}
+
+func (r *Ring[T]) putWait(ctx context.Context, item T) error {
+	select {
+	case r.items <- item:
+		return nil
+	case <-ctx.Done():
+		r.refused.Add(1)
+		return errors.Wrap(ctx.Err(), r.name)
+	}
+}
+
+// putDroppingOldest makes progress in every round: either the item goes in or
+// an older one comes out.
+func (r *Ring[T]) putDroppingOldest(item T) {
+	for {
+		select {
+		case r.items <- item:
+			return
+		default:
+		}
+		select {
+		case <-r.items:
+			r.dropped.Add(1)
+		default:
+		}
+	}
+}
+
+// Items is the receiving side. The channel is never closed.
+func (r *Ring[T]) Items() <-chan T { return r.items }
+
+// Stats returns a snapshot of the ring's counters.
+func (r *Ring[T]) Stats() RingStats {
+	return RingStats{
+		Name: r.name, Policy: r.policy.String(),
+		Depth: len(r.items), Capacity: cap(r.items),
+		Refused: r.refused.Load(), Dropped: r.dropped.Load(),
+	}
+}
+
+// RingStats is a snapshot of one ring for the state dump and the metrics.
+type RingStats struct {
+	Name     string `json:"name"`
+	Policy   string `json:"when_full"`
+	Depth    int    `json:"depth"`
+	Capacity int    `json:"capacity"`
+	Refused  uint64 `json:"refused"`
+	Dropped  uint64 `json:"dropped"`
+}
+
+// Measured is a ring whatever its item type.
+type Measured interface{ Stats() RingStats }
--- /dev/null
+++ b/supervise/tree.go
@@ -0,0 +1,116 @@
+package supervise
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/thejerf/suture/v4"
+)
+
+// stopTimeout bounds the wait for a duty to return after its context ended.
+const stopTimeout = 5 * time.Second
+
+// restartPause is the shortest time between two starts of a failing duty, so
+// that a duty which fails at once does not use a core.
+const restartPause = 50 * time.Millisecond
+
+// EventKind says what a supervisor did.
+type EventKind string
+
+const (
+	// Restarted means that a duty failed and starts again with clean state.
+	Restarted EventKind = "duty_restarted"
+	// GaveUp means that a duty exceeded its intensity and the tree ends.
+	GaveUp EventKind = "supervisor_gave_up"
+	// StopTimedOut means that a duty did not return in time when stopped.
+	StopTimedOut EventKind = "duty_stop_timeout"
+)
+
+// Event is reported for each action of a supervisor.
+type Event struct {
+	Duty string
+	Kind EventKind
+	Err  error
+}
+
+// Tree is a supervisor: it starts the duties of one folder, restarts those
+// that fail and stops them when it is stopped itself.
+type Tree struct {
+	supervisor *suture.Supervisor
+	path       string
+	intensity  Intensity
+	directory  *Directory
+	events     func(Event)
+}
+
+// NewTree returns the root supervisor of a process. Events are delivered on
+// the goroutine of the duty that they are about.
+func NewTree(name string, intensity Intensity, events func(Event)) *Tree {
+	t := &Tree{path: name, intensity: intensity, directory: newDirectory(), events: events}
+	t.supervisor = suture.New(name, t.spec())
+	t.supervisor.Add(t.service(Duty{Name: "directory", Run: t.directory.run}))
+	return t
+}
+
+// Child adds a supervisor below this one.
+func (t *Tree) Child(name string, intensity Intensity) *Tree {
+	child := &Tree{
+		path: t.path + "/" + name, intensity: intensity,
+		directory: t.directory, events: t.events,
+	}
+	child.supervisor = suture.New(child.path, child.spec())
+	t.supervisor.Add(child.supervisor)
+	return child
+}
+
+// Running identifies a duty or supervisor that was started.
+type Running struct {
+	tree  *Tree
+	token suture.ServiceToken
+}
+
+// Start adds a duty; it runs as soon as the tree serves.
+func (t *Tree) Start(d Duty) Running {
+	return Running{tree: t, token: t.supervisor.Add(t.service(d))}
+}
+
+// Stop ends a duty and waits for its return. It returns an error when the duty
+// is still running after the stop timeout.
+func (r Running) Stop() error {
+	err := r.tree.supervisor.RemoveAndWait(r.token, stopTimeout)
+	return errors.Wrap(err, r.tree.path)
+}
+
+// Serve runs the tree until the context ends or a duty exceeds its intensity.
+func (t *Tree) Serve(ctx context.Context) error {
+	return errors.Wrap(t.supervisor.Serve(ctx), t.path)
+}
+
+// Directory lists the running duties.
+func (t *Tree) Directory() *Directory { return t.directory }
+
+func (t *Tree) service(d Duty) *service {
+	return &service{
+		duty: d, path: t.path + "/" + d.Name, intensity: t.intensity,
+		directory: t.directory, events: t.events,
+	}
+}
+
+// spec leaves restarts to suture and the give-up rule to service: suture only
+// pauses a failing service, it never gives up on its own.
+func (t *Tree) spec() suture.Spec {
+	return suture.Spec{
+		EventHook:        t.hook,
+		FailureThreshold: 1,
+		FailureDecay:     1,
+		FailureBackoff:   restartPause,
+		Timeout:          stopTimeout,
+	}
+}
+
+func (t *Tree) hook(e suture.Event) {
+	if timeout, ok := e.(suture.EventStopTimeout); ok {
+		t.events(Event{Duty: timeout.ServiceName, Kind: StopTimedOut})
+	}
+}
