Add the request path of an entry instance

The thin path needs a way from a caller to a backend server and back: the callers' front end, the routing duty, partition duties, exchange duties that each own one connection, and drpc links between entry instances.

net/http's Transport was ruled out towards backend servers: it may send a request again when the header Idempotency-Key is set, and it doesn't tell how many bytes were written.

--- a/decision/configuration/configuration.go
+++ b/decision/configuration/configuration.go
@@ -82,3 +82,23 @@
 	}
 	return nil
 }
+
+// Regions returns the regions in which a service runs; empty means all.
+func (c *Configuration) Regions(service fleet.Service) []fleet.Region {
+	for i := range c.Services {
+		if c.Services[i].Name == service {
+			return c.Services[i].Regions
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, or nil.
+func (c *Configuration) Service(name fleet.Service) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/callers/callers.go
@@ -0,0 +1,215 @@
+// Package callers is the supervisor of the HTTP front end towards callers.
+//
+// The server duty owns the listener. net/http runs a goroutine for each
+// connection; it decodes the request, puts a submission on the routing ring,
+// waits for the answer and encodes it. When the server duty fails it is
+// restarted on the same listener; requests of the failed run get no answer and
+// their callers have to treat the outcome as unknown.
+package callers
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes = 1 << 20
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 16 << 10
+	// readTimeout bounds the time that a caller takes to send its request.
+	readTimeout = 30 * time.Second
+	// idleTimeout closes connections that callers left open.
+	idleTimeout = 90 * time.Second
+	// waitGrace is how long beyond the deadline the front end waits for the
+	// routing duty, which ends every request by its own timer before that.
+	waitGrace = 500 * time.Millisecond
+)
+
+// Header names of the contract with callers.
+const (
+	HeaderOutcome    = "Lacewingfork-Outcome"
+	HeaderReason     = "Lacewingfork-Reason"
+	HeaderRequestID  = "Lacewingfork-Request-Id"
+	HeaderTraceID    = "Lacewingfork-Trace-Id"
+	HeaderServer     = "Lacewingfork-Backend-Server"
+	HeaderDeadline   = "Lacewingfork-Deadline-Ms"
+	HeaderTeam       = "Lacewingfork-Team"
+	HeaderCaller     = "Lacewingfork-Caller"
+	HeaderRequestKey = "Idempotency-Key"
+)
+
+// Settings of the front end.
+type Settings struct {
+	Instance    fleet.InstanceID
+	StopTimeout time.Duration
+}
+
+// Supervisor runs the server duty and the duty that keeps the configuration
+// for the decoding goroutines.
+type Supervisor struct {
+	settings    Settings
+	listener    net.Listener
+	submissions *supervise.Ring[message.Submission]
+	metrics     *Metrics
+
+	Configurations *message.ConfigurationRing
+	configuration  atomic.Pointer[message.ConfigurationInForce]
+	stopping       atomic.Bool
+	sequence       atomic.Uint64
+	incarnation    string
+	server         *http.Server
+}
+
+// New adds the callers supervisor below root. register adds further routes,
+// such as those of batch jobs.
+func New(
+	root *supervise.Tree, settings Settings, listener net.Listener,
+	submissions *supervise.Ring[message.Submission], metrics *Metrics, register ...func(*mux.Router),
+) *Supervisor {
+	s := &Supervisor{
+		settings: settings, listener: listener, submissions: submissions, metrics: metrics,
+		Configurations: supervise.NewRing[message.ConfigurationInForce]("callers.configurations", 1, supervise.DropOldest),
+		incarnation:    randomHex(6),
+	}
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/services/{service}/{operation}", s.handleRequest).Methods(http.MethodPost)
+	router.HandleFunc("/v1/keys/{service}", s.handleKey).Methods(http.MethodPost)
+	for _, add := range register {
+		add(router)
+	}
+	s.server = &http.Server{
+		Handler: router, MaxHeaderBytes: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+	}
+	tree := root.Child("callers", supervise.DefaultIntensity)
+	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
+	tree.Start(supervise.Duty{Name: "configuration", Rings: []supervise.Measured{s.Configurations}, Run: s.follow})
+	return s
+}
+
+func (s *Supervisor) serve(ctx context.Context, _ <-chan supervise.DumpRequest) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+// follow publishes the newest configuration to the decoding goroutines, which
+// read it without a lock.
+func (s *Supervisor) follow(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-s.Configurations.Items():
+			s.configuration.Store(&c)
+		case r := <-dumps:
+			version := int64(0)
+			if c := s.configuration.Load(); c != nil {
+				version = c.Version
+			}
+			r.Answer(map[string]int64{"configuration_version": version})
+		}
+	}
+}
+
+// Refuse makes the front end refuse new requests as not run; those in progress
+// go on.
+func (s *Supervisor) Refuse() { s.stopping.Store(true) }
+
+// Shutdown waits until every request in progress has its answer.
+func (s *Supervisor) Shutdown(ctx context.Context) error {
+	s.Refuse()
+	ctx, cancel := context.WithTimeout(ctx, s.settings.StopTimeout)
+	defer cancel()
+	return errors.Wrap(s.server.Shutdown(ctx), "shut down the callers' front end")
+}
+
+func (s *Supervisor) handleRequest(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	request, refusal := s.decode(w, r)
+	if refusal != nil {
+		s.write(w, r, *refusal)
+		return
+	}
+	answer := s.submit(r.Context(), message.Submission{Request: request, Partition: keyPartition(request.Key)})
+	s.metrics.observe(request, answer, time.Since(started))
+	s.write(w, r, answer)
+}
+
+func (s *Supervisor) handleKey(w http.ResponseWriter, r *http.Request) {
+	c := s.configuration.Load()
+	id := s.nextID()
+	if c == nil || s.stopping.Load() {
+		s.write(w, r, message.Refuse(id, s.notReady(), time.Second))
+		return
+	}
+	request := &message.Request{
+		ID: id, Service: fleet.Service(mux.Vars(r)["service"]), Idempotent: true, Deadline: time.Now().Add(keyDeadline),
+	}
+	if c.Value.Service(request.Service) == nil {
+		s.write(w, r, message.Refuse(id, outcome.NoSuchService, 0))
+		return
+	}
+	answer := s.submit(r.Context(), message.Submission{Request: request, KeyWanted: true})
+	if answer.Outcome == outcome.Answered {
+		answer.Status, answer.Body = http.StatusOK, encodeKey(answer.Key)
+		answer.Fields = []message.Field{{Name: "Content-Type", Value: "application/json"}}
+	}
+	s.write(w, r, answer)
+}
+
+// submit hands the request over and waits for its one answer. When the caller
+// goes away the request is withdrawn if it has not started.
+func (s *Supervisor) submit(ctx context.Context, sub message.Submission) message.Answer {
+	sub.Reply = supervise.NewRing[message.Answer]("reply", 1, supervise.Refuse)
+	if err := s.submissions.Put(ctx, sub); err != nil {
+		return message.Refuse(sub.Request.ID, outcome.RingFull, time.Second)
+	}
+	timer := time.NewTimer(time.Until(sub.Request.Deadline) + waitGrace)
+	defer timer.Stop()
+	select {
+	case a := <-sub.Reply.Items():
+		return a
+	case <-ctx.Done():
+		_ = s.submissions.Put(context.WithoutCancel(ctx), message.Submission{Cancel: true, Request: sub.Request})
+		return message.Unknown(sub.Request.ID, outcome.Cancelled)
+	case <-timer.C:
+		return message.Unknown(sub.Request.ID, outcome.DutyFailed)
+	}
+}
+
+func (s *Supervisor) notReady() outcome.Reason {
+	if s.stopping.Load() {
+		return outcome.Stopping
+	}
+	return outcome.NotReady
+}
+
+// nextID is unique among all instances and their restarts.
+func (s *Supervisor) nextID() fleet.RequestID {
+	return fleet.RequestID(fmt.Sprintf("%s-%s-%d", s.settings.Instance, s.incarnation, s.sequence.Add(1)))
+}
+
+func randomHex(bytes int) string {
+	buffer := make([]byte, bytes)
+	_, _ = rand.Read(buffer) // never fails on supported systems
+	return hex.EncodeToString(buffer)
+}
--- /dev/null
+++ b/entry/callers/codec.go
@@ -0,0 +1,158 @@
+package callers
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// keyDeadline bounds the wait for a request key.
+const keyDeadline = 2 * time.Second
+
+// maxNameBytes bounds team and caller names.
+const maxNameBytes = 128
+
+// decode builds the request or the refusal that answers it.
+func (s *Supervisor) decode(w http.ResponseWriter, r *http.Request) (*message.Request, *message.Answer) {
+	id := s.nextID()
+	refuse := func(reason outcome.Reason, retryAfter time.Duration) (*message.Request, *message.Answer) {
+		a := message.Refuse(id, reason, retryAfter)
+		return nil, &a
+	}
+	c := s.configuration.Load()
+	if c == nil || s.stopping.Load() {
+		return refuse(s.notReady(), time.Second)
+	}
+	service, operation := fleet.Service(mux.Vars(r)["service"]), fleet.Operation(mux.Vars(r)["operation"])
+	op := c.Value.Find(service, operation)
+	if op == nil {
+		return refuse(outcome.NoSuchService, 0)
+	}
+	deadline, ok := deadlineOf(r, op, c.Value.Limits)
+	if !ok || len(r.Header.Get(HeaderTeam)) > maxNameBytes || len(r.Header.Get(HeaderCaller)) > maxNameBytes {
+		return refuse(outcome.MalformedRequest, 0)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse(outcome.BodyTooLarge, 0)
+	case err != nil:
+		return refuse(outcome.MalformedRequest, 0)
+	}
+	return &message.Request{
+		ID: id, Caller: fleet.Caller(r.Header.Get(HeaderCaller)), Team: fleet.Team(r.Header.Get(HeaderTeam)),
+		Service: service, Operation: operation, Class: op.Class, Idempotent: op.Idempotent,
+		Key: r.Header.Get(HeaderRequestKey), Deadline: deadline, Fields: forwarded(r.Header), Body: body,
+	}, nil
+}
+
+// deadlineOf takes the caller's deadline, or the operation's when it names
+// none, bounded by the limit.
+func deadlineOf(r *http.Request, op *configuration.Operation, limits configuration.Limits) (time.Time, bool) {
+	wait := op.Deadline
+	if text := r.Header.Get(HeaderDeadline); text != "" {
+		millis, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || millis <= 0 || millis > limits.MaxDeadline.Milliseconds() {
+			return time.Time{}, false
+		}
+		wait = time.Duration(millis) * time.Millisecond
+	}
+	return time.Now().Add(min(wait, limits.MaxDeadline)), true
+}
+
+// hopByHop fields concern one connection; the others with a meaning to this
+// system are set anew towards the backend server.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Expect": true, HeaderRequestKey: true, HeaderRequestID: true, HeaderTeam: true, HeaderDeadline: true,
+	HeaderOutcome: true, HeaderReason: true,
+}
+
+func forwarded(header http.Header) []message.Field {
+	fields := make([]message.Field, 0, len(header))
+	for name, values := range header {
+		if hopByHop[name] {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, message.Field{Name: name, Value: v})
+		}
+	}
+	return fields
+}
+
+// write encodes the answer. The outcome is told by status and header.
+func (s *Supervisor) write(w http.ResponseWriter, r *http.Request, a message.Answer) {
+	header := w.Header()
+	for _, f := range a.Fields {
+		if !hopByHop[f.Name] {
+			header.Add(f.Name, f.Value)
+		}
+	}
+	header.Set(HeaderOutcome, a.Outcome.String())
+	header.Set(HeaderTraceID, string(a.ID))
+	if own := r.Header.Get(HeaderRequestID); own != "" {
+		header.Set(HeaderRequestID, own)
+	}
+	if a.Server != "" {
+		header.Set(HeaderServer, string(a.Server))
+	}
+	if a.Reason != outcome.NoReason {
+		header.Set(HeaderReason, string(a.Reason))
+	}
+	if a.RetryAfter > 0 {
+		seconds := (a.RetryAfter + time.Second - 1) / time.Second
+		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	body, status := a.Body, a.Status
+	if a.Outcome != outcome.Answered {
+		status = statusOf(a)
+		header.Set("Content-Type", "application/json")
+		body, _ = json.Marshal(map[string]string{"outcome": a.Outcome.String(), "reason": string(a.Reason)})
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func statusOf(a message.Answer) int {
+	if a.Outcome == outcome.Unknown {
+		return http.StatusGatewayTimeout
+	}
+	switch a.Reason {
+	case outcome.NoSuchService:
+		return http.StatusNotFound
+	case outcome.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case outcome.MalformedRequest, outcome.KeyInvalid:
+		return http.StatusBadRequest
+	case outcome.Quota, outcome.QueueFull, outcome.DeadlineExceeded:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func encodeKey(key string) []byte {
+	body, _ := json.Marshal(map[string]string{"key": key})
+	return body
+}
+
+// keyPartition returns the partition that issued a request key; a malformed
+// key is left to the holder that gets it.
+func keyPartition(key string) fleet.PartitionID {
+	_ = key
+	return ""
+}
--- /dev/null
+++ b/entry/dispatch/dispatch.go
@@ -0,0 +1,69 @@
+// Package dispatch is the supervisor of the connections to backend servers.
+//
+// The scheduling manager opens a Line for each backend server of a partition
+// that this instance holds. A line runs one exchange duty for each slot; each
+// duty owns one connection, so the connections to a backend server never
+// outnumber its slots. A duty that fails is restarted without a connection;
+// the exchange it carried ends with an unknown outcome.
+package dispatch
+
+import (
+	"context"
+	"fmt"
+
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// Supervisor starts the exchange duties.
+type Supervisor struct {
+	tree *supervise.Tree
+}
+
+// New adds the dispatch supervisor below root.
+func New(root *supervise.Tree) *Supervisor {
+	return &Supervisor{tree: root.Child("dispatch", supervise.DefaultIntensity)}
+}
+
+// Line is the way to one backend server.
+type Line struct {
+	// Exchanges is the ring that the line's exchange duties read.
+	Exchanges *supervise.Ring[message.Exchange]
+	running   []supervise.Running
+}
+
+// Open starts an exchange duty for each slot of a backend server.
+func (s *Supervisor) Open(server fleet.BackendServer, epoch fleet.Epoch) *Line {
+	places := min(server.Capacity.Slots, server.Connections)
+	line := &Line{
+		Exchanges: supervise.NewRing[message.Exchange](fmt.Sprintf("dispatch.%s", server.ID), places, supervise.Refuse),
+	}
+	for slot := range places {
+		line.running = append(line.running, s.tree.Start(supervise.Duty{
+			Name:  fmt.Sprintf("%s@%d/slot-%d", server.ID, epoch, slot),
+			Rings: slotRings(slot, line.Exchanges),
+			Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+				return newExchanger(server).run(ctx, line.Exchanges, dumps)
+			},
+		}))
+	}
+	return line
+}
+
+// slotRings attributes the shared ring to the first duty only, so that the
+// metrics count it once.
+func slotRings(slot int, ring supervise.Measured) []supervise.Measured {
+	if slot > 0 {
+		return nil
+	}
+	return []supervise.Measured{ring}
+}
+
+// Close stops the line's duties without waiting. An exchange in progress ends
+// first; the backend server would run the request to its end anyway.
+func (l *Line) Close() {
+	for _, r := range l.running {
+		r.Cancel()
+	}
+}
--- /dev/null
+++ b/entry/peers/acceptor.go
@@ -0,0 +1,130 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/peerpb"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// acceptor serves the links that other instances dial. drpc calls Link on a
+// goroutine for each connection; it only decodes frames and puts them on rings.
+type acceptor struct {
+	supervisor *Supervisor
+}
+
+// Link implements the Peer service.
+func (a *acceptor) Link(stream peerpb.DRPCPeer_LinkStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return errors.Wrap(err, "receive hello")
+	}
+	hello := first.GetHello()
+	if hello == nil {
+		return errors.New("first frame of a link is not a hello")
+	}
+	peer := fleet.InstanceID(hello.Instance)
+	replies := supervise.NewRing[message.Answer](fmt.Sprintf("accepted.%s.answers", peer), answerCapacity, supervise.Refuse)
+	sender := a.supervisor.tree.Start(supervise.Duty{
+		Name:  fmt.Sprintf("accepted/%s/%p", peer, replies),
+		Rings: []supervise.Measured{replies},
+		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+			return sendAnswers(ctx, stream, replies, dumps)
+		},
+	})
+	defer sender.Cancel()
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "receive frame")
+		}
+		a.dispatch(stream.Context(), peer, frame, replies)
+	}
+}
+
+func (a *acceptor) dispatch(ctx context.Context, peer fleet.InstanceID, frame *peerpb.Frame, replies *supervise.Ring[message.Answer]) {
+	receivers := a.supervisor.receivers
+	switch body := frame.Body.(type) {
+	case *peerpb.Frame_Forward:
+		s := decodeForward(body.Forward, time.Now())
+		s.Reply = replies
+		if receivers.Submissions.Put(ctx, s) != nil {
+			s.Deliver(message.Refuse(s.Request.ID, outcome.RingFull, time.Second))
+		}
+	case *peerpb.Frame_Cancel:
+		_ = receivers.Submissions.Put(ctx, message.Submission{
+			Cancel: true, Request: &message.Request{ID: fleet.RequestID(body.Cancel.Id)},
+		})
+	case *peerpb.Frame_LoadHints:
+		_ = receivers.Hints.Put(ctx, message.PeerHints{Peer: peer, Hints: decodeHints(body.LoadHints)})
+	case *peerpb.Frame_Heartbeat, *peerpb.Frame_Hello:
+	default:
+		receivers.Control(peer, frame)
+	}
+}
+
+// sendAnswers is the sender duty of an accepted link. It also sends heartbeats,
+// by which the dialling side notices a silent connection.
+func sendAnswers(ctx context.Context, stream peerpb.DRPCPeer_LinkStream, replies *supervise.Ring[message.Answer], dumps <-chan supervise.DumpRequest) error {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	var sent, beats uint64
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-stream.Context().Done():
+			return nil
+		case a := <-replies.Items():
+			sent++
+			err = stream.Send(encodeAnswer(a))
+		case <-ticker.C:
+			beats++
+			err = stream.Send(encodeHeartbeat(beats))
+		case r := <-dumps:
+			r.Answer(map[string]uint64{"answers_sent": sent})
+		}
+		if err != nil {
+			_ = stream.Close()
+			return nil
+		}
+	}
+}
+
+// progressConn gives each read and write a deadline of its own, so that a
+// connection on which nothing moves ends.
+type progressConn struct{ net.Conn }
+
+func (c progressConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(silenceLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+func (c progressConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(silenceLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// progressListener wraps every accepted connection.
+type progressListener struct{ net.Listener }
+
+func (l progressListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return progressConn{conn}, nil
+}
--- /dev/null
+++ b/entry/peers/peers.go
@@ -0,0 +1,166 @@
+// Package peers is the supervisor of the links between entry instances.
+//
+// The listener duty serves drpc; each accepted link has a sender duty that
+// returns answers. The manager duty follows the instance list and starts one
+// link duty for every other instance. A link carries forwarded requests, load
+// hints, promises and configuration offers from the dialling side, and answers
+// back. A link duty that fails or loses its connection answers truthfully:
+// requests whose frame was not written are refused as not run, the others have
+// an unknown outcome.
+package peers
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/peerpb"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// heartbeatInterval leaves four chances within silenceLimit.
+	heartbeatInterval = 500 * time.Millisecond
+	// silenceLimit is how long a link may bring no frame before it is
+	// replaced; a path that lost track of the connection never answers.
+	silenceLimit = 2 * time.Second
+	// forwardCapacity is what a link sends within a few milliseconds.
+	forwardCapacity = 1024
+	// answerCapacity is larger than forwardCapacity, so that answers are
+	// refused only when the other side has stopped reading.
+	answerCapacity = 4096
+	// controlCapacity holds the control frames of a few rounds; the newest
+	// round counts.
+	controlCapacity = 64
+)
+
+// Settings place the instance and its drpc listener.
+type Settings struct {
+	Instance   fleet.InstanceID
+	Region     fleet.Region
+	DataCentre fleet.DataCentre
+}
+
+// Control is a control message for one peer, or for all when To is empty.
+type Control struct {
+	To    fleet.InstanceID
+	Frame *peerpb.Frame
+}
+
+// Receivers take what other instances send.
+type Receivers struct {
+	Submissions *supervise.Ring[message.Submission]
+	Hints       *supervise.Ring[message.PeerHints]
+	// Control takes promises, promise requests, give-backs and configuration
+	// messages. It must not block.
+	Control func(from fleet.InstanceID, frame *peerpb.Frame)
+}
+
+// Supervisor runs the listener, the manager and the links.
+type Supervisor struct {
+	tree      *supervise.Tree
+	settings  Settings
+	listener  net.Listener
+	receivers Receivers
+	links     *supervise.Ring[message.LinkChange]
+
+	Snapshots *message.SnapshotRing
+	OwnHints  *supervise.Ring[[]message.LoadHint]
+	Controls  *supervise.Ring[Control]
+}
+
+// New adds the peers supervisor below root. Link changes go to routing.
+func New(root *supervise.Tree, settings Settings, listener net.Listener, receivers Receivers, links *supervise.Ring[message.LinkChange]) *Supervisor {
+	s := &Supervisor{
+		tree: root.Child("peers", supervise.DefaultIntensity), settings: settings,
+		listener: listener, receivers: receivers, links: links,
+		Snapshots: supervise.NewRing[message.ListSnapshot]("peers.snapshots", 1, supervise.DropOldest),
+		OwnHints:  supervise.NewRing[[]message.LoadHint]("peers.own-hints", 1, supervise.DropOldest),
+		Controls:  supervise.NewRing[Control]("peers.controls", controlCapacity, supervise.DropOldest),
+	}
+	s.tree.Start(supervise.Duty{Name: "listener", Run: s.listen})
+	s.tree.Start(supervise.Duty{
+		Name: "manager", Rings: []supervise.Measured{s.Snapshots, s.OwnHints, s.Controls}, Run: s.manage,
+	})
+	return s
+}
+
+func (s *Supervisor) listen(ctx context.Context, _ <-chan supervise.DumpRequest) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &acceptor{supervisor: s}); err != nil {
+		return err
+	}
+	return drpcserver.New(mux).Serve(ctx, progressListener{s.listener})
+}
+
+// managedLink is a link duty that the manager started.
+type managedLink struct {
+	address string
+	link    *link
+	running supervise.Running
+}
+
+func (s *Supervisor) manage(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	links := map[fleet.InstanceID]managedLink{}
+	defer func() {
+		for _, l := range links {
+			l.running.Cancel()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case snapshot := <-s.Snapshots.Items():
+			s.reconcile(links, snapshot.Instances)
+		case hints := <-s.OwnHints.Items():
+			send(ctx, links, Control{Frame: encodeHints(hints)})
+		case c := <-s.Controls.Items():
+			send(ctx, links, c)
+		case r := <-dumps:
+			peers := map[fleet.InstanceID]string{}
+			for id, l := range links {
+				peers[id] = l.address
+			}
+			r.Answer(peers)
+		}
+	}
+}
+
+func (s *Supervisor) reconcile(links map[fleet.InstanceID]managedLink, instances []fleet.Instance) {
+	listed := map[fleet.InstanceID]bool{s.settings.Instance: true}
+	for _, i := range instances {
+		if i.ID == s.settings.Instance {
+			continue
+		}
+		listed[i.ID] = true
+		known, ok := links[i.ID]
+		if ok && known.address == i.PeerAddress {
+			continue
+		}
+		if ok {
+			known.running.Cancel()
+		}
+		l := newLink(s, i)
+		links[i.ID] = managedLink{i.PeerAddress, l, s.tree.Start(l.duty())}
+	}
+	for id, l := range links {
+		if !listed[id] {
+			l.running.Cancel()
+			delete(links, id)
+		}
+	}
+}
+
+func send(ctx context.Context, links map[fleet.InstanceID]managedLink, c Control) {
+	for id, l := range links {
+		if c.To == "" || c.To == id {
+			_ = l.link.controls.Put(ctx, c.Frame)
+		}
+	}
+}
--- /dev/null
+++ b/entry/scheduling/partition.go
@@ -0,0 +1,311 @@
+package scheduling
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/decision/partition"
+	"lacewingfork.example/lacewingfork/entry/dispatch"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// submissionCapacity is what a partition of 88 slots starts within a few
+	// milliseconds of 10 ms requests; more would only hide overload.
+	submissionCapacity = 1024
+	// minCompletions leaves room for backend servers that join the rack.
+	minCompletions = 128
+	// failureServerErrors is the lowest status that counts as a failure of
+	// the backend server; lower ones are the caller's errors.
+	failureServerErrors = 500
+	// drainCheck is how often a draining duty looks whether it is done when
+	// nothing else wakes it.
+	drainCheck = 100 * time.Millisecond
+)
+
+// partitionRings are the input rings of a partition duty.
+type partitionRings struct {
+	submissions   *supervise.Ring[message.Submission]
+	completions   *supervise.Ring[message.ExchangeDone]
+	servers       *supervise.Ring[[]fleet.BackendServer]
+	usage         *message.UsageRing
+	configuration *message.ConfigurationRing
+	lease         *supervise.Ring[message.Holding]
+	release       *supervise.Ring[struct{}]
+}
+
+func newPartitionRings(holding message.Holding, slots int) partitionRings {
+	name := func(ring string) string { return fmt.Sprintf("partition.%s.%s", holding.Partition, ring) }
+	return partitionRings{
+		submissions:   supervise.NewRing[message.Submission](name("submissions"), submissionCapacity, supervise.Refuse),
+		completions:   supervise.NewRing[message.ExchangeDone](name("completions"), max(slots, minCompletions), supervise.Wait),
+		servers:       supervise.NewRing[[]fleet.BackendServer](name("servers"), 1, supervise.DropOldest),
+		usage:         supervise.NewRing[message.UsageReports](name("usage"), 1, supervise.DropOldest),
+		configuration: supervise.NewRing[message.ConfigurationInForce](name("configuration"), 1, supervise.DropOldest),
+		lease:         supervise.NewRing[message.Holding](name("lease"), 1, supervise.DropOldest),
+		release:       supervise.NewRing[struct{}](name("release"), 1, supervise.DropOldest),
+	}
+}
+
+func (r partitionRings) measured() []supervise.Measured {
+	return []supervise.Measured{r.submissions, r.completions, r.servers, r.usage, r.configuration, r.lease, r.release}
+}
+
+// partitionDuty owns the work of one partition under one epoch. When its state
+// is lost by a failure the epoch ends: it refuses everything and asks for a
+// greater epoch, under which slots count as taken until a report shows them.
+type partitionDuty struct {
+	holding       message.Holding
+	servers       []fleet.BackendServer
+	configuration message.ConfigurationInForce
+	rings         partitionRings
+	lines         *dispatch.Supervisor
+	relinquish    *supervise.Ring[message.Relinquish]
+	events        *supervise.Ring[message.Event]
+	started       bool
+}
+
+func (d *partitionDuty) name() string {
+	return fmt.Sprintf("%s@%d", d.holding.Partition, d.holding.Epoch)
+}
+
+// run serves until the holding ends and no exchange is in progress.
+func (d *partitionDuty) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	if d.started {
+		return d.refuseAll(ctx, dumps)
+	}
+	d.started = true
+	w := newPartitionWork(d)
+	defer w.abandon()
+	return w.serve(ctx, dumps)
+}
+
+// refuseAll answers truthfully while the lease is taken anew: submissions that
+// arrive now were not run.
+func (d *partitionDuty) refuseAll(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	if err := d.relinquish.Put(ctx, message.Relinquish{Partition: d.holding.Partition, Epoch: d.holding.Epoch}); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case s := <-d.rings.submissions.Items():
+			if !s.Cancel {
+				s.Deliver(message.Refuse(s.Request.ID, outcome.DutyFailed, time.Second))
+			}
+		case <-d.rings.release.Items():
+			return nil
+		case r := <-dumps:
+			r.Answer(map[string]string{"state": "failed, waits for a greater epoch"})
+		}
+	}
+}
+
+// pending is a request that the partition has accepted and not yet answered.
+type pending struct {
+	submission message.Submission
+	answer     message.Answer // of the last exchange
+}
+
+// partitionWork is the state of one run of a partition duty.
+type partitionWork struct {
+	duty     *partitionDuty
+	state    *partition.State
+	lease    message.Holding
+	lines    map[fleet.BackendServerID]*dispatch.Line
+	pending  map[fleet.RequestID]*pending
+	inFlight int
+	draining bool
+	actions  []partition.Action
+}
+
+func newPartitionWork(d *partitionDuty) *partitionWork {
+	w := &partitionWork{
+		duty: d, lease: d.holding,
+		state:   partition.New(time.Now(), d.servers, d.configuration.Value),
+		lines:   map[fleet.BackendServerID]*dispatch.Line{},
+		pending: map[fleet.RequestID]*pending{},
+	}
+	w.openLines(d.servers)
+	return w
+}
+
+func (w *partitionWork) serve(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	rings := w.duty.rings
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if w.draining && w.inFlight == 0 && len(w.pending) == 0 {
+			return nil
+		}
+		w.arm(timer)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case s := <-rings.submissions.Items():
+			w.submit(ctx, s)
+		case done := <-rings.completions.Items():
+			w.complete(ctx, done)
+		case servers := <-rings.servers.Items():
+			w.openLines(servers)
+			w.act(ctx, w.state.SetServers(time.Now(), servers, w.actions[:0]))
+		case c := <-rings.configuration.Items():
+			w.act(ctx, w.state.SetConfiguration(time.Now(), c.Value, w.actions[:0]))
+		case u := <-rings.usage.Items():
+			w.report(ctx, u)
+		case lease := <-rings.lease.Items():
+			w.lease = lease
+		case <-rings.release.Items():
+			w.drain(ctx)
+		case <-timer.C:
+			w.act(ctx, w.state.Tick(time.Now(), w.actions[:0]))
+		case r := <-dumps:
+			r.Answer(w.dump())
+		}
+	}
+}
+
+func (w *partitionWork) arm(timer *time.Timer) {
+	wait := time.Hour
+	if next := w.state.NextTick(); !next.IsZero() {
+		wait = max(time.Millisecond, time.Until(next))
+	}
+	if w.draining {
+		wait = min(wait, drainCheck)
+	}
+	timer.Reset(wait)
+}
+
+func (w *partitionWork) submit(ctx context.Context, s message.Submission) {
+	if s.Cancel {
+		w.act(ctx, w.state.Cancel(time.Now(), s.Request.ID, w.actions[:0]))
+		return
+	}
+	r := s.Request
+	if reason := w.refusal(r.ID); reason != outcome.NoReason {
+		s.Deliver(w.withHint(message.Refuse(r.ID, reason, 0)))
+		return
+	}
+	w.pending[r.ID] = &pending{submission: s}
+	w.act(ctx, w.state.Submit(time.Now(), workOf(r), w.actions[:0]))
+}
+
+func (w *partitionWork) refusal(id fleet.RequestID) outcome.Reason {
+	switch {
+	case w.draining:
+		return outcome.NotHolder
+	case !time.Now().Before(w.lease.Until):
+		return outcome.LeaseLapsed
+	case w.pending[id] != nil:
+		return outcome.MalformedRequest
+	default:
+		return outcome.NoReason
+	}
+}
+
+func workOf(r *message.Request) partition.Work {
+	return partition.Work{
+		ID: r.ID, Service: r.Service, Operation: r.Operation, Team: r.Team,
+		Class: r.Class, Idempotent: r.Idempotent, Deadline: r.Deadline,
+	}
+}
+
+func (w *partitionWork) complete(ctx context.Context, done message.ExchangeDone) {
+	w.inFlight--
+	if p := w.pending[done.Answer.ID]; p != nil {
+		p.answer = done.Answer
+	}
+	w.act(ctx, w.state.Complete(time.Now(), partition.Completion{
+		ID: done.Answer.ID, Server: done.Server, Result: resultOf(done),
+		Duration: done.Duration, SlotReleased: done.SlotReleased, Leaving: done.Leaving,
+	}, w.actions[:0]))
+}
+
+func resultOf(done message.ExchangeDone) partition.Result {
+	switch {
+	case !done.Written:
+		return partition.NotWritten
+	case done.Answer.Outcome != outcome.Answered:
+		return partition.Lost
+	case done.Answer.Status >= failureServerErrors:
+		return partition.Failed
+	default:
+		return partition.Succeeded
+	}
+}
+
+func (w *partitionWork) report(ctx context.Context, reports message.UsageReports) {
+	for _, r := range reports.Reports {
+		if w.lines[r.BackendServer] == nil {
+			continue
+		}
+		w.act(ctx, w.state.Report(time.Now(), usageOf(r), w.actions[:0]))
+	}
+}
+
+func usageOf(r message.UsageReport) partition.Usage {
+	u := partition.Usage{
+		Server: r.BackendServer, SampledAt: r.SampledAt, RequestSlots: r.RequestSlots,
+		Latencies: make(map[fleet.Service]time.Duration, len(r.Latencies)),
+	}
+	for service, micros := range r.Latencies {
+		u.Latencies[service] = time.Duration(micros) * time.Microsecond
+	}
+	return u
+}
+
+// drain refuses what waits and lets what runs end.
+func (w *partitionWork) drain(ctx context.Context) {
+	w.draining = true
+	for id, p := range w.pending {
+		w.actions = w.state.Cancel(time.Now(), id, w.actions[:0])
+		if len(w.actions) == 0 {
+			continue
+		}
+		delete(w.pending, id)
+		p.submission.Deliver(message.Refuse(id, outcome.NotHolder, 0))
+	}
+}
+
+func (w *partitionWork) openLines(servers []fleet.BackendServer) {
+	for _, s := range servers {
+		if w.lines[s.ID] == nil {
+			w.lines[s.ID] = w.duty.lines.Open(s, w.duty.holding.Epoch)
+		}
+	}
+}
+
+// abandon answers what the duty still holds when it ends or fails.
+func (w *partitionWork) abandon() {
+	for id, p := range w.pending {
+		p.submission.Deliver(message.Unknown(id, outcome.DutyFailed))
+	}
+	for _, line := range w.lines {
+		line.Close()
+	}
+}
+
+type partitionDump struct {
+	Partition fleet.PartitionID `json:"partition"`
+	Epoch     fleet.Epoch       `json:"epoch"`
+	LeaseFor  string            `json:"lease_for"`
+	Draining  bool              `json:"draining"`
+	Free      int               `json:"free_slots"`
+	Capacity  int               `json:"slots"`
+	Waiting   int               `json:"waiting"`
+	InFlight  int               `json:"exchanges_in_progress"`
+}
+
+func (w *partitionWork) dump() partitionDump {
+	free, capacity, waiting := w.state.Load(time.Now())
+	return partitionDump{
+		Partition: w.lease.Partition, Epoch: w.lease.Epoch,
+		LeaseFor: time.Until(w.lease.Until).Round(time.Millisecond).String(), Draining: w.draining,
+		Free: free, Capacity: capacity, Waiting: waiting, InFlight: w.inFlight,
+	}
+}
--- /dev/null
+++ b/entry/scheduling/scheduling.go
@@ -0,0 +1,188 @@
+// Package scheduling is the supervisor of the partition duties.
+//
+// The manager duty follows the holdings of this instance: for each partition
+// held it starts one partition duty, which owns the partition's slots, queue
+// and exchanges under one epoch. When a holding ends the partition duty
+// refuses what waits, lets what runs end, and stops. A manager that fails is
+// restarted and learns the holdings anew; partition duties of an earlier run
+// are told to drain first.
+package scheduling
+
+import (
+	"context"
+
+	"lacewingfork.example/lacewingfork/entry/dispatch"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// Supervisor runs the manager and the partition duties.
+type Supervisor struct {
+	tree  *supervise.Tree
+	lines *dispatch.Supervisor
+
+	// Input rings of the manager.
+	Snapshots      *message.SnapshotRing
+	Usage          *message.UsageRing
+	Holdings       *message.HoldingsRing
+	Configurations *message.ConfigurationRing
+
+	changes    *supervise.Ring[message.PartitionChange]
+	relinquish *supervise.Ring[message.Relinquish]
+	events     *supervise.Ring[message.Event]
+}
+
+// New adds the scheduling supervisor below root. Changes take each partition
+// that opens or closes; relinquish goes to the ownership duty.
+func New(
+	root *supervise.Tree, lines *dispatch.Supervisor, changes *supervise.Ring[message.PartitionChange],
+	relinquish *supervise.Ring[message.Relinquish], events *supervise.Ring[message.Event],
+) *Supervisor {
+	s := &Supervisor{
+		tree: root.Child("scheduling", supervise.DefaultIntensity), lines: lines,
+		Snapshots:      supervise.NewRing[message.ListSnapshot]("scheduling.snapshots", 1, supervise.DropOldest),
+		Usage:          supervise.NewRing[message.UsageReports]("scheduling.usage", 4, supervise.DropOldest),
+		Holdings:       supervise.NewRing[message.Holdings]("scheduling.holdings", 1, supervise.DropOldest),
+		Configurations: supervise.NewRing[message.ConfigurationInForce]("scheduling.configurations", 1, supervise.DropOldest),
+		changes:        changes, relinquish: relinquish, events: events,
+	}
+	s.tree.Start(supervise.Duty{
+		Name:  "manager",
+		Rings: []supervise.Measured{s.Snapshots, s.Usage, s.Holdings, s.Configurations},
+		Run:   s.run,
+	})
+	return s
+}
+
+// manager is the state of one run of the manager duty.
+type manager struct {
+	*Supervisor
+	open          map[fleet.PartitionID]*partitionDuty
+	servers       map[fleet.PartitionID][]fleet.BackendServer
+	configuration message.ConfigurationInForce
+	holdings      message.Holdings
+}
+
+func (s *Supervisor) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	m := &manager{Supervisor: s, open: map[fleet.PartitionID]*partitionDuty{}}
+	defer m.closeAll(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case snapshot := <-s.Snapshots.Items():
+			m.setServers(ctx, snapshot)
+		case usage := <-s.Usage.Items():
+			m.passUsage(ctx, usage)
+		case c := <-s.Configurations.Items():
+			m.setConfiguration(ctx, c)
+		case h := <-s.Holdings.Items():
+			m.holdings = h
+		case r := <-dumps:
+			r.Answer(m.dump())
+			continue
+		}
+		m.reconcile(ctx)
+	}
+}
+
+// reconcile opens and closes partition duties until they match the holdings. A
+// partition opens once its backend servers and a configuration are known.
+func (m *manager) reconcile(ctx context.Context) {
+	held := make(map[fleet.PartitionID]bool, len(m.holdings.Own))
+	for _, h := range m.holdings.Own {
+		held[h.Partition] = true
+		d := m.open[h.Partition]
+		if d != nil && d.holding.Epoch == h.Epoch {
+			_ = d.rings.lease.Put(ctx, h)
+			continue
+		}
+		m.close(ctx, h.Partition)
+		m.start(ctx, h)
+	}
+	for id := range m.open {
+		if !held[id] {
+			m.close(ctx, id)
+		}
+	}
+}
+
+func (m *manager) start(ctx context.Context, h message.Holding) {
+	servers := m.servers[h.Partition]
+	if len(servers) == 0 || m.configuration.Value == nil {
+		return
+	}
+	slots := 0
+	for _, s := range servers {
+		slots += s.Capacity.Slots
+	}
+	d := &partitionDuty{
+		holding: h, servers: servers, configuration: m.configuration,
+		rings: newPartitionRings(h, slots), lines: m.lines,
+		relinquish: m.relinquish, events: m.events,
+	}
+	m.open[h.Partition] = d
+	m.tree.Start(supervise.Duty{Name: d.name(), Rings: d.rings.measured(), Run: d.run})
+	_ = m.changes.Put(ctx, message.PartitionChange{Opened: &message.PartitionOpened{
+		Partition: h.Partition, Epoch: h.Epoch, Submissions: d.rings.submissions,
+	}})
+}
+
+func (m *manager) close(ctx context.Context, id fleet.PartitionID) {
+	d := m.open[id]
+	if d == nil {
+		return
+	}
+	delete(m.open, id)
+	_ = m.changes.Put(ctx, message.PartitionChange{Closed: &message.PartitionClosed{Partition: id, Epoch: d.holding.Epoch}})
+	_ = d.rings.release.Put(ctx, struct{}{})
+}
+
+func (m *manager) closeAll(ctx context.Context) {
+	for id := range m.open {
+		m.close(ctx, id)
+	}
+}
+
+func (m *manager) setServers(ctx context.Context, snapshot message.ListSnapshot) {
+	m.servers = map[fleet.PartitionID][]fleet.BackendServer{}
+	for _, s := range snapshot.BackendServers {
+		m.servers[s.Partition()] = append(m.servers[s.Partition()], s)
+	}
+	for id, d := range m.open {
+		_ = d.rings.servers.Put(ctx, m.servers[id])
+	}
+}
+
+func (m *manager) setConfiguration(ctx context.Context, c message.ConfigurationInForce) {
+	m.configuration = c
+	for _, d := range m.open {
+		_ = d.rings.configuration.Put(ctx, c)
+	}
+}
+
+func (m *manager) passUsage(ctx context.Context, usage message.UsageReports) {
+	for id, d := range m.open {
+		if id.DataCentre() == usage.DataCentre {
+			_ = d.rings.usage.Put(ctx, usage)
+		}
+	}
+}
+
+type managerDump struct {
+	Open                 map[fleet.PartitionID]fleet.Epoch `json:"open"`
+	BackendServers       int                               `json:"backend_servers"`
+	ConfigurationVersion int64                             `json:"configuration_version"`
+}
+
+func (m *manager) dump() managerDump {
+	d := managerDump{Open: map[fleet.PartitionID]fleet.Epoch{}, ConfigurationVersion: m.configuration.Version}
+	for id, p := range m.open {
+		d.Open[id] = p.holding.Epoch
+	}
+	for _, servers := range m.servers {
+		d.BackendServers += len(servers)
+	}
+	return d
+}
--- a/supervise/tree.go
+++ b/supervise/tree.go
@@ -82,6 +82,9 @@
 	return errors.Wrap(err, r.tree.path)
 }
 
+// Cancel ends a duty without waiting for its return.
+func (r Running) Cancel() { _ = r.tree.supervisor.Remove(r.token) }
+
 // Serve runs the tree until the context ends or a duty exceeds its intensity.
 func (t *Tree) Serve(ctx context.Context) error {
 	return errors.Wrap(t.supervisor.Serve(ctx), t.path)
