settings: read and check the settings of an entry instance

Cause: the entry daemon needs its identifiers, addresses, lease times and limits from a file, and an operator without help on site needs every fault of that file in one run, with its row.

Ruled out: decoding into a struct with go-toml's strict mode. It stops at the first wrong type and lists unknown keys only when all types are right, so the faults arrive one by one.

Change: findings/tomlfile decodes a file into plain values, takes the row of each key from go-toml's parser and reads tables by a list of keys that holds type, unit, default and range; the same list renders the documentation. settings holds the keys of an entry instance and Load. A syntax error is reported alone, because the parser stops there.

--- /dev/null
+++ b/findings/tomlfile/document.go
@@ -0,0 +1,190 @@
+// Package tomlfile reads TOML files that people write and collects everything
+// that is wrong in one, with file, row and key. The command line and the start
+// of a process call it; it owns nothing and a fault in the file is returned as
+// findings.
+package tomlfile
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"lacewingfork.example/lacewingfork/findings"
+)
+
+// Document is one parsed file. Only one goroutine may use it.
+type Document struct {
+	file     string
+	rows     map[string]int
+	tables   []*Table
+	findings findings.List
+	broken   bool
+	root     *Table
+}
+
+// Parse reads a file's content. A syntax error becomes a finding; the document
+// is then empty and Broken.
+func Parse(file string, data []byte) *Document {
+	d := &Document{file: file, rows: map[string]int{}}
+	values := map[string]any{}
+	if err := toml.Unmarshal(data, &values); err != nil {
+		d.broken = true
+		d.addSyntax(err)
+		values = map[string]any{}
+	} else {
+		d.rows = rowsOf(data)
+	}
+	d.root = d.table("", values)
+	return d
+}
+
+func (d *Document) addSyntax(err error) {
+	f := findings.Finding{File: d.file, Problem: err.Error(), Expected: "valid TOML"}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		f.Row, _ = decode.Position()
+		f.Key = strings.Join(decode.Key(), ".")
+	}
+	d.findings.Add(f)
+}
+
+// Broken reports whether the file is not TOML at all.
+func (d *Document) Broken() bool { return d.broken }
+
+// Root is the document's top-level table.
+func (d *Document) Root() *Table { return d.root }
+
+// Row returns the row of a key such as "service[0].name", or that of the
+// nearest table around it; 0 when neither is in the file.
+func (d *Document) Row(path string) int {
+	for path != "" {
+		if row, ok := d.rows[path]; ok {
+			return row
+		}
+		path = parentOf(path)
+	}
+	return 0
+}
+
+func parentOf(path string) string {
+	if strings.HasSuffix(path, "]") {
+		return path[:strings.LastIndexByte(path, '[')]
+	}
+	return path[:max(0, strings.LastIndexByte(path, '.'))]
+}
+
+// Report adds a finding about a key.
+func (d *Document) Report(path, problem, expected string) {
+	d.findings.Add(findings.Finding{
+		File: d.file, Row: d.Row(path), Key: path, Problem: problem, Expected: expected,
+	})
+}
+
+// Reported tells whether a finding about exactly this key exists.
+func (d *Document) Reported(path string) bool {
+	for _, f := range d.findings {
+		if f.Key == path {
+			return true
+		}
+	}
+	return false
+}
+
+// Err reports keys that nobody read and returns all findings as a
+// *findings.Error, or nil. It is called once, after everything was read.
+func (d *Document) Err() error {
+	for _, t := range d.tables {
+		for _, key := range t.unread() {
+			d.Report(t.pathOf(key), "is unknown", "one of "+strings.Join(t.expected(), ", "))
+		}
+	}
+	return d.findings.Err()
+}
+
+// Table is one table of a document.
+type Table struct {
+	doc    *Document
+	path   string
+	values map[string]any
+	read   map[string]bool
+}
+
+func (d *Document) table(path string, values map[string]any) *Table {
+	t := &Table{doc: d, path: path, values: values, read: map[string]bool{}}
+	d.tables = append(d.tables, t)
+	return t
+}
+
+// Path is the table's place in the document; empty for the root.
+func (t *Table) Path() string { return t.path }
+
+func (t *Table) pathOf(key string) string {
+	if t.path == "" {
+		return key
+	}
+	return t.path + "." + key
+}
+
+func (t *Table) unread() []string {
+	var keys []string
+	for key := range t.values {
+		if !t.read[key] {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (t *Table) expected() []string {
+	keys := make([]string, 0, len(t.read))
+	for key := range t.read {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (t *Table) take(key string) (any, bool) {
+	t.read[key] = true
+	value, ok := t.values[key]
+	return value, ok
+}
+
+// Table returns the table under a key. It is empty when the key is missing or
+// of another type; the latter is reported.
+func (t *Table) Table(key string) *Table {
+	value, ok := t.take(key)
+	values, isTable := value.(map[string]any)
+	if ok && !isTable {
+		t.doc.Report(t.pathOf(key), "is "+typeName(value), "a table ["+t.pathOf(key)+"]")
+	}
+	return t.doc.table(t.pathOf(key), values)
+}
+
+// Tables returns the tables of an array such as [[service]].
+func (t *Table) Tables(key string) []*Table {
+	value, ok := t.take(key)
+	if !ok {
+		return nil
+	}
+	items, isArray := value.([]any)
+	if !isArray {
+		t.doc.Report(t.pathOf(key), "is "+typeName(value), "tables [["+t.pathOf(key)+"]]")
+		return nil
+	}
+	tables := make([]*Table, 0, len(items))
+	for i, item := range items {
+		path := fmt.Sprintf("%s[%d]", t.pathOf(key), i)
+		values, isTable := item.(map[string]any)
+		if !isTable {
+			t.doc.Report(path, "is "+typeName(item), "a table")
+			continue
+		}
+		tables = append(tables, t.doc.table(path, values))
+	}
+	return tables
+}
--- /dev/null
+++ b/settings/keys.go
@@ -0,0 +1,187 @@
+package settings
+
+import (
+	"net"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"lacewingfork.example/lacewingfork/findings/tomlfile"
+)
+
+// Section is one table of the settings file.
+type Section struct {
+	Name string
+	Keys []tomlfile.Key[Settings]
+}
+
+const (
+	nameRange   = "lower-case letters, digits, - and ., at most 63"
+	listenRange = "IP:port, with port 0 for one that the kernel chooses"
+	urlRange    = "http://IP:port without a path"
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+	logLevels   = []string{"debug", "info", "warn", "error"}
+)
+
+// Sections lists every setting. It is the one source of defaults, ranges and
+// units; docs/OPERATIONS.md is compared with it.
+func Sections() []Section { return slices.Clone(sections) }
+
+var sections = []Section{
+	{Name: "instance", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "id", Meaning: "identifier of this entry instance, unique in the deployment",
+			Required: true, Range: nameRange, Valid: namePattern.MatchString,
+			Field: func(s *Settings) any { return &s.Instance.ID },
+		},
+		{
+			Name: "region", Meaning: "region that the instance is in",
+			Required: true, Range: nameRange, Valid: namePattern.MatchString,
+			Field: func(s *Settings) any { return &s.Instance.Region },
+		},
+		{
+			Name: "data_centre", Meaning: "data centre that the instance is in",
+			Required: true, Range: nameRange, Valid: namePattern.MatchString,
+			Field: func(s *Settings) any { return &s.Instance.DataCentre },
+		},
+	}},
+	{Name: "listen", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "callers", Meaning: "listen address for callers (HTTP)",
+			Required: true, Range: listenRange, Valid: isListenAddress,
+			Field: func(s *Settings) any { return &s.Listen.Callers },
+		},
+		{
+			Name: "peers", Meaning: "listen address for other entry instances (drpc)",
+			Required: true, Range: listenRange, Valid: isListenAddress,
+			Field: func(s *Settings) any { return &s.Listen.Peers },
+		},
+		{
+			Name: "operations", Meaning: "listen address for metrics, state dump and readiness (HTTP)",
+			Required: true, Range: listenRange, Valid: isListenAddress,
+			Field: func(s *Settings) any { return &s.Listen.Operations },
+		},
+		{
+			Name: "advertise_peers", Meaning: "address that other entry instances dial; empty means the bound address of `peers`, port 0 its bound port",
+			Default: "", Range: "empty or IP:port with a specified IP", Valid: isAdvertisedAddress,
+			Field: func(s *Settings) any { return &s.Listen.AdvertisePeers },
+		},
+	}},
+	{Name: "platform", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "log", Meaning: "base URL of the log service",
+			Required: true, Range: urlRange, Valid: isBaseURL,
+			Field: func(s *Settings) any { return &s.Platform.Log },
+		},
+		{
+			Name: "list", Meaning: "base URL of the instance list",
+			Required: true, Range: urlRange, Valid: isBaseURL,
+			Field: func(s *Settings) any { return &s.Platform.List },
+		},
+		{
+			Name: "workers", Meaning: "base URL of the workers' interface",
+			Required: true, Range: urlRange, Valid: isBaseURL,
+			Field: func(s *Settings) any { return &s.Platform.Workers },
+		},
+	}},
+	{Name: "lease", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "ttl", Meaning: "how long a lease on partitions lasts without a renewal; the same in the whole region",
+			Default: 4 * time.Second, Min: time.Second, Max: time.Minute,
+			Field: func(s *Settings) any { return &s.Lease.TTL },
+		},
+		{
+			Name: "list_lag", Meaning: "bound on the lag of the platform's instance list; the same in the whole region",
+			Default: 2 * time.Second, Min: 100 * time.Millisecond, Max: time.Minute,
+			Field: func(s *Settings) any { return &s.Lease.ListLag },
+		},
+		{
+			Name: "list_age", Meaning: "age from which a snapshot of the list is stale; the same in the whole region",
+			Default: 2 * time.Second, Min: 100 * time.Millisecond, Max: time.Minute,
+			Field: func(s *Settings) any { return &s.Lease.ListAge },
+		},
+		{
+			Name: "margin", Meaning: "allowance for drift between two clocks; at most a quarter of `ttl`",
+			Default: 200 * time.Millisecond, Min: 10 * time.Millisecond, Max: 10 * time.Second,
+			Field: func(s *Settings) any { return &s.Lease.Margin },
+		},
+	}},
+	{Name: "limits", Keys: limitKeys},
+	{Name: "process", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "stop_timeout", Meaning: "bound on a graceful stop; the longest deadline plus time to hand over",
+			Default: 75 * time.Second, Min: time.Second, Max: 10 * time.Minute,
+			Field: func(s *Settings) any { return &s.Process.StopTimeout },
+		},
+		{
+			Name: "log_level", Meaning: "least severe log lines that are written",
+			Default: "info", Range: strings.Join(logLevels, ", "),
+			Valid: func(text string) bool { return slices.Contains(logLevels, text) },
+			Field: func(s *Settings) any { return &s.Process.LogLevel },
+		},
+	}},
+}
+
+var limitKeys = []tomlfile.Key[Settings]{
+	{
+		Name: "body_bytes", Meaning: "largest body of a request", Unit: "bytes",
+		Default: 1 << 20, Min: 1, Max: 1 << 20,
+		Field: func(s *Settings) any { return &s.Limits.BodyBytes },
+	},
+	{
+		Name: "header_bytes", Meaning: "largest header of a request", Unit: "bytes",
+		Default: 16 << 10, Min: 1 << 10, Max: 64 << 10,
+		Field: func(s *Settings) any { return &s.Limits.HeaderBytes },
+	},
+	{
+		Name: "max_deadline", Meaning: "longest deadline of a request, whatever the configuration says",
+		Default: time.Minute, Min: 100 * time.Millisecond, Max: time.Minute,
+		Field: func(s *Settings) any { return &s.Limits.MaxDeadline },
+	},
+	{
+		Name: "waiting_requests", Meaning: "requests that may wait in each partition held", Unit: "requests",
+		Default: 4096, Min: 1, Max: 65536,
+		Field: func(s *Settings) any { return &s.Limits.WaitingRequests },
+	},
+	{
+		Name: "request_keys", Meaning: "request keys remembered in each partition held", Unit: "keys",
+		Default: 65536, Min: 256, Max: 1 << 20,
+		Field: func(s *Settings) any { return &s.Limits.RequestKeys },
+	},
+	{
+		Name: "connection_max_age", Meaning: "age at which a pooled connection is replaced",
+		Default: time.Minute, Min: time.Second, Max: time.Hour,
+		Field: func(s *Settings) any { return &s.Limits.ConnectionMaxAge },
+	},
+	{
+		Name: "explanation_history", Meaning: "events kept for `lacewingfork explain`", Unit: "events",
+		Default: 65536, Min: 1024, Max: 1 << 20,
+		Field: func(s *Settings) any { return &s.Limits.ExplanationHistory },
+	},
+}
+
+func isListenAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
+func isAdvertisedAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return text == "" || err == nil && !address.Addr().IsUnspecified()
+}
+
+func isBaseURL(text string) bool {
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" || u.Path != "" || u.RawQuery != "" || u.User != nil {
+		return false
+	}
+	_, port, err := net.SplitHostPort(u.Host)
+	address, addressErr := netip.ParseAddrPort(u.Host)
+	return err == nil && port != "0" && addressErr == nil && !address.Addr().IsUnspecified()
+}
