Test the exchanges with backend servers against scripted faults

A scripted TCP server sends half answers, stray and crossed answers, answers without a length, and silence. The table found that errors.Wrap of go-faster returns an error for a nil cause, so that every write counted as failed; the wraps now stand behind a check.

--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -139,7 +139,10 @@
 	s.Refuse()
 	ctx, cancel := context.WithTimeout(ctx, s.settings.StopTimeout)
 	defer cancel()
-	return errors.Wrap(s.server.Shutdown(ctx), "shut down the callers' front end")
+	if err := s.server.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "shut down the callers' front end")
+	}
+	return nil
 }
 
 func (s *Supervisor) handleRequest(w http.ResponseWriter, r *http.Request) {
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -37,7 +37,7 @@
 func (s *Supervisor) Open(server fleet.BackendServer, epoch fleet.Epoch) *Line {
 	places := min(server.Capacity.Slots, server.Connections)
 	line := &Line{
-		Exchanges: supervise.NewRing[message.Exchange](fmt.Sprintf("dispatch.%s", server.ID), places, supervise.Refuse),
+		Exchanges: supervise.NewRing[message.Exchange](fmt.Sprintf("dispatch.%s.exchanges", server.ID), places, supervise.Refuse),
 	}
 	for slot := range places {
 		line.running = append(line.running, s.tree.Start(supervise.Duty{
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -149,7 +149,10 @@
 		return false, errLeaseEnded
 	}
 	n, err := e.connection.Write(encoded.Bytes())
-	return n > 0, errors.Wrap(err, "write request")
+	if err != nil {
+		return n > 0, errors.Wrap(err, "write request")
+	}
+	return true, nil
 }
 
 func (e *exchanger) encode(x message.Exchange) *http.Request {
--- /dev/null
+++ b/entry/dispatch/exchange_test.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// script is a backend server that answers the n-th request of a connection
+// with the n-th text, in which ID stands for the request's identifier. It
+// closes the connection after the last one.
+type script []string
+
+func (s script) serve(t *testing.T, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, text := range s {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body) // unread bytes would reset the connection
+		if _, err := fmt.Fprint(conn, strings.ReplaceAll(text, "ID", request.Header.Get(HeaderRequestID))); err != nil {
+			t.Logf("write scripted answer: %v", err)
+		}
+	}
+}
+
+// startBackend serves one script for each accepted connection.
+func startBackend(t *testing.T, scripts ...script) fleet.BackendServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for _, s := range scripts {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.serve(t, conn)
+		}
+	}()
+	return fleet.BackendServer{ID: "b1", Address: listener.Addr().String(), Capacity: fleet.Resources{Slots: 1}, Connections: 1}
+}
+
+func whole(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nLacewingfork-Request-Id: ID\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func request(id string, wait time.Duration) *message.Request {
+	return &message.Request{
+		ID: fleet.RequestID(id), Service: "planner", Operation: "layout",
+		Deadline: time.Now().Add(wait), Body: []byte("panel"),
+	}
+}
+
+func exchangeOf(r *message.Request, lease time.Duration) message.Exchange {
+	return message.Exchange{
+		Request: r, Partition: "accra-1/r1", Epoch: 3, LeaseUntil: time.Now().Add(lease), Attempt: 1,
+		Done: supervise.NewRing[message.ExchangeDone]("done", 1, supervise.Wait),
+	}
+}
+
+// Guards against an answer that is partial, ambiguous or another request's
+// being taken as whole, and against "not run" after bytes were written.
+func TestExchangeEnds(t *testing.T) {
+	const silent = "" // the server closes or says nothing
+	cases := []struct {
+		name     string
+		script   script
+		lease    time.Duration
+		outcome  outcome.Outcome
+		reason   outcome.Reason
+		written  bool
+		released bool
+	}{
+		{"whole answer", script{whole("fine")}, time.Hour, outcome.Answered, outcome.NoReason, true, true},
+		{"chunked answer", script{"HTTP/1.1 200 OK\r\nLacewingfork-Request-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"}, time.Hour, outcome.Answered, outcome.NoReason, true, true},
+		{"informational answer first", script{"HTTP/1.1 103 Early Hints\r\n\r\n" + whole("fine")}, time.Hour, outcome.Answered, outcome.NoReason, true, true},
+		{"half an answer", script{"HTTP/1.1 200 OK\r\nLacewingfork-Request-Id: ID\r\nContent-Length: 9\r\n\r\nhalf"}, time.Hour, outcome.Unknown, outcome.BackendBroken, true, false},
+		{"half a chunk", script{"HTTP/1.1 200 OK\r\nLacewingfork-Request-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf"}, time.Hour, outcome.Unknown, outcome.BackendBroken, true, false},
+		{"no length", script{"HTTP/1.1 200 OK\r\nLacewingfork-Request-Id: ID\r\n\r\nall?"}, time.Hour, outcome.Unknown, outcome.BackendBroken, true, false},
+		{"another request's answer", script{strings.ReplaceAll(whole("fine"), "ID", "other")}, time.Hour, outcome.Unknown, outcome.BackendBroken, true, false},
+		{"no identifier", script{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"}, time.Hour, outcome.Unknown, outcome.BackendBroken, true, false},
+		{"not HTTP", script{"fine\r\n\r\n"}, time.Hour, outcome.Unknown, outcome.BackendBroken, true, false},
+		{"closed without an answer", script{silent}, time.Hour, outcome.Unknown, outcome.BackendBroken, true, false},
+		{"lease has ended", script{whole("fine")}, -time.Second, outcome.RefusedNotRun, outcome.LeaseLapsed, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := newExchanger(startBackend(t, c.script))
+			defer e.close()
+			done := e.exchange(context.Background(), exchangeOf(request("q1", time.Minute), c.lease))
+			if done.Answer.Outcome != c.outcome || done.Answer.Reason != c.reason || done.Written != c.written || done.SlotReleased != c.released {
+				t.Fatalf("got %v %q written=%v released=%v", done.Answer.Outcome, done.Answer.Reason, done.Written, done.SlotReleased)
+			}
+			if c.outcome == outcome.Answered && string(done.Answer.Body) != "fine" {
+				t.Fatalf("body %q", done.Answer.Body)
+			}
+		})
+	}
+}
+
+// Guards against an answer that nobody asked for being taken as the answer to
+// the next request on the same connection.
+func TestUnrequestedAnswerReplacesConnection(t *testing.T) {
+	backend := startBackend(t, script{whole("one") + strings.ReplaceAll(whole("stray"), "ID", "q2")}, script{whole("two")})
+	e := newExchanger(backend)
+	defer e.close()
+	first := e.exchange(context.Background(), exchangeOf(request("q1", time.Minute), time.Hour))
+	second := e.exchange(context.Background(), exchangeOf(request("q2", time.Minute), time.Hour))
+	if string(first.Answer.Body) != "one" || string(second.Answer.Body) != "two" {
+		t.Fatalf("answers %q and %q", first.Answer.Body, second.Answer.Body)
+	}
+}
+
+// Guards against a request with an unknown outcome when the server closed an
+// idle connection: the probe finds it and a fresh connection is used.
+func TestClosedIdleConnectionIsReplaced(t *testing.T) {
+	e := newExchanger(startBackend(t, script{whole("one")}, script{whole("two")}))
+	defer e.close()
+	first := e.exchange(context.Background(), exchangeOf(request("q1", time.Minute), time.Hour))
+	// The script ends here; wait for the close to arrive.
+	if _, err := e.connection.reader.Peek(1); err == nil {
+		t.Fatal("the connection is still open")
+	}
+	second := e.exchange(context.Background(), exchangeOf(request("q2", time.Minute), time.Hour))
+	if first.Answer.Outcome != outcome.Answered || second.Answer.Outcome != outcome.Answered {
+		t.Fatalf("outcomes %v, %v", first.Answer.Outcome, second.Answer.Outcome)
+	}
+}
+
+// Guards against reuse of a connection that may have been forgotten by
+// something between the two ends.
+func TestReuseRules(t *testing.T) {
+	backend := startBackend(t, script{whole("one"), whole("two")})
+	now := time.Now()
+	cases := []struct {
+		name       string
+		opened     time.Duration
+		used       time.Duration
+		idempotent bool
+		want       bool
+	}{
+		{"fresh, non-idempotent", 0, 0, false, true},
+		{"idle for 2 s, idempotent", -2 * time.Second, -2 * time.Second, true, true},
+		{"idle for 2 s, non-idempotent", -2 * time.Second, -2 * time.Second, false, false},
+		{"too old", -2 * time.Minute, 0, true, false},
+	}
+	c, err := dial(context.Background(), backend.Address, now.Add(time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	for _, test := range cases {
+		c.openedAt, c.usedAt = now.Add(test.opened), now.Add(test.used)
+		if got := c.reusable(now, test.idempotent); got != test.want {
+			t.Errorf("%s: reusable = %v", test.name, got)
+		}
+	}
+}
+
+// Guards against a slot that counts as free while a silent server may still
+// run the request.
+func TestSilentServerTimesOut(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }() // accepts by the backlog, never answers
+	e := newExchanger(fleet.BackendServer{ID: "b1", Address: listener.Addr().String()})
+	defer e.close()
+	done := e.exchange(context.Background(), exchangeOf(request("q1", 50*time.Millisecond), time.Hour))
+	if done.Answer.Outcome != outcome.Unknown || done.Answer.Reason != outcome.BackendTimeout || done.SlotReleased {
+		t.Fatalf("got %+v", done)
+	}
+}
+
+// Guards against "not run" being missed when nobody listens.
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	e := newExchanger(fleet.BackendServer{ID: "b1", Address: address})
+	done := e.exchange(context.Background(), exchangeOf(request("q1", time.Minute), time.Hour))
+	if done.Answer.Outcome != outcome.RefusedNotRun || done.Answer.Reason != outcome.ConnectFailed || done.Written {
+		t.Fatalf("got %+v", done)
+	}
+}
--- /dev/null
+++ b/entry/operations/metrics.go
@@ -0,0 +1,59 @@
+package operations
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+var (
+	ringDepth = prometheus.NewDesc("lacewingfork_ring_depth",
+		"Items that wait on the rings of a kind.", []string{"ring"}, nil)
+	ringRefused = prometheus.NewDesc("lacewingfork_ring_refused_total",
+		"Items that full rings of a kind refused.", []string{"ring"}, nil)
+	ringDropped = prometheus.NewDesc("lacewingfork_ring_dropped_total",
+		"Items that full rings of a kind dropped.", []string{"ring"}, nil)
+	dutiesRunning = prometheus.NewDesc("lacewingfork_duties",
+		"Duties that run in this process.", nil, nil)
+)
+
+// ringCollector reads the ring counters from the directory when it is scraped.
+type ringCollector struct {
+	directory *supervise.Directory
+}
+
+// Describe implements prometheus.Collector.
+func (c *ringCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- ringDepth
+	descriptions <- ringRefused
+	descriptions <- ringDropped
+	descriptions <- dutiesRunning
+}
+
+// Collect sums the rings by kind, the part of the name before the first
+// identifier, so that the number of series doesn't grow with the fleet.
+func (c *ringCollector) Collect(metrics chan<- prometheus.Metric) {
+	states, err := c.directory.RingStats(context.Background())
+	if err != nil {
+		return
+	}
+	sums := map[string]supervise.RingStats{}
+	for _, state := range states {
+		for _, ring := range state.Rings {
+			kind := ring.Kind()
+			sum := sums[kind]
+			sum.Depth += ring.Depth
+			sum.Refused += ring.Refused
+			sum.Dropped += ring.Dropped
+			sums[kind] = sum
+		}
+	}
+	for kind, sum := range sums {
+		metrics <- prometheus.MustNewConstMetric(ringDepth, prometheus.GaugeValue, float64(sum.Depth), kind)
+		metrics <- prometheus.MustNewConstMetric(ringRefused, prometheus.CounterValue, float64(sum.Refused), kind)
+		metrics <- prometheus.MustNewConstMetric(ringDropped, prometheus.CounterValue, float64(sum.Dropped), kind)
+	}
+	metrics <- prometheus.MustNewConstMetric(dutiesRunning, prometheus.GaugeValue, float64(len(states)))
+}
--- /dev/null
+++ b/entry/operations/operations.go
@@ -0,0 +1,191 @@
+// Package operations is the supervisor of what operators and the balancer see:
+// metrics, state dumps, readiness, status, explanations and the planned stop.
+//
+// It owns the bounded history of explanations and the status of the instance.
+// When one of its duties fails the history is lost or the status is learnt
+// anew; requests are not affected.
+package operations
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// queryTimeout bounds the wait for a duty of this supervisor.
+const queryTimeout = time.Second
+
+// Settings place the instance.
+type Settings struct {
+	Instance   fleet.InstanceID
+	Region     fleet.Region
+	DataCentre fleet.DataCentre
+}
+
+// Supervisor runs the duties of this folder.
+type Supervisor struct {
+	settings  Settings
+	listener  net.Listener
+	directory *supervise.Directory
+	server    *http.Server
+	drain     func()
+
+	Events         *supervise.Ring[message.Event]
+	Configurations *message.ConfigurationRing
+	Holdings       *message.HoldingsRing
+	Snapshots      *message.SnapshotRing
+	explain        *supervise.Ring[explainQuery]
+	statuses       *supervise.Ring[*supervise.Ring[Status]]
+	drained        *supervise.Ring[struct{}]
+}
+
+// NewEvents returns the ring that takes explanations; it exists before the
+// supervisor because every duty reports to it.
+func NewEvents() *supervise.Ring[message.Event] {
+	return supervise.NewRing[message.Event]("operations.events", eventCapacity, supervise.DropOldest)
+}
+
+// New adds the operations supervisor below root. drain starts the planned stop
+// of the process and returns at once.
+func New(
+	root *supervise.Tree, settings Settings, listener net.Listener,
+	events *supervise.Ring[message.Event], registry *prometheus.Registry, drain func(),
+) *Supervisor {
+	s := &Supervisor{
+		settings: settings, listener: listener, directory: root.Directory(), drain: drain, Events: events,
+		Configurations: supervise.NewRing[message.ConfigurationInForce]("operations.configurations", 1, supervise.DropOldest),
+		Holdings:       supervise.NewRing[message.Holdings]("operations.holdings", 1, supervise.DropOldest),
+		Snapshots:      supervise.NewRing[message.ListSnapshot]("operations.snapshots", 1, supervise.DropOldest),
+		explain:        supervise.NewRing[explainQuery]("operations.explain", 16, supervise.Wait),
+		statuses:       supervise.NewRing[*supervise.Ring[Status]]("operations.statuses", 16, supervise.Wait),
+		drained:        supervise.NewRing[struct{}]("operations.drained", 1, supervise.DropOldest),
+	}
+	registry.MustRegister(&ringCollector{directory: s.directory})
+	s.server = &http.Server{Handler: s.routes(registry), ReadHeaderTimeout: 5 * time.Second}
+	tree := root.Child("operations", supervise.DefaultIntensity)
+	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
+	tree.Start(supervise.Duty{Name: "history", Rings: []supervise.Measured{s.Events, s.explain}, Run: s.keepHistory})
+	tree.Start(supervise.Duty{
+		Name:  "status",
+		Rings: []supervise.Measured{s.Configurations, s.Holdings, s.Snapshots, s.statuses, s.drained},
+		Run:   s.keepStatus,
+	})
+	return s
+}
+
+// SetDraining makes the instance not ready for the rest of its life.
+func (s *Supervisor) SetDraining() { _ = s.drained.Put(context.Background(), struct{}{}) }
+
+func (s *Supervisor) serve(ctx context.Context, _ <-chan supervise.DumpRequest) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve operations")
+}
+
+func (s *Supervisor) routes(registry *prometheus.Registry) http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.HandleFunc("/readyz", s.handleReady).Methods(http.MethodGet)
+	router.HandleFunc("/debug/state", s.handleState).Methods(http.MethodGet)
+	router.HandleFunc("/v1/status", s.handleStatus).Methods(http.MethodGet)
+	router.HandleFunc("/v1/explain/{id:.+}", s.handleExplain).Methods(http.MethodGet)
+	router.HandleFunc("/v1/drain", s.handleDrain).Methods(http.MethodPost)
+	return router
+}
+
+func (s *Supervisor) handleReady(w http.ResponseWriter, r *http.Request) {
+	status, err := s.Status(r.Context())
+	if err != nil || !status.Ready {
+		writeJSON(w, http.StatusServiceUnavailable, status)
+		return
+	}
+	writeJSON(w, http.StatusOK, status)
+}
+
+func (s *Supervisor) handleStatus(w http.ResponseWriter, r *http.Request) {
+	status, err := s.Status(r.Context())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, status)
+}
+
+// handleState dumps the state of every duty, or of those whose path contains
+// the query parameter duty.
+func (s *Supervisor) handleState(w http.ResponseWriter, r *http.Request) {
+	part := r.URL.Query().Get("duty")
+	states, err := s.directory.Dump(r.Context(), func(path string) bool { return strings.Contains(path, part) })
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, states)
+}
+
+func (s *Supervisor) handleExplain(w http.ResponseWriter, r *http.Request) {
+	query := explainQuery{
+		subject: mux.Vars(r)["id"],
+		reply:   supervise.NewRing[[]message.Event]("operations.explained", 1, supervise.Refuse),
+	}
+	events, err := ask(r.Context(), s.explain, query, query.reply)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, events)
+}
+
+func (s *Supervisor) handleDrain(w http.ResponseWriter, _ *http.Request) {
+	s.drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// Status returns what the status duty knows.
+func (s *Supervisor) Status(ctx context.Context) (Status, error) {
+	reply := supervise.NewRing[Status]("operations.status", 1, supervise.Refuse)
+	return ask(ctx, s.statuses, reply, reply)
+}
+
+// ask puts a query on a ring and waits for its answer.
+func ask[Q, A any](ctx context.Context, ring *supervise.Ring[Q], query Q, reply *supervise.Ring[A]) (A, error) {
+	var none A
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	if err := ring.Put(ctx, query); err != nil {
+		return none, err
+	}
+	select {
+	case a := <-reply.Items():
+		return a, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	writeJSON(w, http.StatusServiceUnavailable, map[string]string{"error": err.Error()})
+}
--- /dev/null
+++ b/entry/operations/status.go
@@ -0,0 +1,75 @@
+package operations
+
+import (
+	"context"
+	"time"
+
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// Status is the body of GET /v1/status.
+type Status struct {
+	Instance             fleet.InstanceID `json:"instance"`
+	Region               fleet.Region     `json:"region"`
+	DataCentre           fleet.DataCentre `json:"data_centre"`
+	Ready                bool             `json:"ready"`
+	Draining             bool             `json:"draining"`
+	ConfigurationVersion int64            `json:"configuration_version"`
+	// ListAge is the age of the newest instance list in milliseconds, or -1
+	// before the first.
+	ListAge    int64               `json:"list_age_ms"`
+	Partitions []fleet.PartitionID `json:"partitions"`
+}
+
+// statusDuty owns what readiness depends on.
+type statusDuty struct {
+	status     Status
+	snapshotAt time.Time
+}
+
+// keepStatus follows the parts of the state that readiness depends on: an
+// instance is ready once it has a configuration in force, until it drains. It
+// stays ready while the platform is out, because requests are still served.
+func (s *Supervisor) keepStatus(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	d := &statusDuty{status: Status{
+		Instance: s.settings.Instance, Region: s.settings.Region, DataCentre: s.settings.DataCentre,
+	}}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case c := <-s.Configurations.Items():
+			d.status.ConfigurationVersion = c.Version
+		case h := <-s.Holdings.Items():
+			d.setHoldings(h)
+		case snapshot := <-s.Snapshots.Items():
+			d.snapshotAt = snapshot.SampledAt
+		case <-s.drained.Items():
+			d.status.Draining = true
+		case reply := <-s.statuses.Items():
+			_ = reply.Put(ctx, d.now())
+		case r := <-dumps:
+			r.Answer(d.now())
+		}
+	}
+}
+
+func (d *statusDuty) setHoldings(h message.Holdings) {
+	partitions := make([]fleet.PartitionID, 0, len(h.Own))
+	for _, own := range h.Own {
+		partitions = append(partitions, own.Partition)
+	}
+	d.status.Partitions = partitions
+}
+
+func (d *statusDuty) now() Status {
+	s := d.status
+	s.Ready = s.ConfigurationVersion > 0 && !s.Draining
+	s.ListAge = -1
+	if !d.snapshotAt.IsZero() {
+		s.ListAge = time.Since(d.snapshotAt).Milliseconds()
+	}
+	return s
+}
--- a/supervise/ring.go
+++ b/supervise/ring.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -126,3 +127,16 @@
 
 // Measured is a ring whatever its item type.
 type Measured interface{ Stats() RingStats }
+
+// Kind is the ring's name without the identifiers of one partition, server or
+// peer: the first and the last word.
+func (s RingStats) Kind() string {
+	first, rest, found := strings.Cut(s.Name, ".")
+	if !found {
+		return first
+	}
+	if i := strings.LastIndexByte(rest, '.'); i >= 0 {
+		return first + "." + rest[i+1:]
+	}
+	return first + "." + rest
+}
--- a/supervise/tree.go
+++ b/supervise/tree.go
@@ -78,8 +78,10 @@
 // Stop ends a duty and waits for its return. It returns an error when the duty
 // is still running after the stop timeout.
 func (r Running) Stop() error {
-	err := r.tree.supervisor.RemoveAndWait(r.token, stopTimeout)
-	return errors.Wrap(err, r.tree.path)
+	if err := r.tree.supervisor.RemoveAndWait(r.token, stopTimeout); err != nil {
+		return errors.Wrap(err, r.tree.path)
+	}
+	return nil
 }
 
 // Cancel ends a duty without waiting for its return.
