--- /dev/null
+++ b/cmd/lacewingfork-entry/main.go
@@ -0,0 +1,79 @@
+// Command lacewingfork-entry runs one entry instance.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/charmbracelet/log"
+	"github.com/jessevdk/go-flags"
+
+	"lacewingfork.example/lacewingfork/entry"
+	"lacewingfork.example/lacewingfork/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1 // the instance gave up
+	exitSettings = 2 // the command line or the settings are wrong
+)
+
+type options struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"settings of the instance in TOML"`
+}
+
+// ready is printed on standard output once the sockets are open.
+type ready struct {
+	Event      string `json:"event"`
+	Instance   string `json:"instance"`
+	Callers    string `json:"callers"`
+	Peers      string `json:"peers"`
+	Operations string `json:"operations"`
+}
+
+func main() { os.Exit(run(os.Stdout, os.Stderr)) }
+
+func run(stdout, stderr io.Writer) int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitSettings
+	}
+	s, err := settings.Load(o.Settings)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	logger := newLogger(stderr, s)
+	listeners, err := entry.OpenListeners(s.Listen)
+	if err != nil {
+		logger.Error("cannot listen", "event", "listen_failed", "error", err)
+		return exitFailed
+	}
+	defer listeners.Close()
+	app := entry.New(s, listeners, logger)
+	if err := app.Err(); err != nil {
+		logger.Error("cannot build the instance", "event", "build_failed", "error", err)
+		return exitFailed
+	}
+	_ = json.NewEncoder(stdout).Encode(ready{
+		Event: "ready", Instance: string(s.Instance.ID), Callers: listeners.Callers.Addr().String(),
+		Peers: listeners.Peers.Addr().String(), Operations: listeners.Operations.Addr().String(),
+	})
+	return serve(app, logger)
+}
+
+// newLogger writes one JSON object a line.
+func newLogger(w io.Writer, s settings.Settings) *log.Logger {
+	level, err := log.ParseLevel(s.Process.LogLevel)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	return log.NewWithOptions(w, log.Options{
+		Formatter: log.JSONFormatter, ReportTimestamp: true, Level: level,
+	}).With("instance", s.Instance.ID)
+}
