Add the platform's client, stand-in and duties in a first version

Cause: the thin path of the entry instance needs a platform to talk to. Change: platformapi gets its HTTP client; standin serves log, list, workers and backend servers with faults over a control API; entry/platform has log readers, log writer and watchers, each with a call duty so that a slow call does not block the duty that owns the state. message.LogRecords gets From and Next, and message.Rewind is new: a fold that restarts reads its stream again and drops batches that do not continue its own offset. Ruled out: one goroutine that both calls and owns state, because it could not answer a state dump during a log outage.

--- a/entry/message/state.go
+++ b/entry/message/state.go
@@ -73,7 +73,12 @@
 // LogRecords goes from a log reader to the fold of its stream. Its ring waits,
 // so that a slow fold holds the reader back.
 type LogRecords struct {
-	Stream  string
+	Stream string
+	// From is the offset that was read from and Next the one that follows. A
+	// fold that keeps its own next offset drops a batch with another From,
+	// which makes a second delivery harmless.
+	From    fleet.Offset
+	Next    fleet.Offset
 	Records []LogEntry
 	// ReadAt is when the read that returned the records was sent.
 	ReadAt time.Time
@@ -83,6 +88,13 @@
 	Truncated bool
 }
 
+// Rewind goes from a fold that starts again with clean state to its log reader,
+// which reads from that offset on. Its ring has one place; the newest wins.
+type Rewind struct{ From fleet.Offset }
+
+// RewindRing takes the rewinds of one stream.
+type RewindRing = supervise.Ring[Rewind]
+
 // LogEntry is one entry of a group-committed log record.
 type LogEntry struct {
 	Offset fleet.Offset
--- /dev/null
+++ b/entry/platform/reader.go
@@ -0,0 +1,206 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
+	"lacewingfork.example/lacewingfork/records"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// pollWait is how long a read waits for a record. A connection that went
+	// silent is noticed after pollWait and the call timeout, which has to stay
+	// below the lease time (4 s).
+	pollWait = 500 * time.Millisecond
+	// readRetryFirst and readRetryMost bound the pause before a read is tried
+	// again, before jitter of half the pause either way.
+	readRetryFirst = 100 * time.Millisecond
+	readRetryMost  = time.Second
+)
+
+type readQuestion struct {
+	stream string
+	from   fleet.Offset
+}
+
+type readRing = callRing[readQuestion, platformapi.Batch]
+
+// readerDuties returns the reader of a stream and its call duty.
+func readerDuties(stream Stream, log platformapi.Log) []supervise.Duty {
+	calls := newCallRing[readQuestion, platformapi.Batch]("log-read." + stream.Name + ".calls")
+	rewinds := stream.Rewinds
+	if rewinds == nil {
+		rewinds = supervise.NewRing[message.Rewind]("log-reader."+stream.Name+".rewinds", 1, supervise.DropOldest)
+	}
+	return []supervise.Duty{
+		{
+			Name:  "log-reader/" + stream.Name,
+			Rings: []supervise.Measured{rewinds},
+			Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+				return newReader(stream, calls, rewinds).run(ctx, dumps)
+			},
+		},
+		callDuty("log-read/"+stream.Name, calls, func(ctx context.Context, q readQuestion) (platformapi.Batch, error) {
+			return log.Read(ctx, q.stream, q.from, pollWait)
+		}),
+	}
+}
+
+// reader follows one stream. There is one read in progress or one pause before
+// the next.
+type reader struct {
+	stream  Stream
+	calls   *readRing
+	rewinds *message.RewindRing
+	replies *supervise.Ring[result[platformapi.Batch]]
+	pauses  *backoff.ExponentialBackOff
+	retry   *time.Timer
+
+	next      fleet.Offset
+	truncated bool // records before next are gone and nobody was told yet
+	cancel    context.CancelFunc
+	stale     bool // the read in progress was asked for before a rewind
+	state     readerState
+}
+
+// readerState is the reader's part of the state dump.
+type readerState struct {
+	Next        fleet.Offset `json:"next"`
+	CaughtUp    bool         `json:"caught_up"`
+	Reads       uint64       `json:"reads"`
+	Failures    uint64       `json:"failures"`
+	InARow      uint64       `json:"failures_in_a_row"`
+	Truncations uint64       `json:"truncations"`
+	Undecodable uint64       `json:"undecodable_records"`
+	LastError   string       `json:"last_error,omitempty"`
+}
+
+func newReader(stream Stream, calls *readRing, rewinds *message.RewindRing) *reader {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval = readRetryFirst
+	pauses.MaxInterval = readRetryMost
+	pauses.Reset()
+	return &reader{
+		stream: stream, calls: calls, rewinds: rewinds, pauses: pauses, next: stream.From,
+		replies: newReplyRing[platformapi.Batch]("log-reader."+stream.Name+".replies", 1),
+	}
+}
+
+func (r *reader) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	r.retry = time.NewTimer(0)
+	defer r.retry.Stop()
+	defer func() { r.endCall() }()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case request := <-dumps:
+			r.state.Next = r.next
+			request.Answer(r.state)
+		case rewind := <-r.rewinds.Items():
+			r.rewind(rewind.From)
+		case <-r.retry.C:
+			r.ask(ctx)
+		case got := <-r.replies.Items():
+			r.endCall()
+			if err := r.take(ctx, got); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (r *reader) ask(ctx context.Context) {
+	ctx, r.cancel = context.WithCancel(ctx)
+	r.stale = false
+	r.state.Reads++
+	_ = r.calls.Put(ctx, call[readQuestion, platformapi.Batch]{
+		ctx: ctx, reply: r.replies,
+		question: readQuestion{stream: r.stream.Name, from: r.next},
+	})
+}
+
+func (r *reader) endCall() {
+	if r.cancel != nil {
+		r.cancel()
+		r.cancel = nil
+	}
+}
+
+// rewind ends the read in progress; its result is dropped when it arrives.
+func (r *reader) rewind(from fleet.Offset) {
+	r.next = from
+	r.truncated = false
+	r.state.CaughtUp = false
+	if r.cancel != nil {
+		r.cancel()
+		r.stale = true
+	}
+}
+
+func (r *reader) take(ctx context.Context, got result[platformapi.Batch]) error {
+	switch {
+	case r.stale:
+		r.retry.Reset(0)
+	case errors.Is(got.err, platformapi.ErrTruncated):
+		r.state.Truncations++
+		r.truncated = true
+		r.next = got.answer.Oldest
+		r.retry.Reset(0)
+	case got.err != nil:
+		r.state.Failures++
+		r.state.InARow++
+		r.state.LastError = got.err.Error()
+		r.retry.Reset(r.pauses.NextBackOff())
+	default:
+		r.state.InARow = 0
+		r.pauses.Reset()
+		r.retry.Reset(0)
+		return r.deliver(ctx, got)
+	}
+	return nil
+}
+
+// deliver hands every successful read to the folds, also an empty one: it tells
+// them that the log answers and whether they are caught up.
+func (r *reader) deliver(ctx context.Context, got result[platformapi.Batch]) error {
+	batch := message.LogRecords{
+		Stream: r.stream.Name, From: r.next, Next: got.answer.Next,
+		Records: r.decode(got.answer.Records), ReadAt: got.sentAt,
+		CaughtUp: got.answer.Next >= got.answer.End, Truncated: r.truncated,
+	}
+	for _, fold := range r.stream.Folds {
+		if err := fold.Put(ctx, batch); err != nil {
+			return err
+		}
+	}
+	r.next = batch.Next
+	r.truncated = false
+	r.state.CaughtUp = batch.CaughtUp
+	return nil
+}
+
+// decode passes over a record that is not one of the project's. Every reader
+// passes over the same ones, so the folds stay equal.
+func (r *reader) decode(list []platformapi.Record) []message.LogEntry {
+	var out []message.LogEntry
+	for _, record := range list {
+		entries, err := records.Decode(record.Data)
+		if err != nil {
+			r.state.Undecodable++
+			r.state.LastError = err.Error()
+			continue
+		}
+		for i, e := range entries {
+			out = append(out, message.LogEntry{Offset: record.Offset, Index: i, ID: e.ID, Data: e.Data})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/standin/backend.go
@@ -0,0 +1,239 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Headers of backend servers.
+const (
+	HeaderRunMillis = "Lacewingfork-Simulated-Run-Ms"
+	HeaderRequestID = "Lacewingfork-Request-Id"
+	HeaderKey       = "Idempotency-Key"
+	HeaderLeaving   = "Lacewingfork-Leaving"
+)
+
+const (
+	maxBodyBytes = 1 << 20
+	// maxRunTime is above the longest deadline of a request (60 s) by the
+	// factor that declared run times may be wrong.
+	maxRunTime = 10 * time.Minute
+)
+
+// RunAnswer is the body of a backend server's answer.
+type RunAnswer struct {
+	BackendServer fleet.BackendServerID `json:"backend_server"`
+	RequestID     string                `json:"request_id"`
+	BodySHA256    string                `json:"body_sha256"`
+	BodyBytes     int                   `json:"body_bytes"`
+}
+
+// addBackendServer opens a listener and puts the server on the list.
+func (s *StandIn) addBackendServer(b fleet.BackendServer) (fleet.BackendServer, error) {
+	if _, exists := s.registry.server(b.ID); exists {
+		return b, errors.Errorf("backend server %q exists", b.ID)
+	}
+	inner, err := s.listen(net.JoinHostPort(s.settings.BackendHost, "0"))
+	if err != nil {
+		return b, errors.Wrap(err, "listen for backend server")
+	}
+	b.Address = inner.Addr().String()
+	if b.Capacity == (fleet.Resources{}) {
+		b.Capacity = s.settings.Capacity.resources()
+	}
+	if b.Connections == 0 {
+		b.Connections = s.settings.Capacity.Connections
+	}
+	listener := newTrackedListener(inner, b.Connections)
+	server := newHTTPServer(s.machines.backendRouter(b.ID))
+	s.machines.add(b, listener, func() { _ = server.Close() })
+	s.serve(server, listener)
+	s.registry.putServer(b)
+	return b, nil
+}
+
+func (m *machines) backendRouter(id fleet.BackendServerID) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/run/{service}/{operation}", func(w http.ResponseWriter, req *http.Request) {
+		m.serveRun(w, req, id)
+	}).Methods(http.MethodPost)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		m.serveHealth(w, id)
+	}).Methods(http.MethodGet)
+	return r
+}
+
+func (m *machines) serveHealth(w http.ResponseWriter, id fleet.BackendServerID) {
+	mode, leaving := m.modeOf(id)
+	if leaving {
+		w.Header().Set(HeaderLeaving, "true")
+	}
+	if mode == BackendFails {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+}
+
+func (m *machines) modeOf(id fleet.BackendServerID) (mode BackendMode, leaving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if server := m.servers[id]; server != nil {
+		return server.faults.Mode, server.leaving
+	}
+	return BackendFails, true
+}
+
+// serveRun runs one request. The simulated work goes on when the client leaves,
+// as that of a real backend server does.
+func (m *machines) serveRun(w http.ResponseWriter, req *http.Request, id fleet.BackendServerID) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "body is longer than 1 MiB or broken", http.StatusRequestEntityTooLarge)
+		return
+	}
+	asked, err := runTime(req.Header.Get(HeaderRunMillis))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	service := fleet.Service(mux.Vars(req)["service"])
+	requestID := req.Header.Get(HeaderRequestID)
+	run := m.beginRequest(id, requestID, req.Header.Get(HeaderKey), asked)
+	m.simulate(run.duration)
+	m.endRequest(id, service, run)
+
+	sum := sha256.Sum256(body)
+	answer := RunAnswer{
+		BackendServer: id, RequestID: requestID,
+		BodySHA256: hex.EncodeToString(sum[:]), BodyBytes: len(body),
+	}
+	if run.mode == BackendCrossed {
+		answer.RequestID = run.otherRequest
+	}
+	writeRun(w, run, answer)
+}
+
+func runTime(header string) (time.Duration, error) {
+	if header == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(header, 10, 64)
+	if err != nil || ms < 0 || ms > maxRunTime.Milliseconds() {
+		return 0, errors.Errorf("header %s: %q is not a run time of 0 to %d ms", HeaderRunMillis, header, maxRunTime.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// requestRun is one request while it runs.
+type requestRun struct {
+	mode         BackendMode
+	leaving      bool
+	otherRequest string
+	began        time.Time
+	duration     time.Duration
+}
+
+func (m *machines) beginRequest(id fleet.BackendServerID, requestID, key string, asked time.Duration) requestRun {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if requestID != "" {
+		m.requests.add(requestID)
+	}
+	if key != "" && m.keys.add(key) > 1 {
+		m.violations.KeysRunAgain++
+	}
+	server := m.servers[id]
+	if server == nil {
+		return requestRun{mode: BackendFails, leaving: true, began: now}
+	}
+	m.settle(server, now)
+	server.requestSlots++
+	server.stats.Requests++
+	m.countStart(server, now)
+	run := requestRun{
+		mode: server.faults.Mode, leaving: server.leaving, began: now,
+		otherRequest: "other-" + server.lastRequest, duration: m.stretched(server, asked),
+	}
+	server.lastRequest = requestID
+	return run
+}
+
+// stretched is the run time with the slowness of the server and the
+// interference of the tasks that run on it.
+func (m *machines) stretched(s *machine, asked time.Duration) time.Duration {
+	percent := int64(100)
+	for _, t := range s.tasks {
+		if t.running() && !t.throttled {
+			percent += int64(m.settings.interference(t.start.Class))
+		}
+	}
+	d := time.Duration(int64(asked) / 100 * percent)
+	if s.faults.Mode == BackendSlow {
+		d *= time.Duration(max(1, s.faults.Factor))
+	}
+	if s.faults.Mode == BackendFails {
+		return 0
+	}
+	return min(d, maxRunTime)
+}
+
+func (m *machines) simulate(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-m.ctx.Done():
+	}
+}
+
+func (m *machines) endRequest(id fleet.BackendServerID, service fleet.Service, run requestRun) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	server := m.servers[id]
+	if server == nil {
+		return
+	}
+	server.requestSlots--
+	l := server.latencies[service]
+	l.total += time.Since(run.began)
+	l.count++
+	server.latencies[service] = l
+}
+
+func writeRun(w http.ResponseWriter, run requestRun, answer RunAnswer) {
+	if run.leaving {
+		w.Header().Set(HeaderLeaving, "true")
+	}
+	w.Header().Set(HeaderRequestID, answer.RequestID)
+	if run.mode == BackendFails {
+		http.Error(w, "backend server fails every request", http.StatusInternalServerError)
+		return
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if run.mode == BackendHalf {
+		_, _ = w.Write(data[:len(data)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler) // closes the connection without the rest
+	}
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/standin/conn.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"net"
+	"sync"
+)
+
+// trackedListener counts the open connections of a backend server and makes
+// them silent on demand.
+type trackedListener struct {
+	net.Listener
+	limit int
+
+	mu     sync.Mutex
+	open   map[*trackedConn]struct{}
+	peak   int
+	over   int
+	silent bool
+}
+
+func newTrackedListener(l net.Listener, limit int) *trackedListener {
+	return &trackedListener{Listener: l, limit: limit, open: map[*trackedConn]struct{}{}}
+}
+
+// Accept counts the connection until it is closed.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: conn, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[tracked] = struct{}{}
+	l.peak = max(l.peak, len(l.open))
+	if len(l.open) > l.limit {
+		l.over++
+	}
+	return tracked, nil
+}
+
+func (l *trackedListener) setSilent(silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = silent
+}
+
+func (l *trackedListener) silenceOpen() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
+		conn.silenced = true
+	}
+}
+
+func (l *trackedListener) breaches() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.over
+}
+
+func (l *trackedListener) counts() (open, peak int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open), l.peak
+}
+
+// trackedConn swallows what it should write while it is silent.
+type trackedConn struct {
+	net.Conn
+	listener *trackedListener
+	silenced bool // guarded by listener.mu
+}
+
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.listener.mu.Lock()
+	silent := c.silenced || c.listener.silent
+	c.silenced = silent // a connection that lost bytes never speaks again
+	c.listener.mu.Unlock()
+	if silent {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *trackedConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.open, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/control.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
+)
+
+// Faults is the state of all faults.
+type Faults struct {
+	Log            LogFaults                               `json:"log"`
+	List           ListFaults                              `json:"list"`
+	BackendServers map[fleet.BackendServerID]BackendFaults `json:"backend_servers"`
+}
+
+// Leaving is the body of a call that marks an instance or backend server.
+type Leaving struct {
+	Leaving bool `json:"leaving"`
+}
+
+// Runs says how often a request identifier and a request key ran.
+type Runs struct {
+	Request int `json:"request"`
+	Key     int `json:"key"`
+}
+
+func (s *StandIn) controlRoutes(r *mux.Router) {
+	put, get, remove := http.MethodPut, http.MethodGet, http.MethodDelete
+	r.HandleFunc("/control/violations", s.serveViolations).Methods(get)
+	r.HandleFunc("/control/backend-servers", s.serveStats).Methods(get)
+	r.HandleFunc("/control/streams", s.serveStreams).Methods(get)
+	r.HandleFunc("/control/runs", s.serveRuns).Methods(get)
+	r.HandleFunc("/control/faults", s.serveFaults).Methods(get)
+	r.HandleFunc("/control/faults/log", s.serveLogFaults).Methods(put)
+	r.HandleFunc("/control/faults/list", s.serveListFaults).Methods(put)
+	r.HandleFunc("/control/faults/backend-servers/{id}", s.serveBackendFaults).Methods(put)
+	r.HandleFunc("/control/instances", s.servePutInstance).Methods(put)
+	r.HandleFunc("/control/instances/{id}/leaving", s.serveInstanceLeaving).Methods(put)
+	r.HandleFunc("/control/instances/{id}", s.serveRemoveInstance).Methods(remove)
+	r.HandleFunc("/control/backend-servers", s.serveAddBackend).Methods(put)
+	r.HandleFunc("/control/backend-servers/{id}/leaving", s.serveBackendLeaving).Methods(put)
+	r.HandleFunc("/control/backend-servers/{id}", s.serveRemoveBackend).Methods(remove)
+}
+
+// Violations returns what the scheduler should never have caused.
+func (s *StandIn) Violations() Violations { return s.machines.currentViolations() }
+
+// BackendServers returns the counters of each backend server.
+func (s *StandIn) BackendServers() []BackendStats { return s.machines.stats() }
+
+// Runs returns how often a request identifier and a request key ran.
+func (s *StandIn) Runs(requestID, key string) Runs {
+	s.machines.mu.Lock()
+	defer s.machines.mu.Unlock()
+	return Runs{Request: s.machines.requests.counts[requestID], Key: s.machines.keys.counts[key]}
+}
+
+// SetLogFaults replaces the faults of the log service.
+func (s *StandIn) SetLogFaults(f LogFaults) { s.log.setFaults(f) }
+
+// SetListFaults replaces the faults of the instance list.
+func (s *StandIn) SetListFaults(f ListFaults) { s.registry.setFaults(f) }
+
+// SetBackendFaults replaces the faults of a backend server. It reports false
+// when there is no such server.
+func (s *StandIn) SetBackendFaults(id fleet.BackendServerID, f BackendFaults) bool {
+	return s.machines.setFaults(id, f)
+}
+
+// PutInstance registers an entry instance, or changes it.
+func (s *StandIn) PutInstance(i fleet.Instance) { s.registry.putInstance(i) }
+
+// RemoveInstance takes an entry instance off the list.
+func (s *StandIn) RemoveInstance(id fleet.InstanceID) bool { return s.registry.removeInstance(id) }
+
+// SetBackendLeaving marks a backend server as leaving, or lifts that.
+func (s *StandIn) SetBackendLeaving(id fleet.BackendServerID, leaving bool) bool {
+	b, ok := s.registry.server(id)
+	if !ok {
+		return false
+	}
+	b.Leaving = leaving
+	s.registry.putServer(b)
+	s.machines.setLeaving(id, leaving, s.settings.listLag())
+	return true
+}
+
+// RemoveBackend ends a backend server and takes it off the list.
+func (s *StandIn) RemoveBackend(id fleet.BackendServerID) bool {
+	s.registry.removeServer(id)
+	return s.machines.remove(id)
+}
+
+func (s *StandIn) serveViolations(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Violations())
+}
+
+func (s *StandIn) serveStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.BackendServers())
+}
+
+func (s *StandIn) serveStreams(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.log.states())
+}
+
+func (s *StandIn) serveRuns(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	writeJSON(w, s.Runs(q.Get("request_id"), q.Get("key")))
+}
+
+func (s *StandIn) serveFaults(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, Faults{
+		Log: s.log.currentFaults(), List: s.registry.currentFaults(),
+		BackendServers: s.machines.currentFaults(),
+	})
+}
+
+func (s *StandIn) serveLogFaults(w http.ResponseWriter, r *http.Request) {
+	var f LogFaults
+	if readJSON(w, r, &f) {
+		s.SetLogFaults(f)
+		writeJSON(w, f)
+	}
+}
+
+func (s *StandIn) serveListFaults(w http.ResponseWriter, r *http.Request) {
+	var f ListFaults
+	if readJSON(w, r, &f) {
+		s.SetListFaults(f)
+		writeJSON(w, f)
+	}
+}
+
+func (s *StandIn) serveBackendFaults(w http.ResponseWriter, r *http.Request) {
+	var f BackendFaults
+	if !readJSON(w, r, &f) {
+		return
+	}
+	if !f.Mode.known() {
+		writeError(w, errors.Wrapf(platformapi.ErrInvalid, "mode %q", f.Mode))
+		return
+	}
+	id := fleet.BackendServerID(pathVar(r, "id"))
+	writeFound(w, f, s.SetBackendFaults(id, f))
+}
+
+func (s *StandIn) servePutInstance(w http.ResponseWriter, r *http.Request) {
+	var i fleet.Instance
+	if !readJSON(w, r, &i) {
+		return
+	}
+	if i.ID == "" || i.PeerAddress == "" || i.Region == "" || i.DataCentre == "" {
+		writeError(w, errors.Wrap(platformapi.ErrInvalid, "instance needs id, peer_address, region and data_centre"))
+		return
+	}
+	s.PutInstance(i)
+	writeJSON(w, i)
+}
+
+func (s *StandIn) serveInstanceLeaving(w http.ResponseWriter, r *http.Request) {
+	var body Leaving
+	if !readJSON(w, r, &body) {
+		return
+	}
+	i, ok := s.registry.instance(fleet.InstanceID(pathVar(r, "id")))
+	if ok {
+		i.Leaving = body.Leaving
+		s.PutInstance(i)
+	}
+	writeFound(w, i, ok)
+}
+
+func (s *StandIn) serveRemoveInstance(w http.ResponseWriter, r *http.Request) {
+	writeFound(w, struct{}{}, s.RemoveInstance(fleet.InstanceID(pathVar(r, "id"))))
+}
+
+func (s *StandIn) serveAddBackend(w http.ResponseWriter, r *http.Request) {
+	var b fleet.BackendServer
+	if !readJSON(w, r, &b) {
+		return
+	}
+	if b.ID == "" || b.Region == "" || b.DataCentre == "" || b.Rack == "" {
+		writeError(w, errors.Wrap(platformapi.ErrInvalid, "backend server needs id, region, data_centre and rack"))
+		return
+	}
+	added, err := s.addBackendServer(b)
+	if err != nil {
+		err = errors.Wrapf(platformapi.ErrInvalid, "%v", err)
+	}
+	writeResult(w, added, err)
+}
+
+func (s *StandIn) serveBackendLeaving(w http.ResponseWriter, r *http.Request) {
+	var body Leaving
+	if readJSON(w, r, &body) {
+		writeFound(w, body, s.SetBackendLeaving(fleet.BackendServerID(pathVar(r, "id")), body.Leaving))
+	}
+}
+
+func (s *StandIn) serveRemoveBackend(w http.ResponseWriter, r *http.Request) {
+	writeFound(w, struct{}{}, s.RemoveBackend(fleet.BackendServerID(pathVar(r, "id"))))
+}
+
+func writeFound(w http.ResponseWriter, body any, found bool) {
+	if !found {
+		writeError(w, errors.Wrap(platformapi.ErrUnknown, "no such instance or backend server"))
+		return
+	}
+	writeJSON(w, body)
+}
--- /dev/null
+++ b/standin/faults.go
@@ -0,0 +1,125 @@
+package standin
+
+import "time"
+
+// OutageMode says how the log service or the list fails.
+type OutageMode string
+
+const (
+	OutageNone OutageMode = ""
+	// OutageRefuse answers 503 without any effect.
+	OutageRefuse OutageMode = "refuse"
+	// OutageSilent answers nothing.
+	OutageSilent OutageMode = "silent"
+)
+
+// LogFaults are the faults of the log service.
+type LogFaults struct {
+	Outage      OutageMode `json:"outage"`
+	DelayMillis int64      `json:"delay_ms"`
+	// LoseAnswers is the number of next appends that take effect but whose
+	// connection is closed without an answer; -1 means all.
+	LoseAnswers int `json:"lose_answers"`
+	// LateAppends is the number of next appends that are answered as
+	// unavailable but take effect LateMillis later; -1 means all.
+	LateAppends int   `json:"late_appends"`
+	LateMillis  int64 `json:"late_ms"`
+}
+
+// ListFaults are the faults of the instance list.
+type ListFaults struct {
+	Outage OutageMode `json:"outage"`
+	// Frozen keeps the list as it is, while its age grows.
+	Frozen bool `json:"frozen"`
+	// LagMillis is added to the configured lag.
+	LagMillis int64 `json:"lag_ms"`
+}
+
+// BackendMode is how a backend server misbehaves.
+type BackendMode string
+
+const (
+	BackendHealthy BackendMode = ""
+	// BackendFails answers 500 to every request and fails every task.
+	BackendFails BackendMode = "fail"
+	// BackendSilent runs requests but answers none of them.
+	BackendSilent BackendMode = "silent"
+	// BackendHalf closes the connection after half of the answer.
+	BackendHalf BackendMode = "half"
+	// BackendCrossed answers with the identifier of another request.
+	BackendCrossed BackendMode = "crossed"
+	// BackendSlow multiplies run times by Factor.
+	BackendSlow BackendMode = "slow"
+)
+
+func (m BackendMode) known() bool {
+	switch m {
+	case BackendHealthy, BackendFails, BackendSilent, BackendHalf, BackendCrossed, BackendSlow:
+		return true
+	default:
+		return false
+	}
+}
+
+// BackendFaults are the faults of one backend server.
+type BackendFaults struct {
+	Mode   BackendMode `json:"mode"`
+	Factor int         `json:"factor,omitempty"`
+	// SilenceOpen makes the connections that are open now silent for good;
+	// new ones work.
+	SilenceOpen bool `json:"silence_open,omitempty"`
+}
+
+// appendFault is what happens to one append.
+type appendFault int
+
+const (
+	appendWhole appendFault = iota
+	appendLosesAnswer
+	appendIsLate
+)
+
+func (l *logService) setFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+	l.wakeReaders()
+}
+
+func (l *logService) currentFaults() LogFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+func (l *logService) outage() OutageMode {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return OutageRefuse
+	}
+	return l.faults.Outage
+}
+
+// takeAppendFault uses up one place of a counted fault.
+func (l *logService) takeAppendFault() (appendFault, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if use(&l.faults.LoseAnswers) {
+		return appendLosesAnswer, 0
+	}
+	if use(&l.faults.LateAppends) {
+		return appendIsLate, time.Duration(l.faults.LateMillis) * time.Millisecond
+	}
+	return appendWhole, 0
+}
+
+// use reports whether a counted fault applies and counts it down; a negative
+// count applies for good.
+func use(count *int) bool {
+	if *count > 0 {
+		*count--
+		return true
+	}
+	return *count < 0
+}
--- /dev/null
+++ b/standin/registry.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
+)
+
+// registry is the instance list: what is true now, and the earlier states that
+// the lagging list still shows.
+type registry struct {
+	lag time.Duration
+
+	mu        sync.Mutex
+	instances map[fleet.InstanceID]fleet.Instance
+	servers   map[fleet.BackendServerID]fleet.BackendServer
+	// history is in the order of time; the first entry is at or before the
+	// moment that the list shows.
+	history  []listState
+	faults   ListFaults
+	frozenAt time.Time
+}
+
+type listState struct {
+	since     time.Time
+	instances []fleet.Instance
+	servers   []fleet.BackendServer
+}
+
+func newRegistry(lag time.Duration) *registry {
+	return &registry{
+		lag:       lag,
+		instances: map[fleet.InstanceID]fleet.Instance{},
+		servers:   map[fleet.BackendServerID]fleet.BackendServer{},
+		history:   []listState{{}},
+	}
+}
+
+func (r *registry) putInstance(i fleet.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.instances[i.ID] = i
+	r.record(time.Now())
+}
+
+func (r *registry) removeInstance(id fleet.InstanceID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.instances[id]
+	delete(r.instances, id)
+	r.record(time.Now())
+	return ok
+}
+
+func (r *registry) putServer(b fleet.BackendServer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.servers[b.ID] = b
+	r.record(time.Now())
+}
+
+func (r *registry) removeServer(id fleet.BackendServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.servers, id)
+	r.record(time.Now())
+}
+
+// instance returns the true state of an entry instance.
+func (r *registry) instance(id fleet.InstanceID) (fleet.Instance, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i, ok := r.instances[id]
+	return i, ok
+}
+
+func (r *registry) server(id fleet.BackendServerID) (fleet.BackendServer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b, ok := r.servers[id]
+	return b, ok
+}
+
+// backdate makes the present state visible at once, as if it were old.
+func (r *registry) backdate() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record(time.Time{})
+	r.history = r.history[len(r.history)-1:]
+}
+
+func (r *registry) record(since time.Time) {
+	r.history = append(r.history, listState{
+		since:     since,
+		instances: sortedByID(r.instances),
+		servers:   sortedByID(r.servers),
+	})
+}
+
+func sortedByID[K ~string, V any](m map[K]V) []V {
+	list := make([]V, 0, len(m))
+	for _, id := range slices.Sorted(maps.Keys(m)) {
+		list = append(list, m[id])
+	}
+	return list
+}
+
+func (r *registry) setFaults(f ListFaults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f.Frozen && !r.faults.Frozen {
+		r.frozenAt = r.shownMoment(time.Now())
+	}
+	r.faults = f
+}
+
+func (r *registry) currentFaults() ListFaults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+// shownMoment is the moment whose state the list shows now.
+func (r *registry) shownMoment(now time.Time) time.Time {
+	if r.faults.Frozen {
+		return r.frozenAt
+	}
+	return now.Add(-r.lag - time.Duration(r.faults.LagMillis)*time.Millisecond)
+}
+
+func (r *registry) snapshot() platformapi.Snapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	shown := r.shownMoment(now)
+	state := r.history[0]
+	for _, s := range r.history {
+		if !s.since.After(shown) {
+			state = s
+		}
+	}
+	r.forget(now)
+	return platformapi.Snapshot{
+		AgeMillis: ageMillis(now.Sub(shown)), Instances: state.instances, BackendServers: state.servers,
+	}
+}
+
+// historyAge is more than any lag that a test sets.
+const historyAge = 10 * time.Minute
+
+// forget drops states that no lag can show any more.
+func (r *registry) forget(now time.Time) {
+	if r.faults.Frozen {
+		return
+	}
+	for len(r.history) > 1 && now.Sub(r.history[1].since) > historyAge {
+		r.history = r.history[1:]
+	}
+}
+
+// ageMillis rounds up, so that a sample is never dated too late.
+func ageMillis(age time.Duration) int64 {
+	return int64((age + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/standin/routes.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
+)
+
+// router serves the platform's API under /v1 and the control API under /control.
+func (s *StandIn) router() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	post, get := http.MethodPost, http.MethodGet
+	r.HandleFunc("/v1/streams/{stream}/records", s.serveAppend).Methods(post)
+	r.HandleFunc("/v1/streams/{stream}/records", s.serveRead).Methods(get)
+	r.HandleFunc("/v1/instances", s.serveList).Methods(get)
+	r.HandleFunc("/v1/usage/{data_centre}", s.serveUsage).Methods(get)
+	r.HandleFunc("/v1/workers/{worker}/tasks", s.serveStart).Methods(post)
+	r.HandleFunc("/v1/workers/{worker}/leases", s.serveRenew).Methods(post)
+	r.HandleFunc("/v1/workers/{worker}/tasks/{task}/{verb}", s.serveTaskCall).Methods(post)
+	s.controlRoutes(r)
+	return r
+}
+
+// pathVar returns a path segment; the router matches on the escaped path so
+// that a segment may hold a slash.
+func pathVar(r *http.Request, name string) string {
+	raw := mux.Vars(r)[name]
+	if value, err := url.PathUnescape(raw); err == nil {
+		return value
+	}
+	return raw
+}
+
+// withstandLogFaults applies outage and delay. It reports false when the call
+// is answered already.
+func (s *StandIn) withstandLogFaults(w http.ResponseWriter, r *http.Request) bool {
+	faults := s.log.currentFaults()
+	if faults.DelayMillis > 0 {
+		s.machines.simulate(time.Duration(faults.DelayMillis) * time.Millisecond)
+	}
+	return s.withstandOutage(w, r, s.log.outage())
+}
+
+func (s *StandIn) withstandOutage(w http.ResponseWriter, r *http.Request, mode OutageMode) bool {
+	switch mode {
+	case OutageRefuse:
+		writeError(w, errors.Wrap(platformapi.ErrUnavailable, "outage"))
+		return false
+	case OutageSilent:
+		select {
+		case <-r.Context().Done():
+		case <-s.machines.ctx.Done():
+		}
+		panic(http.ErrAbortHandler) // no answer at all
+	default:
+		return true
+	}
+}
+
+func (s *StandIn) serveAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platformapi.MaxRecordBytes))
+	if err != nil {
+		writeError(w, errors.Wrap(platformapi.ErrInvalid, "record is longer than 1 MiB or broken"))
+		return
+	}
+	if !s.withstandLogFaults(w, r) {
+		return
+	}
+	if !s.log.limiter.Allow() {
+		writeError(w, errors.Wrap(platformapi.ErrUnavailable, "too many appends a second"))
+		return
+	}
+	stream := pathVar(r, "stream")
+	switch fault, delay := s.log.takeAppendFault(); fault {
+	case appendLosesAnswer:
+		s.log.append(stream, data)
+		panic(http.ErrAbortHandler) // the effect stays, the answer is lost
+	case appendIsLate:
+		time.AfterFunc(delay, func() { s.log.append(stream, data) })
+		writeError(w, errors.Wrap(platformapi.ErrUnavailable, "append did not finish in time"))
+	default:
+		writeJSON(w, platformapi.AppendAnswer{Offset: s.log.append(stream, data)})
+	}
+}
+
+func (s *StandIn) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, errFrom := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	waitMillis, errWait := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	wait := time.Duration(waitMillis) * time.Millisecond
+	if errFrom != nil || errWait != nil || from < 0 || wait < 0 || wait > platformapi.MaxReadWait {
+		writeError(w, errors.Wrap(platformapi.ErrInvalid, "read needs from (an offset) and wait_ms (0 to 30000)"))
+		return
+	}
+	if !s.withstandLogFaults(w, r) {
+		return
+	}
+	batch, truncated := s.log.read(r.Context(), pathVar(r, "stream"), fleet.Offset(from), wait)
+	if !s.withstandOutage(w, r, s.log.outage()) {
+		return
+	}
+	if truncated {
+		writeStatus(w, http.StatusGone, platformapi.ErrorBody{
+			Code:    platformapi.CodeTruncated,
+			Message: "offset " + strconv.FormatInt(from, 10) + " is older than the oldest kept",
+			Oldest:  batch.Oldest, End: batch.End,
+		})
+		return
+	}
+	writeJSON(w, batch)
+}
+
+func (s *StandIn) serveList(w http.ResponseWriter, r *http.Request) {
+	if s.withstandOutage(w, r, s.registry.currentFaults().Outage) {
+		writeJSON(w, s.registry.snapshot())
+	}
+}
+
+func (s *StandIn) serveUsage(w http.ResponseWriter, r *http.Request) {
+	reports := s.machines.usage(fleet.DataCentre(pathVar(r, "data_centre")))
+	writeJSON(w, platformapi.UsageAnswer{Reports: reports})
+}
+
+func workerVar(r *http.Request) fleet.BackendServerID {
+	return fleet.BackendServerID(pathVar(r, "worker"))
+}
+
+func (s *StandIn) serveStart(w http.ResponseWriter, r *http.Request) {
+	var start platformapi.StartTask
+	if readJSON(w, r, &start) {
+		writeResult(w, struct{}{}, s.machines.startTask(workerVar(r), start))
+	}
+}
+
+func (s *StandIn) serveRenew(w http.ResponseWriter, r *http.Request) {
+	var renew platformapi.RenewTasks
+	if readJSON(w, r, &renew) {
+		writeResult(w, struct{}{}, s.machines.renewTasks(workerVar(r), renew))
+	}
+}
+
+func (s *StandIn) serveTaskCall(w http.ResponseWriter, r *http.Request) {
+	var call platformapi.TaskCall
+	if !readJSON(w, r, &call) {
+		return
+	}
+	var change func(*task)
+	switch verb := pathVar(r, "verb"); verb {
+	case "checkpoint":
+		change = s.machines.saveCheckpoint
+	case "throttle":
+		change = func(t *task) { t.throttled = call.Throttled }
+	case "stop":
+		change = func(t *task) { t.end(platformapi.TaskStopped, "stopped") }
+	default:
+		writeError(w, errors.Wrapf(platformapi.ErrUnknown, "call %q", verb))
+		return
+	}
+	report, err := s.machines.onTask(workerVar(r), fleet.TaskID(pathVar(r, "task")), call, change)
+	writeResult(w, report, err)
+}
+
+// readJSON decodes a body; it reports false when the call is answered already.
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, platformapi.MaxRecordBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		writeError(w, errors.Wrapf(platformapi.ErrInvalid, "body (%v)", err))
+		return false
+	}
+	return true
+}
+
+func writeResult(w http.ResponseWriter, body any, err error) {
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, body)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status, code := http.StatusServiceUnavailable, platformapi.CodeUnavailable
+	switch {
+	case errors.Is(err, platformapi.ErrFenced):
+		status, code = http.StatusConflict, platformapi.CodeFenced
+	case errors.Is(err, platformapi.ErrInvalid):
+		status, code = http.StatusBadRequest, platformapi.CodeInvalid
+	case errors.Is(err, platformapi.ErrUnknown):
+		status, code = http.StatusNotFound, platformapi.CodeUnknown
+	}
+	writeStatus(w, status, platformapi.ErrorBody{Code: code, Message: err.Error()})
+}
+
+func writeJSON(w http.ResponseWriter, body any) { writeStatus(w, http.StatusOK, body) }
+
+func writeStatus(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,332 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
+)
+
+const (
+	// ParameterFails as the parameters of a task makes every attempt fail.
+	ParameterFails = "simulate=fail"
+	// throttledShare is the speed of a throttled task in percent.
+	throttledShare = 50
+	// keptEndedTasks bounds a worker's history of ended tasks.
+	keptEndedTasks = 256
+)
+
+// task is one attempt of a task on a worker. Its state is brought up to date
+// by settle before each use, so that no timer is needed.
+type task struct {
+	start      platformapi.StartTask
+	state      platformapi.TaskState
+	checkpoint string
+	cause      string
+	throttled  bool
+	progress   time.Duration // work done up to settledAt
+	settledAt  time.Time
+	leaseEnd   time.Time
+}
+
+func (t *task) running() bool { return t.state == platformapi.TaskRunning }
+
+func (t *task) slots() int { return max(1, t.start.Resources.Slots) }
+
+// endedWithoutEffect is true when the work since the attempt's start is lost.
+func (t *task) endedWithoutEffect() bool {
+	return t.state == platformapi.TaskFailed || t.state == platformapi.TaskStopped
+}
+
+func (t *task) speed() int64 {
+	if t.throttled {
+		return throttledShare
+	}
+	return 100
+}
+
+// settle brings a task to its state at now: it may have finished, or ended
+// itself when its lease lapsed, whichever was first.
+func (t *task) settle(now time.Time) {
+	if !t.running() {
+		return
+	}
+	left := time.Duration(t.start.RunMillis)*time.Millisecond - t.progress
+	finish := t.settledAt.Add(left * 100 / time.Duration(t.speed()))
+	switch {
+	case !finish.After(now) && !finish.After(t.leaseEnd):
+		t.progress += left
+		t.state = platformapi.TaskSucceeded
+	case !t.leaseEnd.After(now):
+		t.advance(t.leaseEnd)
+		t.end(platformapi.TaskStopped, "lease lapsed")
+	default:
+		t.advance(now)
+	}
+}
+
+func (t *task) advance(now time.Time) {
+	t.progress += now.Sub(t.settledAt) * time.Duration(t.speed()) / 100
+	t.settledAt = now
+}
+
+func (t *task) end(state platformapi.TaskState, cause string) {
+	t.state = state
+	t.cause = cause
+}
+
+func (t *task) report() platformapi.TaskReport {
+	return platformapi.TaskReport{
+		Task: t.start.Task, Attempt: t.start.Attempt, Epoch: t.start.Epoch, State: t.state,
+		Checkpoint: t.checkpoint, ProgressMillis: t.progress.Milliseconds(),
+		Throttled: t.throttled, Error: t.cause,
+	}
+}
+
+// settle brings all tasks of a worker to now and bounds its history.
+func (m *machines) settle(s *machine, now time.Time) {
+	ended := 0
+	for _, t := range s.tasks {
+		t.settle(now)
+		if t.running() && s.faults.Mode == BackendFails {
+			t.end(platformapi.TaskFailed, "worker fails everything")
+		}
+		if !t.running() {
+			ended++
+		}
+	}
+	if ended <= keptEndedTasks {
+		return
+	}
+	kept := s.tasks[:0]
+	for _, t := range s.tasks {
+		if !t.running() && ended > keptEndedTasks {
+			ended--
+			continue
+		}
+		kept = append(kept, t)
+	}
+	clear(s.tasks[len(kept):])
+	s.tasks = kept
+}
+
+func (s *machine) find(id fleet.TaskID, attempt int) *task {
+	for _, t := range s.tasks {
+		if t.start.Task == id && t.start.Attempt == attempt {
+			return t
+		}
+	}
+	return nil
+}
+
+// admit refuses a call of an older epoch than the worker has seen.
+func (s *machine) admit(p fleet.PartitionID, epoch fleet.Epoch) error {
+	if seen := s.epochs[p]; epoch < seen {
+		return errors.Wrapf(platformapi.ErrFenced, "partition %s: epoch %d, seen %d", p, epoch, seen)
+	}
+	s.epochs[p] = epoch
+	return nil
+}
+
+// worker returns a worker with its tasks settled. The caller holds the lock.
+func (m *machines) worker(id fleet.BackendServerID) (*machine, time.Time, error) {
+	now := time.Now()
+	s := m.servers[id]
+	if s == nil {
+		return nil, now, errors.Wrapf(platformapi.ErrUnknown, "worker %q", id)
+	}
+	m.settle(s, now)
+	return s, now, nil
+}
+
+func (m *machines) startTask(id fleet.BackendServerID, start platformapi.StartTask) error {
+	if start.Task == "" || start.Attempt < 1 || start.Partition == "" || start.LeaseMillis <= 0 || start.RunMillis < 0 {
+		return errors.Wrap(platformapi.ErrInvalid, "start needs task, attempt, partition and lease_ms")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, now, err := m.worker(id)
+	if err != nil {
+		return err
+	}
+	if err := s.admit(start.Partition, start.Epoch); err != nil {
+		return err
+	}
+	if t := s.find(start.Task, start.Attempt); t != nil {
+		if t.start.Epoch == start.Epoch {
+			return nil
+		}
+		return errors.Wrapf(platformapi.ErrInvalid, "attempt %d of task %q was started under epoch %d", start.Attempt, start.Task, t.start.Epoch)
+	}
+	progress, known := m.checkpoints.progress[start.Checkpoint]
+	if start.Checkpoint != "" && !known {
+		return errors.Wrapf(platformapi.ErrInvalid, "checkpoint %q does not exist", start.Checkpoint)
+	}
+	m.run(s, start, time.Duration(progress)*time.Millisecond, now)
+	return nil
+}
+
+func (m *machines) run(s *machine, start platformapi.StartTask, progress time.Duration, now time.Time) {
+	if m.runsAnywhere(start.Task, now) {
+		m.violations.TasksInTwoPlaces++
+	}
+	t := &task{
+		start: start, state: platformapi.TaskRunning, progress: progress, settledAt: now,
+		leaseEnd: now.Add(time.Duration(start.LeaseMillis) * time.Millisecond),
+	}
+	if !m.checkpoints.resume(start.Checkpoint, t) {
+		m.violations.CheckpointsResumedAgain++
+	}
+	s.tasks = append(s.tasks, t)
+	s.stats.TasksStarted++
+	m.countStart(s, now)
+	switch {
+	case s.faults.Mode == BackendFails:
+		t.end(platformapi.TaskFailed, "worker fails everything")
+	case start.Parameters == ParameterFails:
+		t.end(platformapi.TaskFailed, "task fails everywhere")
+	}
+}
+
+func (m *machines) runsAnywhere(id fleet.TaskID, now time.Time) bool {
+	for _, s := range m.servers {
+		m.settle(s, now)
+		for _, t := range s.tasks {
+			if t.start.Task == id && t.running() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (m *machines) renewTasks(id fleet.BackendServerID, r platformapi.RenewTasks) error {
+	if r.Partition == "" || r.LeaseMillis <= 0 {
+		return errors.Wrap(platformapi.ErrInvalid, "renewal needs partition and lease_ms")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, now, err := m.worker(id)
+	if err != nil {
+		return err
+	}
+	if err := s.admit(r.Partition, r.Epoch); err != nil {
+		return err
+	}
+	for _, t := range s.tasks {
+		if t.running() && t.start.Partition == r.Partition {
+			t.leaseEnd = now.Add(time.Duration(r.LeaseMillis) * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// onTask applies a change to one running task and returns its report. A task
+// that has ended is only reported, which makes the calls idempotent.
+func (m *machines) onTask(id fleet.BackendServerID, name fleet.TaskID, call platformapi.TaskCall, change func(*task)) (platformapi.TaskReport, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, _, err := m.worker(id)
+	if err != nil {
+		return platformapi.TaskReport{}, err
+	}
+	t := s.find(name, call.Attempt)
+	if t == nil {
+		return platformapi.TaskReport{}, errors.Wrapf(platformapi.ErrUnknown, "attempt %d of task %q", call.Attempt, name)
+	}
+	if err := s.admit(t.start.Partition, call.Epoch); err != nil {
+		return platformapi.TaskReport{}, err
+	}
+	if t.running() {
+		change(t)
+	}
+	return t.report(), nil
+}
+
+// saveCheckpoint ends a task with its progress saved.
+func (m *machines) saveCheckpoint(t *task) {
+	t.checkpoint = fmt.Sprintf("%s/%d/%d", t.start.Task, t.start.Attempt, t.progress.Milliseconds())
+	m.checkpoints.progress[t.checkpoint] = t.progress.Milliseconds()
+	t.end(platformapi.TaskCheckpointed, "")
+}
+
+// usageSample is what a worker measured at one moment.
+type usageSample struct {
+	at     time.Time
+	report platformapi.UsageReport
+}
+
+// sample measures every worker regularly until the context ends.
+func (m *machines) sample(ctx context.Context) {
+	ticker := time.NewTicker(max(m.settings.usageEvery(), time.Millisecond))
+	defer ticker.Stop()
+	for {
+		m.sampleAll()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *machines) sampleAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, s := range m.servers {
+		m.settle(s, now)
+		s.samples = append(s.samples, usageSample{at: now, report: s.measure()})
+		for len(s.samples) > 1 && now.Sub(s.samples[1].at) >= m.settings.usageLag() {
+			s.samples = s.samples[1:]
+		}
+	}
+}
+
+// measure builds a report and begins a new period of latencies.
+func (s *machine) measure() platformapi.UsageReport {
+	r := platformapi.UsageReport{BackendServer: s.id, RequestSlots: s.requestSlots}
+	r.Connections, _ = s.listener.counts()
+	perSlot := s.capacity.MilliCPU / int64(max(1, s.capacity.Slots))
+	r.MilliCPU = int64(s.requestSlots) * perSlot
+	for service, l := range s.latencies {
+		if r.Latencies == nil {
+			r.Latencies = map[fleet.Service]int64{}
+		}
+		r.Latencies[service] = l.total.Microseconds() / l.count
+	}
+	clear(s.latencies)
+	for _, t := range s.tasks {
+		r.Tasks = append(r.Tasks, t.report())
+		if t.running() {
+			r.MilliCPU += t.start.Resources.MilliCPU
+			r.MemoryMiB += t.start.Resources.MemoryMiB
+		}
+	}
+	return r
+}
+
+// usage returns the newest report of each worker that is at least as old as
+// the lag.
+func (m *machines) usage(dataCentre fleet.DataCentre) []platformapi.UsageReport {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	var reports []platformapi.UsageReport
+	for _, s := range sortedByID(m.servers) {
+		if s.dataCentre != dataCentre || len(s.samples) == 0 {
+			continue
+		}
+		sample := s.samples[0]
+		if now.Sub(sample.at) < m.settings.usageLag() {
+			continue
+		}
+		sample.report.AgeMillis = ageMillis(now.Sub(sample.at))
+		reports = append(reports, sample.report)
+	}
+	return reports
+}
