configuration: check, fold and distribute published configurations

Cause: operators race each other, appends take effect although their answer was lost, the log drops old records and goes out for an hour; yet one version has to come into force on every instance and never be taken back.

Ruled out: remembering every publication identifier for ever (unbounded), and remembering none (a publication that named a version not yet in force would be accepted when its lost append is repeated later).

--- a/decision/configuration/configuration.go
+++ b/decision/configuration/configuration.go
@@ -1,5 +1,8 @@
 // Package configuration holds the values that operators publish and the rules
-// by which they come into force.
+// by which they come into force: Check validates one configuration and Fold
+// orders the publications of the log. The configuration duty, the operators'
+// library and the command line call it; it owns no state, and it reports a
+// fault as findings or as the verdict of a publication.
 package configuration
 
 import (
@@ -10,11 +13,28 @@
 
 // Configuration is one published version. It is immutable.
 type Configuration struct {
+	Regions  []Region
 	Services []Service
 	Teams    []Team
+	Kinds    []BatchKind
 	Limits   Limits
 }
 
+// Region is a region of the deployment with its data centres.
+type Region struct {
+	Name        fleet.Region
+	DataCentres []fleet.DataCentre
+}
+
+// BatchKind is a kind of batch work that jobs may name.
+type BatchKind struct {
+	Name string
+	// Resources is what one task needs when the job doesn't say.
+	Resources fleet.Resources
+	// ExpectedRunTime is the prior for the run time of a task.
+	ExpectedRunTime time.Duration
+}
+
 // Service is a latency-critical service that callers may use.
 type Service struct {
 	Name       fleet.Service
@@ -82,3 +102,13 @@
 	}
 	return nil
 }
+
+// FindKind returns a kind of batch work, or nil.
+func (c *Configuration) FindKind(name string) *BatchKind {
+	for i := range c.Kinds {
+		if c.Kinds[i].Name == name {
+			return &c.Kinds[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/decision/configuration/fold.go
@@ -0,0 +1,102 @@
+package configuration
+
+import "lacewingfork.example/lacewingfork/fleet"
+
+// pendingLimit bounds the publications held back while entries are missing.
+// Dropping the oldest one only asks for a newer snapshot.
+const pendingLimit = 4096
+
+// Fold is the state of the stream as far as an instance has read it. When
+// retention dropped entries that the instance had not read, publications are
+// held back until a snapshot covers the gap; the version in force stays.
+type Fold struct {
+	State State
+	// Missing is set while entries before MissingUntil were not folded.
+	Missing      bool
+	MissingUntil fleet.Offset
+	// SinceSnapshot counts publications folded since the newest snapshot.
+	SinceSnapshot int
+	pending       []pendingPublication
+}
+
+type pendingPublication struct {
+	publication Publication
+	at          Position
+}
+
+// NewFold returns the fold before the first entry.
+func NewFold() Fold { return Fold{State: Empty()} }
+
+// Waiting counts the publications held back.
+func (f Fold) Waiting() int { return len(f.pending) }
+
+// Truncated says that entries before offset first are gone from the log.
+func (f Fold) Truncated(first fleet.Offset) Fold {
+	if f.State.Through.Offset >= first-1 || f.Missing && f.MissingUntil >= first {
+		return f
+	}
+	f.Missing, f.MissingUntil, f.pending = true, first, nil
+	return f
+}
+
+// Publish folds a publication. The result is nil when the entry was folded
+// before or is held back.
+func (f Fold) Publish(p Publication, at Position) (Fold, *Result) {
+	if !at.After(f.State.Through) {
+		return f, nil
+	}
+	if f.Missing {
+		return f.hold(p, at), nil
+	}
+	state, result := f.State.apply(p, at)
+	f.State = state
+	f.SinceSnapshot++
+	return f, &result
+}
+
+func (f Fold) hold(p Publication, at Position) Fold {
+	if len(f.pending) == pendingLimit {
+		f.MissingUntil = f.pending[0].at.Offset + 1
+	}
+	f.pending = appendBounded(f.pending, pendingPublication{p, at}, pendingLimit)
+	return f
+}
+
+// Skip passes over an entry that is neither publication nor snapshot.
+func (f Fold) Skip(at Position) Fold {
+	if !f.Missing && at.After(f.State.Through) {
+		f.State.Through = at
+	}
+	return f
+}
+
+// Snapshot folds a snapshot that stands at a position of the log.
+func (f Fold) Snapshot(s State, at Position) Fold {
+	f = f.Adopt(s)
+	f.SinceSnapshot = 0
+	return f.Skip(at)
+}
+
+// Adopt takes over a state that another instance has folded: from a snapshot
+// in the log or from a peer. A state that is not newer has no effect, so the
+// version in force never goes back.
+func (f Fold) Adopt(s State) Fold {
+	if !s.Through.After(f.State.Through) || s.Version < f.State.Version {
+		return f
+	}
+	f.State = s
+	if f.Missing && s.Through.Offset >= f.MissingUntil-1 {
+		f = f.replay()
+	}
+	return f
+}
+
+// replay folds what was held back, now that nothing before it is missing.
+func (f Fold) replay() Fold {
+	pending := f.pending
+	f.Missing, f.MissingUntil, f.pending = false, 0, nil
+	for _, held := range pending {
+		f, _ = f.Publish(held.publication, held.at)
+	}
+	return f
+}
--- /dev/null
+++ b/decision/configuration/ranges.go
@@ -0,0 +1,48 @@
+package configuration
+
+import (
+	"cmp"
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// Range is the inclusive range of a value.
+type Range[T cmp.Ordered] struct{ Min, Max T }
+
+// Holds reports whether a value is in the range; NaN is not.
+func (r Range[T]) Holds(v T) bool { return v >= r.Min && v <= r.Max }
+
+// String is the range in words, for findings and the documentation.
+func (r Range[T]) String() string { return fmt.Sprintf("from %v to %v", r.Min, r.Max) }
+
+// Ranges of the values of a configuration.
+var (
+	MaxDeadlineRange = Range[time.Duration]{time.Millisecond, time.Minute}
+	// DeadlineRange is further bounded by Limits.MaxDeadline.
+	DeadlineRange = Range[time.Duration]{time.Millisecond, time.Minute}
+	// RunTimeRange is further bounded by the operation's deadline.
+	RunTimeRange      = Range[time.Duration]{10 * time.Microsecond, time.Minute}
+	LongRunTimeRange  = Range[time.Duration]{time.Millisecond, time.Minute}
+	ShareRange        = Range[float64]{0, 1}
+	MaxJobsRange      = Range[int]{1, 1_000_000}
+	EvictionsRange    = Range[int]{0, 1000}
+	RegionBytesRange  = Range[int64]{0, 1_250_000_000} // 10 Gbit/s
+	BatchRunTimeRange = Range[time.Duration]{time.Second, 90 * 24 * time.Hour}
+	SlotsRange        = Range[int]{1, 1024}
+	MilliCPURange     = Range[int64]{0, 1_024_000}
+	MemoryMiBRange    = Range[int64]{0, 16 << 20}
+	AcceleratorsRange = Range[int]{0, 64}
+)
+
+const (
+	// shareSumTolerance exists because sums of decimal fractions are not exact.
+	shareSumTolerance = 1e-9
+	// maxCountOfOneTable leaves room above the 180 teams of the target size.
+	maxCountOfOneTable = 1000
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+// NameRange says in words what a name may be.
+const NameRange = "lower-case letters, digits, - and ., at most 63"
--- /dev/null
+++ b/entry/configuration/dump.go
@@ -0,0 +1,38 @@
+package configuration
+
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+	records "lacewingfork.example/lacewingfork/records/configuration"
+)
+
+// State is the duty's part of a state dump.
+type State struct {
+	Ready   bool         `json:"ready"`
+	Version int64        `json:"version"`
+	Offset  fleet.Offset `json:"offset"`
+	// CaughtUp is set once the whole stream has been read.
+	CaughtUp bool `json:"caught_up"`
+	// Missing is set while entries are gone that this instance did not read;
+	// Waiting counts the publications held back until a snapshot covers them.
+	Missing       bool             `json:"missing,omitempty"`
+	Waiting       int              `json:"waiting"`
+	SinceSnapshot int              `json:"publications_since_snapshot"`
+	LogSilentMS   int64            `json:"log_silent_ms"`
+	OffersAdopted int              `json:"offers_adopted"`
+	Malformed     int              `json:"malformed"`
+	LastError     string           `json:"last_error,omitempty"`
+	Results       []records.Result `json:"publications,omitempty"`
+}
+
+func (d *duty) dump() State {
+	state := d.fold.State
+	return State{
+		Ready: *d.published > 0, Version: state.Version, Offset: state.Through.Offset,
+		CaughtUp: d.caughtUp, Missing: d.fold.Missing, Waiting: d.fold.Waiting(),
+		SinceSnapshot: d.fold.SinceSnapshot, LogSilentMS: time.Since(d.lastLog).Milliseconds(),
+		OffersAdopted: d.offersAdopted, Malformed: d.malformed, LastError: d.lastError,
+		Results: records.EncodeResults(state.Results),
+	}
+}
--- /dev/null
+++ b/entry/configuration/duty.go
@@ -0,0 +1,275 @@
+// Package configuration is the duty that owns the configuration in force. The
+// root supervisor starts it below `entry/configuration`. It folds the stream
+// `configuration`, hands new versions to its subscribers, keeps snapshots in
+// the stream and exchanges states with peers while the log is out. When it
+// fails it starts again from the log or a peer; subscribers keep the version
+// that they have, and none of them ever sees an older one.
+package configuration
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	records "lacewingfork.example/lacewingfork/records/configuration"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// logRingCapacity is that of every ring from a log reader to a fold.
+	logRingCapacity = 64 // batches
+	// requestRingCapacity has room for every peer of a region at once.
+	requestRingCapacity = 16
+	// offerRingCapacity is the same: each peer answers a request once.
+	offerRingCapacity = 16
+)
+
+// Settings configure the duty.
+type Settings struct {
+	Instance fleet.InstanceID
+	// AskEvery is the pause between requests to peers while the instance has
+	// no version, misses entries or has not heard from the log for
+	// LogSilence.
+	AskEvery   time.Duration
+	LogSilence time.Duration
+	// SnapshotEvery and SnapshotPublications say when the newest snapshot in
+	// the log is replaced, whichever comes first. SnapshotEvery has to be well
+	// below the log's retention.
+	SnapshotEvery        time.Duration
+	SnapshotPublications int
+	// SnapshotStagger spreads the instances' attempts, so that mostly one of
+	// them appends.
+	SnapshotStagger time.Duration
+}
+
+// DefaultSettings returns settings for a log that retains records for an hour
+// or more. The wait of a log read is up to 30 s, hence LogSilence.
+func DefaultSettings(instance fleet.InstanceID) Settings {
+	return Settings{
+		Instance: instance,
+		AskEvery: time.Second, LogSilence: 35 * time.Second,
+		SnapshotEvery: 10 * time.Minute, SnapshotPublications: 64,
+		SnapshotStagger: 30 * time.Second,
+	}
+}
+
+// Rings joins the duty with others. Log, Requests and Offers are its inputs.
+type Rings struct {
+	Log      *supervise.Ring[message.LogRecords]
+	Requests *supervise.Ring[message.ConfigurationRequest]
+	Offers   *message.ConfigurationOfferRing
+
+	// Subscribers get each new version in force.
+	Subscribers []*message.ConfigurationRing
+	// Asks leads to the links towards every peer.
+	Asks *supervise.Ring[message.ConfigurationRequest]
+	// Appends leads to the log writer.
+	Appends *supervise.Ring[message.Append]
+	// Reread asks the log reader to deliver the stream again from its oldest
+	// record; called when the duty starts. It must not block for long.
+	Reread func(ctx context.Context)
+}
+
+// NewRings returns the input rings; the caller sets the other fields.
+func NewRings() Rings {
+	return Rings{
+		Log:      supervise.NewRing[message.LogRecords]("configuration.log", logRingCapacity, supervise.Wait),
+		Requests: supervise.NewRing[message.ConfigurationRequest]("configuration.requests", requestRingCapacity, supervise.DropOldest),
+		Offers:   supervise.NewRing[message.ConfigurationOffer]("configuration.offers", offerRingCapacity, supervise.DropOldest),
+	}
+}
+
+// New returns the duty.
+func New(settings Settings, rings Rings) supervise.Duty {
+	published := int64(0) // kept across restarts: subscribers never go back
+	return supervise.Duty{
+		Name:  "configuration",
+		Rings: []supervise.Measured{rings.Log, rings.Requests, rings.Offers},
+		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+			d := &duty{settings: settings, rings: rings, fold: configuration.NewFold(), published: &published}
+			return d.run(ctx, dumps)
+		},
+	}
+}
+
+type duty struct {
+	settings  Settings
+	rings     Rings
+	fold      configuration.Fold
+	published *int64
+	// caughtUp is set once the whole stream has been read.
+	caughtUp bool
+	// truncated is set when entries before the next record are gone.
+	truncated bool
+	// lastLog is when the log was last heard; lastSnapshot when a snapshot
+	// was last read.
+	lastLog, lastSnapshot time.Time
+	// snapshotAt is when this instance appends the snapshot that is due; zero
+	// when none is.
+	snapshotAt    time.Time
+	malformed     int
+	lastError     string
+	offersAdopted int
+}
+
+func (d *duty) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	d.lastLog, d.lastSnapshot = time.Now(), time.Now()
+	if d.rings.Reread != nil {
+		d.rings.Reread(ctx)
+	}
+	ask := time.NewTicker(d.settings.AskEvery)
+	defer ask.Stop()
+	d.askPeers(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case batch := <-d.rings.Log.Items():
+			d.takeBatch(ctx, batch)
+		case offer := <-d.rings.Offers.Items():
+			d.takeOffer(ctx, offer)
+		case request := <-d.rings.Requests.Items():
+			d.answer(ctx, request)
+		case <-ask.C:
+			d.askPeers(ctx)
+			d.writeSnapshotIfDue(ctx)
+		case request := <-dumps:
+			request.Answer(d.dump())
+		}
+	}
+}
+
+func (d *duty) takeBatch(ctx context.Context, batch message.LogRecords) {
+	d.lastLog = time.Now()
+	d.truncated = d.truncated || batch.Truncated
+	for _, entry := range batch.Records {
+		if d.truncated {
+			d.fold, d.truncated = d.fold.Truncated(entry.Offset), false
+		}
+		d.takeEntry(entry)
+	}
+	d.caughtUp = d.caughtUp || batch.CaughtUp
+	if d.caughtUp {
+		d.publish(ctx)
+	}
+	d.writeSnapshotIfDue(ctx)
+}
+
+func (d *duty) takeEntry(entry message.LogEntry) {
+	at := configuration.Position{Offset: entry.Offset, Index: entry.Index}
+	decoded, err := records.DecodeEntry(entry.Data)
+	switch {
+	case err != nil:
+		d.malformed++
+		d.lastError = errors.Wrapf(err, "entry at offset %d", entry.Offset).Error()
+		d.fold = d.fold.Skip(at)
+	case decoded.Snapshot != nil:
+		d.fold = d.fold.Snapshot(*decoded.Snapshot, at)
+		d.lastSnapshot = time.Now()
+	default:
+		d.fold, _ = d.fold.Publish(*decoded.Publication, at)
+	}
+}
+
+// publish hands a newer version to the subscribers.
+func (d *duty) publish(ctx context.Context) {
+	state := d.fold.State
+	if state.Version <= *d.published {
+		return
+	}
+	*d.published = state.Version
+	for _, subscriber := range d.rings.Subscribers {
+		_ = subscriber.Put(ctx, message.ConfigurationInForce{Version: state.Version, Value: state.InForce.Value})
+	}
+}
+
+// takeOffer adopts a peer's state when it is newer. The instance is ready
+// from then on, even if the log is out.
+func (d *duty) takeOffer(ctx context.Context, offer message.ConfigurationOffer) {
+	decoded, err := records.DecodeEntry(offer.Snapshot)
+	if err != nil || decoded.Snapshot == nil {
+		d.malformed++
+		d.lastError = "an offer of a peer holds no snapshot"
+		return
+	}
+	before := d.fold.State.Through
+	d.fold = d.fold.Adopt(*decoded.Snapshot)
+	if d.fold.State.Through != before {
+		d.offersAdopted++
+	}
+	d.publish(ctx)
+}
+
+func (d *duty) answer(ctx context.Context, request message.ConfigurationRequest) {
+	state := d.fold.State
+	if state.Version == 0 || state.Through.Offset <= request.Offset || request.Reply == nil {
+		return
+	}
+	snapshot, err := records.EncodeSnapshot(state)
+	if err != nil {
+		d.lastError = err.Error()
+		return
+	}
+	_ = request.Reply.Put(ctx, message.ConfigurationOffer{
+		Version: state.Version, Offset: state.Through.Offset, Snapshot: snapshot,
+	})
+}
+
+func (d *duty) needsPeers() bool {
+	return d.fold.State.Version == 0 || d.fold.Missing || time.Since(d.lastLog) >= d.settings.LogSilence
+}
+
+func (d *duty) askPeers(ctx context.Context) {
+	if d.rings.Asks == nil || !d.needsPeers() {
+		return
+	}
+	_ = d.rings.Asks.Put(ctx, message.ConfigurationRequest{
+		Version: d.fold.State.Version, Offset: d.fold.State.Through.Offset,
+	})
+}
+
+// writeSnapshotIfDue appends a snapshot unless a recent one stands in the
+// log. A failed append is not resolved: it is tried again by the same rule,
+// and a snapshot that is there twice has no effect.
+func (d *duty) writeSnapshotIfDue(ctx context.Context) {
+	now := time.Now()
+	if !d.snapshotDue(now) {
+		d.snapshotAt = time.Time{}
+		return
+	}
+	if d.snapshotAt.IsZero() {
+		d.snapshotAt = now.Add(d.stagger())
+	}
+	if now.Before(d.snapshotAt) {
+		return
+	}
+	d.snapshotAt = now.Add(d.settings.SnapshotStagger + d.stagger())
+	data, err := records.EncodeSnapshot(d.fold.State)
+	if err == nil {
+		id := "snapshot-" + string(d.settings.Instance)
+		err = d.rings.Appends.Put(ctx, message.Append{Stream: records.Stream, ID: id, Data: data})
+	}
+	if err != nil {
+		d.lastError = err.Error()
+	}
+}
+
+func (d *duty) snapshotDue(now time.Time) bool {
+	if d.rings.Appends == nil || d.fold.State.Version == 0 || d.fold.Missing || !d.caughtUp {
+		return false
+	}
+	return d.fold.SinceSnapshot >= d.settings.SnapshotPublications ||
+		now.Sub(d.lastSnapshot) >= d.settings.SnapshotEvery
+}
+
+// stagger is this instance's part of SnapshotStagger.
+func (d *duty) stagger() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(d.settings.Instance))
+	return d.settings.SnapshotStagger * time.Duration(h.Sum32()%1024) / 1024
+}
--- /dev/null
+++ b/records/configuration/configuration_test.go
@@ -0,0 +1,83 @@
+package configuration
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/findings"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Guards against a fault that is not reported, has the wrong row, or hides the
+// others.
+func TestFindings(t *testing.T) {
+	datadriven.RunTest(t, "testdata/findings", func(t *testing.T, d *datadriven.TestData) string {
+		_, err := Decode("site.toml", []byte(d.Input))
+		if err == nil {
+			return "no findings"
+		}
+		return err.Error()
+	})
+}
+
+// Guards against a state that changes on its way through a snapshot, and
+// against one that an entry of the log (512 KiB) cannot hold.
+func TestSnapshotKeepsStateAndFits(t *testing.T) {
+	f := configuration.NewFold()
+	text := "# " + strings.Repeat(`"`, MaxTextBytes-3) + "\n"
+	long := strings.Repeat("é", 4000)
+	for i := range 400 {
+		p := configuration.Publication{
+			ID: strings.Repeat("i", 120) + string(rune('a'+i%26)) + string(rune('a'+i/26)), Operator: strings.Repeat("o", 64),
+			Replaces: f.State.Version, Text: text, Value: mustDecode(t, text),
+		}
+		switch i % 4 {
+		case 1:
+			p.Replaces++
+		case 2:
+			p.Value = nil
+			for range 50 {
+				p.Findings.Add(findings.Finding{File: long, Key: long, Problem: long, Expected: long, Row: i})
+			}
+		}
+		f, _ = f.Publish(p, configuration.Position{Offset: fleet.Offset(i), Index: i % 3})
+	}
+	data, err := EncodeSnapshot(f.State)
+	if err != nil || len(data) > 512<<10 {
+		t.Fatalf("snapshot has %d bytes, %v", len(data), err)
+	}
+	entry, err := DecodeEntry(data)
+	if err != nil || !reflect.DeepEqual(*entry.Snapshot, f.State) {
+		t.Fatalf("the decoded snapshot differs: %v", err)
+	}
+}
+
+func mustDecode(t *testing.T, text string) *configuration.Configuration {
+	t.Helper()
+	c, err := Decode("test.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against an entry of the stream that is taken for something it is not.
+func TestDecodeEntryRejects(t *testing.T) {
+	for _, data := range []string{
+		``, `[]`, `{}`, `{"publication":{"id":"","operator":"a"}}`, `{"publication":{"id":"a"}}`,
+		`{"publication":{"id":"a","operator":"b"},"snapshot":{}}`,
+		`{"snapshot":{"version":3}}`, `{"snapshot":{"version":3,"in_force":{"id":"a","toml":"x = 1"}}}`,
+	} {
+		if entry, err := DecodeEntry([]byte(data)); err == nil {
+			t.Errorf("%s was decoded as %+v", data, entry)
+		}
+	}
+	entry, err := DecodeEntry([]byte(`{"publication":{"id":"a","operator":"b","replaces":2,"toml":"x = 1"}}`))
+	if err != nil || entry.Publication.Value != nil || len(entry.Publication.Findings) != 1 {
+		t.Errorf("invalid text: %+v, %v; want a publication with one finding", entry.Publication, err)
+	}
+}
