--- a/decision/configuration/check.go
+++ b/decision/configuration/check.go
@@ -60,9 +60,9 @@
 }
 
 func (k *checker) regions(c *Configuration) {
-	k.names("region", len(c.Regions), func(i int) string { return string(c.Regions[i].Name) })
+	k.names("region", len(c.AllRegions), func(i int) string { return string(c.AllRegions[i].Name) })
 	holder := map[fleet.DataCentre]fleet.Region{}
-	for i, region := range c.Regions {
+	for i, region := range c.AllRegions {
 		key := fmt.Sprintf("region[%d].data_centres", i)
 		if len(region.DataCentres) == 0 {
 			k.add(key, "is empty", "at least one data centre")
@@ -100,7 +100,7 @@
 }
 
 func (c *Configuration) hasRegion(name fleet.Region) bool {
-	for _, r := range c.Regions {
+	for _, r := range c.AllRegions {
 		if r.Name == name {
 			return true
 		}
--- a/decision/configuration/configuration.go
+++ b/decision/configuration/configuration.go
@@ -13,14 +13,14 @@
 
 // Configuration is one published version. It is immutable.
 type Configuration struct {
-	Regions  []Region
-	Services []Service
-	Teams    []Team
-	Kinds    []BatchKind
-	Limits   Limits
+	AllRegions []Region
+	Services   []Service
+	Teams      []Team
+	Kinds      []BatchKind
+	Limits     Limits
 }
 
-// Region is a region of the deployment with its data centres.
+// Region is one region of the deployment with its data centres.
 type Region struct {
 	Name        fleet.Region
 	DataCentres []fleet.DataCentre
--- a/records/configuration/toml.go
+++ b/records/configuration/toml.go
@@ -47,7 +47,7 @@
 
 func read(root *tomlfile.Table) *configuration.Configuration {
 	c := &configuration.Configuration{}
-	c.Regions = readTables(root, "region", regionKeys, nil)
+	c.AllRegions = readTables(root, "region", regionKeys, nil)
 	c.Services = readTables(root, "service", serviceKeys, func(t *tomlfile.Table, s *service) {
 		s.Operations = readTables(t, "operation", operationKeys, nil)
 	})
@@ -131,7 +131,7 @@
 		LongRunTime: duration(c.Limits.LongRunTime), EvictionsPerMinute: c.Limits.EvictionsPerMinute,
 		RegionBytesPerSecond: c.Limits.RegionBytesPerSecond,
 	}}
-	for _, r := range c.Regions {
+	for _, r := range c.AllRegions {
 		d.Regions = append(d.Regions, regionTable(r))
 	}
 	for _, s := range c.Services {
