--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,7 +32,7 @@
 		fx.NopLogger,
 		fx.StopTimeout(s.Process.StopTimeout+stopAllowance),
 		fx.Supply(s, listeners, logger),
-		fx.Provide(newRegistry, newTree, operations.NewEvents, newPlan),
+		fx.Provide(newRegistry, newTree, operations.NewEvents),
 		providers,
 		fx.Invoke(run),
 	)
