configuration: follow the log reader's rewinds and offsets

Cause: the platform's log readers now say which offset a batch continues and can be asked to read a stream again. Ruled out: relying on positions alone. A batch that was read for an earlier run of the duty would be folded into the clean state although entries before it are missing. Change: the duty asks for the whole stream when it starts and drops a batch that leaves a gap without being marked as truncated; the log counts as silent after 4 s, because readers deliver a batch every 500 ms. Conclusion: a restart folds only contiguous entries.

--- a/entry/configuration/dump.go
+++ b/entry/configuration/dump.go
@@ -22,6 +22,7 @@
 	LogSilentMS   int64            `json:"log_silent_ms"`
 	OffersAdopted int              `json:"offers_adopted"`
 	Malformed     int              `json:"malformed"`
+	Dropped       int              `json:"batches_dropped"` // read for an earlier run
 	LastError     string           `json:"last_error,omitempty"`
 	Results       []records.Result `json:"publications,omitempty"`
 }
@@ -32,7 +33,7 @@
 		Ready: *d.published > 0, Version: state.Version, Offset: state.Through.Offset,
 		CaughtUp: d.caughtUp, Missing: d.fold.Missing, Waiting: d.fold.Waiting(),
 		SinceSnapshot: d.fold.SinceSnapshot, LogSilentMS: time.Since(d.lastLog).Milliseconds(),
-		OffersAdopted: d.offersAdopted, Malformed: d.malformed, LastError: d.lastError,
+		OffersAdopted: d.offersAdopted, Malformed: d.malformed, Dropped: d.dropped, LastError: d.lastError,
 		Results: records.EncodeResults(state.Results),
 	}
 }
--- a/entry/configuration/duty.go
+++ b/entry/configuration/duty.go
@@ -48,11 +48,12 @@
 }
 
 // DefaultSettings returns settings for a log that retains records for an hour
-// or more. The wait of a log read is up to 30 s, hence LogSilence.
+// or more. A log reader delivers a batch at least every 500 ms while the log
+// answers, and a call ends after 2 s; hence LogSilence.
 func DefaultSettings(instance fleet.InstanceID) Settings {
 	return Settings{
 		Instance: instance,
-		AskEvery: time.Second, LogSilence: 35 * time.Second,
+		AskEvery: time.Second, LogSilence: 4 * time.Second,
 		SnapshotEvery: 10 * time.Minute, SnapshotPublications: 64,
 		SnapshotStagger: 30 * time.Second,
 	}
@@ -70,9 +71,9 @@
 	Asks *supervise.Ring[message.ConfigurationRequest]
 	// Appends leads to the log writer.
 	Appends *supervise.Ring[message.Append]
-	// Reread asks the log reader to deliver the stream again from its oldest
-	// record; called when the duty starts. It must not block for long.
-	Reread func(ctx context.Context)
+	// Rewinds leads to the log reader; the duty asks for the whole stream when
+	// it starts.
+	Rewinds *message.RewindRing
 }
 
 // NewRings returns the input rings; the caller sets the other fields.
@@ -104,23 +105,23 @@
 	published *int64
 	// caughtUp is set once the whole stream has been read.
 	caughtUp bool
-	// truncated is set when entries before the next record are gone.
-	truncated bool
+	// next is the offset after the last batch.
+	next fleet.Offset
 	// lastLog is when the log was last heard; lastSnapshot when a snapshot
 	// was last read.
 	lastLog, lastSnapshot time.Time
 	// snapshotAt is when this instance appends the snapshot that is due; zero
 	// when none is.
-	snapshotAt    time.Time
-	malformed     int
-	lastError     string
-	offersAdopted int
+	snapshotAt         time.Time
+	malformed, dropped int
+	lastError          string
+	offersAdopted      int
 }
 
 func (d *duty) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 	d.lastLog, d.lastSnapshot = time.Now(), time.Now()
-	if d.rings.Reread != nil {
-		d.rings.Reread(ctx)
+	if d.rings.Rewinds != nil {
+		_ = d.rings.Rewinds.Put(ctx, message.Rewind{From: 0})
 	}
 	ask := time.NewTicker(d.settings.AskEvery)
 	defer ask.Stop()
@@ -144,13 +145,19 @@
 	}
 }
 
+// takeBatch drops a batch that leaves a gap after the last one: it was read
+// for an earlier run of this duty, and the rewind brings the stream again.
 func (d *duty) takeBatch(ctx context.Context, batch message.LogRecords) {
 	d.lastLog = time.Now()
-	d.truncated = d.truncated || batch.Truncated
+	if batch.From > d.next && !batch.Truncated {
+		d.dropped++
+		return
+	}
+	if batch.Truncated {
+		d.fold = d.fold.Truncated(batch.From)
+	}
+	d.next = max(d.next, batch.Next)
 	for _, entry := range batch.Records {
-		if d.truncated {
-			d.fold, d.truncated = d.fold.Truncated(entry.Offset), false
-		}
 		d.takeEntry(entry)
 	}
 	d.caughtUp = d.caughtUp || batch.CaughtUp
--- a/entry/configuration/duty_test.go
+++ b/entry/configuration/duty_test.go
@@ -33,6 +33,7 @@
 		tree:       supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {}),
 	}
 	b.rings.Subscribers = []*message.ConfigurationRing{b.subscriber}
+	b.rings.Rewinds = supervise.NewRing[message.Rewind]("rewinds", 1, supervise.DropOldest)
 	b.rings.Asks = supervise.NewRing[message.ConfigurationRequest]("asks", 1, supervise.DropOldest)
 	b.rings.Appends = supervise.NewRing[message.Append]("appends", 4, supervise.Refuse)
 	b.duty = New(settings, b.rings)
@@ -54,6 +55,7 @@
 	for i, data := range entries {
 		batch.Records = append(batch.Records, message.LogEntry{Offset: fleet.Offset(from + i), Data: data})
 	}
+	batch.From, batch.Next = fleet.Offset(from), fleet.Offset(from+len(entries))
 	_ = b.rings.Log.Put(b.t.Context(), batch)
 	synctest.Wait()
 }
@@ -117,15 +119,20 @@
 		if got := taken(b.subscriber); got.Version != 3 || got.Value.Limits.EvictionsPerMinute != 2 {
 			t.Fatalf("got %+v, want version 3", got)
 		}
+		taken(b.rings.Rewinds)
 		_ = b.running.Stop()
 		b.running = b.tree.Start(b.duty)
 		synctest.Wait()
 		if got := b.state(); got.Version != 0 {
 			t.Fatalf("state after the restart = %+v, want an empty one", got)
 		}
+		b.read(3, message.LogRecords{CaughtUp: true}, publication(t, 0)) // read for the first run
 		b.read(0, message.LogRecords{CaughtUp: true}, publication(t, 0), publication(t, 1))
-		if got := taken(b.subscriber); got.Version != 0 {
-			t.Fatalf("version %d was published after version 3", got.Version)
+		if got := taken(b.subscriber); got.Version != 0 || b.state().Version != 2 {
+			t.Fatalf("version %d was published after version 3; state %+v", got.Version, b.state())
+		}
+		if len(b.rings.Rewinds.Items()) != 1 {
+			t.Error("the stream was not asked for again")
 		}
 		b.read(2, message.LogRecords{CaughtUp: true}, publication(t, 2), publication(t, 3))
 		if got := taken(b.subscriber); got.Version != 4 {
