--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"context"
-
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
@@ -64,30 +62,25 @@
 }
 
 func newPlatform(
-	clients platformClients, s settings.Settings, rings *configurationRings, owner *ownership.Duty,
+	clients platformClients, s settings.Settings, rings *configuration.Rings, owner *ownership.Duty,
 	route *routing.Duty, sched *scheduling.Supervisor, links *peers.Supervisor, ops *operations.Supervisor,
 ) *platform.Platform {
 	return platform.New(platform.Settings{
 		Log: clients.log, List: clients.list, Workers: clients.workers,
 		Streams: []platform.Stream{{
-			Name: streamConfiguration, Folds: []*supervise.Ring[message.LogRecords]{rings.Log}, Rewinds: rings.rewinds,
+			Name: streamConfiguration, Folds: []*supervise.Ring[message.LogRecords]{rings.Log}, Rewinds: rings.Rewinds,
 		}},
 		Snapshots: []*message.SnapshotRing{owner.Snapshots, route.Snapshots, sched.Snapshots, links.Snapshots, ops.Snapshots},
 		Usage:     []platform.UsageSubscription{{DataCentre: s.Instance.DataCentre, Ring: sched.Usage}},
 	})
 }
 
-// configurationRings are the rings of the configuration duty that others feed.
-type configurationRings struct {
-	configuration.Rings
-	rewinds *message.RewindRing
-}
-
-func newConfigurationRings() *configurationRings {
-	return &configurationRings{
-		Rings:   configuration.NewRings(),
-		rewinds: supervise.NewRing[message.Rewind]("configuration.rewinds", 1, supervise.DropOldest),
-	}
+// newConfigurationRings returns the rings of the configuration duty; those that
+// lead to other duties are set when it is started.
+func newConfigurationRings() *configuration.Rings {
+	rings := configuration.NewRings()
+	rings.Rewinds = supervise.NewRing[message.Rewind]("configuration.rewinds", 1, supervise.DropOldest)
+	return &rings
 }
 
 func newOwnership(s settings.Settings) *ownership.Duty {
@@ -141,7 +134,7 @@
 }
 
 func startConfiguration(
-	tree *supervise.Tree, s settings.Settings, rings *configurationRings, appends *platform.Platform,
+	tree *supervise.Tree, s settings.Settings, rings *configuration.Rings, appends *platform.Platform,
 	route *routing.Duty, sched *scheduling.Supervisor, front *callers.Supervisor, ops *operations.Supervisor,
 ) {
 	rings.Subscribers = []*message.ConfigurationRing{
@@ -149,8 +142,7 @@
 	}
 	rings.Appends = appends.Appends()
 	rings.Asks = supervise.NewRing[message.ConfigurationRequest]("peers.configuration-requests", 16, supervise.DropOldest)
-	rings.Reread = func(ctx context.Context) { _ = rings.rewinds.Put(ctx, message.Rewind{}) }
-	duty := configuration.New(configuration.DefaultSettings(s.Instance.ID), rings.Rings)
+	duty := configuration.New(configuration.DefaultSettings(s.Instance.ID), *rings)
 	tree.Child("configuration", supervise.DefaultIntensity).Start(duty)
 }
 
