Test the platform duties of the entry instance

Cause: log path and watchers had no tests. Conclusion: no entry is lost, doubled or reported wrongly in these cases.

--- /dev/null
+++ b/entry/platform/platform_test.go
@@ -0,0 +1,283 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
+	"lacewingfork.example/lacewingfork/standin"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fixture runs the duties against a stand-in over HTTP, on a fake clock.
+type fixture struct {
+	*testing.T
+	standin  *standin.StandIn
+	client   *platformapi.Client
+	fold     *supervise.Ring[message.LogRecords]
+	rewinds  *message.RewindRing
+	snapshot *message.SnapshotRing
+	usage    *message.UsageRing
+	platform *Platform
+	tree     *supervise.Tree
+	restarts atomic.Int32
+}
+
+// panickingLog fails with a panic on demand.
+type panickingLog struct {
+	platformapi.Log
+	panics atomic.Int32
+}
+
+func (l *panickingLog) Append(ctx context.Context, stream string, data []byte) (fleet.Offset, error) {
+	if l.panics.Add(-1) >= 0 {
+		panic("append fails")
+	}
+	return l.Log.Append(ctx, stream, data)
+}
+
+func run(t *testing.T, retention standin.Retention, log *panickingLog, test func(*fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewPipeNetwork()
+		settings := standin.DefaultSettings()
+		settings.Retention = retention
+		s, err := standin.Start(settings, network.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		client, err := platformapi.NewClient(platformapi.ClientSettings{BaseURL: "http://" + s.Address(), Dial: network.Dial})
+		if err != nil {
+			t.Fatal(err)
+		}
+		log.Log = client
+		f := &fixture{
+			T: t, standin: s, client: client,
+			fold:     supervise.NewRing[message.LogRecords]("fold", 64, supervise.Wait),
+			rewinds:  supervise.NewRing[message.Rewind]("rewinds", 1, supervise.DropOldest),
+			snapshot: supervise.NewRing[message.ListSnapshot]("snapshot", 1, supervise.DropOldest),
+			usage:    supervise.NewRing[message.UsageReports]("usage", 1, supervise.DropOldest),
+		}
+		f.platform = New(Settings{
+			Log: log, List: client, Workers: client,
+			Streams:   []Stream{{Name: "s", Folds: []*supervise.Ring[message.LogRecords]{f.fold}, Rewinds: f.rewinds}},
+			Snapshots: []*message.SnapshotRing{f.snapshot},
+			Usage:     []UsageSubscription{{DataCentre: "accra-1", Ring: f.usage}},
+		})
+		f.tree = supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) { f.restarts.Add(1) })
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.tree.Serve(ctx) }()
+		defer func() {
+			cancel()
+			<-done
+			client.Close()
+			s.Close()
+			synctest.Wait()
+		}()
+		test(f)
+	})
+}
+
+func (f *fixture) start() { f.platform.Start(f.tree) }
+
+func (f *fixture) wait(d time.Duration) {
+	time.Sleep(d) // the bubble's clock
+	synctest.Wait()
+}
+
+func (f *fixture) append(id string) *supervise.Ring[message.AppendResult] {
+	ring := supervise.NewRing[message.AppendResult](id, 1, supervise.Refuse)
+	if err := f.platform.Appends().Put(f.Context(), message.Append{Stream: "s", ID: id, Data: []byte(id), Result: ring}); err != nil {
+		f.Fatal(err)
+	}
+	return ring
+}
+
+// delivered empties the fold's ring and checks that batches follow each other.
+func (f *fixture) delivered(next fleet.Offset) (ids string, truncated bool, end fleet.Offset) {
+	for {
+		select {
+		case b := <-f.fold.Items():
+			if b.From != next && !b.Truncated {
+				f.Errorf("batch from %d where %d is due", b.From, next)
+			}
+			truncated = truncated || b.Truncated
+			next = b.Next
+			for _, e := range b.Records {
+				ids += fmt.Sprintf("%s@%d.%d ", e.ID, e.Offset, e.Index)
+			}
+		default:
+			return strings.TrimSpace(ids), truncated, next
+		}
+	}
+}
+
+func (f *fixture) expect(next fleet.Offset, want string) fleet.Offset {
+	f.Helper()
+	got, _, next := f.delivered(next)
+	if got != want {
+		f.Errorf("delivered %q, want %q", got, want)
+	}
+	return next
+}
+
+// Guards against entries that get lost, doubled or reordered between the
+// writer's ring and the fold while the log service misbehaves, and against an
+// append result that says more than is known.
+func TestLogPathUnderFaults(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		faults   standin.LogFaults
+		want     string // delivered while the fault lasts
+		possible bool
+		after    string // delivered after it, with one more entry
+	}{
+		{"none", standin.LogFaults{}, "x@0.0 y@0.1", false, "z@1.0"},
+		{"refused", standin.LogFaults{Outage: standin.OutageRefuse}, "", true, "z@0.0"},
+		{"silent", standin.LogFaults{Outage: standin.OutageSilent}, "", true, "z@0.0"},
+		{"lost answer", standin.LogFaults{LoseAnswers: -1}, "x@0.0 y@0.1", true, "z@1.0"},
+		{"late effect", standin.LogFaults{LateAppends: 1, LateMillis: 20_000}, "", true, "z@0.0 x@1.0 y@1.1"},
+		{"slow", standin.LogFaults{DelayMillis: 1500}, "x@0.0 y@0.1", false, "z@1.0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, standin.Retention{}, &panickingLog{}, func(f *fixture) {
+				f.standin.SetLogFaults(c.faults)
+				f.start()
+				x, y := f.append("x"), f.append("y")
+				f.wait(10 * time.Second)
+				next := f.expect(0, c.want)
+				for _, ring := range []*supervise.Ring[message.AppendResult]{x, y} {
+					if r := <-ring.Items(); r.Possible != c.possible || (r.Err != nil) != c.possible || r.Offset != 0 {
+						f.Errorf("result %+v", r)
+					}
+				}
+				f.standin.SetLogFaults(standin.LogFaults{})
+				f.append("z")
+				f.wait(15 * time.Second)
+				f.expect(next, c.after)
+			})
+		})
+	}
+}
+
+// Guards against a reader that hammers the log service in an outage, or whose
+// state cannot be seen then, and against one that comes back late.
+func TestReaderInOutage(t *testing.T) {
+	run(t, standin.Retention{}, &panickingLog{}, func(f *fixture) {
+		f.start()
+		f.wait(time.Second)
+		f.standin.SetLogFaults(standin.LogFaults{Outage: standin.OutageRefuse})
+		f.wait(time.Minute)
+		state := f.readerState()
+		if state.InARow < 30 || state.InARow > 200 {
+			f.Errorf("%d reads failed in a minute, want 30 to 200", state.InARow)
+		}
+		_, _, next := f.delivered(0)
+		f.standin.SetLogFaults(standin.LogFaults{})
+		f.wait(2 * readRetryMost)
+		f.append("x")
+		f.wait(100 * time.Millisecond)
+		f.expect(next, "x@0.0")
+	})
+}
+
+func (f *fixture) readerState() readerState {
+	dump, err := f.tree.Directory().Dump(f.Context(), func(path string) bool { return strings.HasSuffix(path, "log-reader/s") })
+	if err != nil || len(dump) != 1 || dump[0].Busy {
+		f.Fatalf("dump %+v, %v", dump, err)
+	}
+	return dump[0].State.(readerState)
+}
+
+// Guards against records that are gone without notice, and against a rewind
+// that loses records or delivers a read from before it.
+func TestTruncationAndRewind(t *testing.T) {
+	run(t, standin.Retention{Records: 2}, &panickingLog{}, func(f *fixture) {
+		for _, data := range []string{`[{"id":"a"}]`, `[{"id":"b"}]`, "not a record", `[{"id":"c"}]`} {
+			if _, err := f.client.Append(f.Context(), "s", []byte(data)); err != nil {
+				f.Fatal(err)
+			}
+		}
+		f.start()
+		f.wait(100 * time.Millisecond)
+		got, truncated, next := f.delivered(0)
+		if got != "c@3.0" || !truncated || next != 4 {
+			f.Errorf("delivered %q, truncated %t, next %d", got, truncated, next)
+		}
+		if s := f.readerState(); s.Undecodable != 1 || s.Truncations != 1 || !s.CaughtUp {
+			f.Errorf("state %+v", s)
+		}
+		if err := f.rewinds.Put(f.Context(), message.Rewind{From: 3}); err != nil {
+			f.Fatal(err)
+		}
+		f.wait(100 * time.Millisecond)
+		f.expect(3, "c@3.0")
+	})
+}
+
+// Guards against a call duty whose failure leaves the writer waiting or hides
+// that the append may have taken effect.
+func TestCallDutyPanics(t *testing.T) {
+	log := &panickingLog{}
+	log.panics.Store(1)
+	run(t, standin.Retention{}, log, func(f *fixture) {
+		f.start()
+		x := f.append("x")
+		f.wait(time.Second)
+		if r := <-x.Items(); r.Err == nil || !r.Possible {
+			f.Errorf("result %+v", r)
+		}
+		y := f.append("y")
+		f.wait(time.Second)
+		if r := <-y.Items(); r.Err != nil {
+			f.Errorf("result %+v", r)
+		}
+		if n := f.restarts.Load(); n != 1 {
+			f.Errorf("%d restarts, want 1", n)
+		}
+	})
+}
+
+// Guards against a list or usage report that is dated later than it was true,
+// and against membership that goes back in time.
+func TestWatchersDateSamples(t *testing.T) {
+	run(t, standin.Retention{}, &panickingLog{}, func(f *fixture) {
+		f.start()
+		f.wait(5 * time.Second)
+		list, usage := <-f.snapshot.Items(), <-f.usage.Items()
+		if age := time.Since(list.SampledAt); age != 500*time.Millisecond || len(list.BackendServers) != 8 {
+			f.Errorf("list of %d backend servers, %v old", len(list.BackendServers), age)
+		}
+		if len(usage.Reports) != 8 || usage.DataCentre != "accra-1" {
+			f.Fatalf("usage %+v", usage)
+		}
+		if age := time.Since(usage.Reports[0].SampledAt); age < time.Second || age > 1250*time.Millisecond {
+			f.Errorf("usage report is %v old", age)
+		}
+		f.standin.SetListFaults(standin.ListFaults{LagMillis: 2000})
+		f.wait(1900 * time.Millisecond)
+		select {
+		case older := <-f.snapshot.Items():
+			f.Errorf("an older list was delivered, from %v", older.SampledAt)
+		default:
+		}
+		f.standin.SetListFaults(standin.ListFaults{Outage: standin.OutageSilent})
+		f.wait(10 * time.Second)
+		f.standin.SetListFaults(standin.ListFaults{})
+		f.wait(watchTimeout + listEvery)
+		if list := <-f.snapshot.Items(); time.Since(list.SampledAt) > 500*time.Millisecond+listEvery {
+			f.Errorf("list is %v old after the outage", time.Since(list.SampledAt))
+		}
+	})
+}
--- a/entry/platform/writer.go
+++ b/entry/platform/writer.go
@@ -94,7 +94,10 @@
 }
 
 func newWriter(streams []Stream, calls []*appendRing) *writer {
-	w := &writer{replies: newReplyRing[fleet.Offset]("log-writer.replies", len(streams))}
+	w := &writer{
+		replies: newReplyRing[fleet.Offset]("log-writer.replies", len(streams)),
+		flush:   time.NewTimer(flushAfter),
+	}
 	for i, stream := range streams {
 		w.streams = append(w.streams, &streamWriter{calls: calls[i], state: streamState{Stream: stream.Name}})
 	}
@@ -104,7 +107,6 @@
 func (w *writer) run(ctx context.Context, appends *supervise.Ring[message.Append], dumps <-chan supervise.DumpRequest) error {
 	ctx, cancel := context.WithCancel(ctx) // ends the appends in progress on a panic
 	defer cancel()
-	w.flush = time.NewTimer(flushAfter)
 	defer w.flush.Stop()
 	defer w.abandon()
 	for {
@@ -114,7 +116,7 @@
 		case request := <-dumps:
 			request.Answer(w.dump())
 		case a := <-appends.Items():
-			w.add(a)
+			w.add(a, time.Now())
 		case got := <-w.replies.Items():
 			w.streams[got.tag].finish(got)
 		case <-w.flush.C:
@@ -132,10 +134,10 @@
 	return states
 }
 
-func (w *writer) add(a message.Append) {
+func (w *writer) add(a message.Append, now time.Time) {
 	for _, s := range w.streams {
 		if s.state.Stream == a.Stream {
-			s.add(a, time.Now())
+			s.add(a, now)
 			return
 		}
 	}
