caller: a client that tells the three outcomes apart

Cause: a caller has to know whether its request was run before it may try again, whichever entry instance answers and however the answer is lost. Taking the last attempt's refusal as the outcome was ruled out too: an earlier attempt may have run. Change: callerapi holds header names and bodies of the HTTP contract; caller sends requests, obtains request keys for those that are not idempotent, keeps one key over all repetitions, and retries over several addresses with backoff, Retry-After, a budget of a tenth of the requests and never past the deadline.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,216 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/callerapi"
+	"lacewingfork.example/lacewingfork/decision/outcome"
+)
+
+// script is an entry instance that answers each request by the next word; the
+// last word repeats.
+type script struct {
+	*httptest.Server
+	words []string
+	calls atomic.Int64
+	keys  chan string // request keys in the order of the calls
+}
+
+func newScript(t *testing.T, words ...string) *script {
+	s := &script{words: words, keys: make(chan string, 1000)}
+	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s
+}
+
+func (s *script) address() string { return strings.TrimPrefix(s.URL, "http://") }
+
+func (s *script) serve(w http.ResponseWriter, r *http.Request) {
+	call := int(s.calls.Add(1)) - 1
+	s.keys <- r.Header.Get(callerapi.HeaderRequestKey)
+	header := w.Header()
+	header.Set(callerapi.HeaderRequestID, r.Header.Get(callerapi.HeaderRequestID))
+	switch word := s.words[min(call, len(s.words)-1)]; word {
+	case "answer":
+		header.Set(callerapi.HeaderOutcome, "answered")
+		header.Set(callerapi.HeaderBackendServer, "rack1-3")
+		_, _ = w.Write([]byte("whole answer"))
+	case "key":
+		header.Set(callerapi.HeaderOutcome, "answered")
+		_, _ = w.Write([]byte(`{"key":"k1"}`))
+	case "short":
+		header.Set(callerapi.HeaderOutcome, "answered")
+		header.Set("Content-Length", "100")
+		_, _ = w.Write([]byte("part"))
+	case "crossed":
+		header.Set(callerapi.HeaderOutcome, "answered")
+		header.Set(callerapi.HeaderRequestID, "another")
+		_, _ = w.Write([]byte("answer of another request"))
+	case "balancer":
+		w.WriteHeader(http.StatusBadGateway)
+	case "silent":
+		<-r.Context().Done()
+	case "unknown":
+		header.Set(callerapi.HeaderOutcome, "outcome-unknown")
+		header.Set(callerapi.HeaderReason, string(outcome.BackendBroken))
+		w.WriteHeader(http.StatusGatewayTimeout)
+	default: // a reason, with seconds to wait after a space
+		reason, seconds, _ := strings.Cut(word, " ")
+		header.Set(callerapi.HeaderOutcome, "refused-not-run")
+		header.Set(callerapi.HeaderReason, reason)
+		if seconds != "" {
+			header.Set(callerapi.HeaderRetryAfter, seconds)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func clientOf(t *testing.T, addresses ...string) *Client {
+	t.Helper()
+	c, err := New(Settings{Addresses: addresses, AttemptTimeout: 300 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Guards against an outcome that is told wrongly, a repetition that is not
+// safe and one that is not made.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name, end string // answer, refused or unknown
+		words     string
+		reason    outcome.Reason
+		calls     int64
+	}{
+		{"answered", "answer", "answer", "", 1},
+		{"temporary refusal", "answer", "queue-full,answer", "", 2},
+		{"refusal for good", "refused", "no-such-service", outcome.NoSuchService, 1},
+		{"no time left on another try", "refused", "deadline-cannot-be-met", outcome.DeadlineExceeded, 1},
+		{"wait beyond the deadline", "refused", "no-capacity 30", outcome.NoCapacity, 1},
+		{"unknown, then answered", "answer", "unknown,answer", "", 2},
+		{"unknown, then refused", "unknown", "unknown,no-such-service", outcome.NoSuchService, 2},
+		{"incomplete answer", "answer", "short,answer", "", 2},
+		{"answer of another request", "answer", "crossed,answer", "", 2},
+		{"balancer's error page", "answer", "balancer,answer", "", 2},
+		{"balancer's error page, then refused", "unknown", "balancer,body-too-large", outcome.BodyTooLarge, 2},
+		{"silent connection", "answer", "silent,answer", "", 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScript(t, strings.Split(c.words, ",")...)
+			answer, err := clientOf(t, s.address()).Do(t.Context(), Request{
+				Service: "stitch-planner", Operation: "layout", Idempotent: true, Deadline: 5 * time.Second,
+			})
+			var refused *RefusedError
+			var unknown *UnknownError
+			end, reason := "answer", outcome.NoReason
+			switch {
+			case errors.As(err, &refused):
+				end, reason = "refused", refused.Reason
+			case errors.As(err, &unknown):
+				end, reason = "unknown", unknown.Reason
+			case string(answer.Body) != "whole answer" || answer.Server != "rack1-3" || int64(answer.Attempts) != c.calls:
+				t.Errorf("answer = %+v", answer)
+			}
+			if end != c.end || reason != c.reason || s.calls.Load() != c.calls {
+				t.Errorf("%s (%s) after %d calls, want %s (%s) after %d", end, reason, s.calls.Load(), c.end, c.reason, c.calls)
+			}
+		})
+	}
+}
+
+// Guards against a request that is not idempotent and is sent without a key,
+// or repeated under another one.
+func TestNonIdempotentRequestKeepsItsKey(t *testing.T) {
+	s := newScript(t, "key", "unknown", "short", "answer")
+	_, err := clientOf(t, s.address()).Do(t.Context(), Request{Service: "turnos", Operation: "booking"})
+	close(s.keys)
+	var keys []string
+	for key := range s.keys {
+		keys = append(keys, key)
+	}
+	if err != nil || !slices.Equal(keys, []string{"", "k1", "k1", "k1"}) {
+		t.Errorf("keys %q, %v", keys, err)
+	}
+	s = newScript(t, "unknown", "no-such-service")
+	_, err = clientOf(t, s.address()).Do(t.Context(), Request{Service: "turnos", Operation: "booking"})
+	var refused *RefusedError
+	if !errors.As(err, &refused) {
+		t.Errorf("without a key nothing ran, but the error is %v", err)
+	}
+}
+
+// Guards against a client that stays at an address where nothing listens or
+// that is stopping, although others serve.
+func TestOtherAddressesAreTried(t *testing.T) {
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = dead.Close()
+	stopping, serving := newScript(t, "stopping 30"), newScript(t, "answer")
+	c := clientOf(t, dead.Addr().String(), stopping.address(), serving.address())
+	for range 3 {
+		if _, err := c.Do(t.Context(), Request{Service: "a", Operation: "b", Idempotent: true, Deadline: 5 * time.Second}); err != nil {
+			t.Error(err)
+		}
+	}
+	_, err = clientOf(t, dead.Addr().String()).Do(t.Context(), Request{
+		Service: "a", Operation: "b", Idempotent: true, Deadline: 100 * time.Millisecond,
+	})
+	var refused *RefusedError
+	if !errors.As(err, &refused) || refused.Reason != outcome.ConnectFailed {
+		t.Errorf("nothing listens: %v", err)
+	}
+}
+
+// Guards against retries that multiply the load when every request fails:
+// after the first burst they stay at a tenth of the requests.
+func TestRetryBudget(t *testing.T) {
+	s := newScript(t, "queue-full")
+	c := clientOf(t, s.address())
+	const requests = 200
+	for range requests {
+		_, _ = c.Do(t.Context(), Request{Service: "a", Operation: "b", Idempotent: true, Deadline: 30 * time.Second})
+	}
+	if calls := s.calls.Load(); calls > requests+requests/10+budgetMost/retryCost {
+		t.Errorf("%d calls for %d requests", calls, requests)
+	}
+}
+
+// Guards against a request that outlives its caller, and against a deadline
+// that entry instances are not told.
+func TestDeadline(t *testing.T) {
+	told := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		told <- r.Header.Get(callerapi.HeaderDeadline)
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	c, err := New(Settings{Addresses: []string{strings.TrimPrefix(server.URL, "http://")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, err = c.Do(t.Context(), Request{Service: "a", Operation: "b", Idempotent: true, Deadline: 200 * time.Millisecond})
+	var unknown *UnknownError
+	if !errors.As(err, &unknown) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error = %v, want an unknown outcome", err)
+	}
+	if millis, err := strconv.Atoi(<-told); err != nil || millis < 1 || millis > 200 {
+		t.Errorf("deadline of %d ms was told, %v", millis, err)
+	}
+}
--- /dev/null
+++ b/caller/retry.go
@@ -0,0 +1,119 @@
+package caller
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"lacewingfork.example/lacewingfork/decision/outcome"
+)
+
+const (
+	// A retry costs retryCost and a request earns requestGain, so retries stay
+	// at a tenth of the requests; budgetMost lets ten follow each other.
+	requestGain = 1
+	retryCost   = 10
+	budgetMost  = 10 * retryCost
+
+	firstPause = 10 * time.Millisecond
+	longPause  = time.Second
+)
+
+// budget bounds retries to a share of the requests. Its zero value is full.
+type budget struct{ spent atomic.Int64 }
+
+func (b *budget) request() {
+	for {
+		spent := b.spent.Load()
+		if spent == 0 || b.spent.CompareAndSwap(spent, max(0, spent-requestGain)) {
+			return
+		}
+	}
+}
+
+func (b *budget) retry() bool {
+	for {
+		spent := b.spent.Load()
+		if spent+retryCost > budgetMost {
+			return false
+		}
+		if b.spent.CompareAndSwap(spent, spent+retryCost) {
+			return true
+		}
+	}
+}
+
+// permanent reasons are the same on every try: the request itself is at fault,
+// its time is too short, or its key is used up.
+func permanent(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.NoSuchService, outcome.BodyTooLarge, outcome.MalformedRequest, outcome.DeadlineExceeded,
+		outcome.KeyInvalid, outcome.KeyExpired, outcome.KeyOtherEpoch, outcome.Cancelled:
+		return true
+	}
+	return false
+}
+
+// local reasons concern one entry instance; another one may serve at once.
+func local(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.NotReady, outcome.Stopping, outcome.RingFull, outcome.LinkDown, outcome.ConnectFailed, outcome.DutyFailed:
+		return true
+	}
+	return false
+}
+
+// repeat tries until an answer is there or a repetition is not allowed. Every
+// attempt may be repeated: it is idempotent, asks for a key or carries one.
+func (c *Client) repeat(ctx context.Context, a attempt) (*Answer, error) {
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval = firstPause, longPause
+	pauses.Reset()
+	c.budget.request()
+	start := c.next.Add(1)
+	maybeRun := false
+	for n := 1; ; n++ {
+		address := c.settings.Addresses[(start+uint64(n))%uint64(len(c.settings.Addresses))]
+		end := c.send(ctx, address, a)
+		if end.answer != nil {
+			end.answer.Attempts = n
+			return end.answer, nil
+		}
+		maybeRun = maybeRun || !end.notRun
+		pause := pauses.NextBackOff()
+		if !local(end.reason) || n >= len(c.settings.Addresses) {
+			pause = max(pause, end.retryAfter)
+		}
+		if permanent(end.reason) || !fits(ctx, pause) || !c.budget.retry() || !sleep(ctx, pause) {
+			return nil, end.err(n, maybeRun)
+		}
+	}
+}
+
+// fits reports whether time is left after a pause.
+func fits(ctx context.Context, pause time.Duration) bool {
+	deadline, _ := ctx.Deadline()
+	return ctx.Err() == nil && time.Until(deadline) > pause
+}
+
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// err is the end of a request after n attempts. A refusal of the last attempt
+// says nothing about an earlier one that may have run.
+func (e end) err(n int, maybeRun bool) error {
+	if maybeRun {
+		return &UnknownError{Reason: e.reason, Attempts: n, Cause: e.cause}
+	}
+	return &RefusedError{Reason: e.reason, RetryAfter: e.retryAfter, Attempts: n, Cause: e.cause}
+}
--- /dev/null
+++ b/callerapi/callerapi.go
@@ -0,0 +1,45 @@
+// Package callerapi holds the contract between callers and entry instances
+// over HTTP: paths, header names and JSON bodies. Callers' clients, the command
+// line and the entry instances' front end share it; it has no state.
+package callerapi
+
+import "lacewingfork.example/lacewingfork/fleet"
+
+// Header names.
+const (
+	HeaderOutcome       = "Lacewingfork-Outcome"
+	HeaderReason        = "Lacewingfork-Reason"
+	HeaderRequestID     = "Lacewingfork-Request-Id"
+	HeaderTraceID       = "Lacewingfork-Trace-Id"
+	HeaderBackendServer = "Lacewingfork-Backend-Server"
+	HeaderDeadline      = "Lacewingfork-Deadline-Ms"
+	HeaderTeam          = "Lacewingfork-Team"
+	HeaderCaller        = "Lacewingfork-Caller"
+	HeaderRequestKey    = "Idempotency-Key"
+	HeaderRetryAfter    = "Retry-After"
+)
+
+// Paths; services, operations and identifiers are path segments below them.
+const (
+	PathServices = "/v1/services/"
+	PathKeys     = "/v1/keys/"
+	PathJobs     = "/v1/jobs"
+)
+
+// KeyAnswer is the body of the answer to a call for a request key.
+type KeyAnswer struct {
+	Key string `json:"key"`
+}
+
+// Job is a batch job as submitted.
+type Job struct {
+	// ID is chosen by the submitter, so that a repeated submission is found.
+	ID        fleet.JobID     `json:"id"`
+	Team      fleet.Team      `json:"team"`
+	Kind      string          `json:"kind"`
+	Tasks     int             `json:"tasks"`
+	Resources fleet.Resources `json:"resources"`
+	// RunMillis is the declared run time of a task in milliseconds.
+	RunMillis  int64  `json:"run_ms"`
+	Parameters string `json:"parameters,omitempty"`
+}
