--- a/decision/partition/partition.go
+++ b/decision/partition/partition.go
@@ -244,6 +244,9 @@
 		return out
 	}
 	known.unknown = min(known.unknown, u.RequestSlots)
+	for _, task := range u.Tasks {
+		known.tasks[task.Task] = task
+	}
 	return s.drain(now, out)
 }
 
