--- /dev/null
+++ b/decision/estimate/sketch.go
@@ -0,0 +1,159 @@
+// Package estimate learns run times. Each operation of a service has a
+// decaying quantile sketch: a histogram with logarithmic buckets whose weights
+// are halved as observations and time pass, so that memory is fixed and a
+// shift in run times shows within tens of observations.
+//
+// A declared run time is only a prior, because declared values are off by up
+// to 10 times: it is used until MinObservations runs were seen and has no
+// weight afterwards. Work without either counts as long, because a wrong
+// "short" holds back everyone behind it while a wrong "long" only waits itself.
+//
+// The package is pure: times are passed in, and Observe doesn't allocate.
+package estimate
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// MinObservations is the number of runs from which the sketch replaces the
+	// declared value.
+	MinObservations = 5
+	// HalfLife is the time after which an observation counts half. Demand and
+	// interference shift within seconds, the mix of an operation within minutes.
+	HalfLife = 2 * time.Minute
+	// FreshFor is how long after the last observation a run time may be used to
+	// refuse work. Without the limit an operation that was slow once would be
+	// refused for ever, because nothing would run to correct the estimate.
+	FreshFor = 5 * time.Second
+
+	bucketCount = 64
+	// smallest is the upper bound of the first bucket.
+	smallest = 100 * time.Microsecond
+	// bucketsPerDoubling gives a relative error of at most 26%. The last bucket
+	// starts at 166 s, above the longest deadline of 60 s.
+	bucketsPerDoubling = 3
+	// weightLimit is the total weight at which all weights are halved.
+	weightLimit = 512
+)
+
+// Sketch is the run time distribution of one operation. The zero value has
+// seen nothing.
+type Sketch struct {
+	buckets [bucketCount]float32
+	total   float32
+	// sum is the weighted sum of run times, in seconds.
+	sum float64
+	// seen is the number of observations that haven't decayed, at most
+	// MinObservations.
+	seen      int
+	lastAt    time.Time
+	decayedAt time.Time
+}
+
+// Observe adds a run time.
+func (s *Sketch) Observe(now time.Time, run time.Duration) {
+	s.decay(now)
+	run = max(run, 0)
+	s.buckets[bucketOf(run)]++
+	s.total++
+	s.sum += run.Seconds()
+	s.seen = min(s.seen+1, MinObservations)
+	s.lastAt = now
+	if s.total >= weightLimit {
+		s.halve()
+	}
+}
+
+// Seen reports whether enough runs were observed to replace the prior.
+func (s *Sketch) Seen() bool { return s.seen >= MinObservations }
+
+// Fresh reports whether the newest observation is recent enough to refuse work
+// on its account.
+func (s *Sketch) Fresh(now time.Time) bool {
+	return s.Seen() && now.Sub(s.lastAt) <= FreshFor
+}
+
+// Mean returns the decayed mean, or 0 when nothing was seen.
+func (s *Sketch) Mean() time.Duration {
+	if s.total <= 0 {
+		return 0
+	}
+	return time.Duration(s.sum / float64(s.total) * float64(time.Second))
+}
+
+// Quantile returns an upper bound of the q-quantile (q from 0 to 1), or 0 when
+// nothing was seen.
+func (s *Sketch) Quantile(q float64) time.Duration {
+	if s.total <= 0 {
+		return 0
+	}
+	rank := float32(q) * s.total
+	last := 0
+	for i, weight := range s.buckets {
+		if weight == 0 {
+			continue
+		}
+		last = i
+		if rank -= weight; rank <= 0 {
+			break
+		}
+	}
+	return upperBound(last)
+}
+
+// FractionAbove returns the part of the runs that took longer than limit, up
+// to the width of a bucket.
+func (s *Sketch) FractionAbove(limit time.Duration) float64 {
+	if s.total <= 0 {
+		return 0
+	}
+	var above float32
+	for _, weight := range s.buckets[bucketOf(limit)+1:] {
+		above += weight
+	}
+	return float64(above / s.total)
+}
+
+func (s *Sketch) decay(now time.Time) {
+	if s.decayedAt.IsZero() {
+		s.decayedAt = now
+		return
+	}
+	halvings := int(now.Sub(s.decayedAt) / HalfLife)
+	if halvings <= 0 {
+		return
+	}
+	s.decayedAt = s.decayedAt.Add(time.Duration(halvings) * HalfLife)
+	for range min(halvings, 32) {
+		s.halve()
+	}
+}
+
+func (s *Sketch) halve() {
+	s.total = 0
+	for i := range s.buckets {
+		s.buckets[i] /= 2
+		s.total += s.buckets[i]
+	}
+	s.sum /= 2
+}
+
+// bucketOf returns the first bucket whose upper bound is at least run.
+func bucketOf(run time.Duration) int {
+	if run <= smallest {
+		return 0
+	}
+	i := int(math.Ceil(bucketsPerDoubling*math.Log2(float64(run)/float64(smallest)) - 1e-9))
+	return min(i, bucketCount-1)
+}
+
+func upperBound(bucket int) time.Duration { return bounds[bucket] }
+
+var bounds = func() (b [bucketCount]time.Duration) {
+	for i := range b {
+		b[i] = time.Duration(float64(smallest) * math.Exp2(float64(i)/bucketsPerDoubling))
+	}
+	return b
+}()
