--- /dev/null
+++ b/decision/placement/placement_test.go
@@ -0,0 +1,192 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+type open struct{}
+
+func (open) Allowed(_ time.Time, _ Index, slots int) int { return slots }
+func (open) Cost(fleet.Service, Index) float64           { return 0 }
+
+func servers(n int) (list []fleet.BackendServer) {
+	for i := range n {
+		list = append(list, fleet.BackendServer{
+			ID:       fleet.BackendServerID(fmt.Sprint("b", i)),
+			Capacity: fleet.Resources{Slots: 8, MilliCPU: 64_000, MemoryMiB: 250_000, Accelerators: 2},
+		})
+	}
+	return list
+}
+
+func emptyTable(n int) *Table {
+	t := New(time.Minute)
+	t.SetServers(start, servers(n), func(Index) {})
+	for i := range n {
+		t.Report(Index(i), start.Add(1), 0)
+	}
+	t.SetLimits(Limits{LongShare: 0.5, ShortMayCome: true})
+	return t
+}
+
+// fill starts requests until none can be placed and returns how many could.
+func fill(t *Table, now time.Time, long bool) (placed int) {
+	var w Weighed
+	for {
+		i := t.Choose(now, Request{Long: long, Avoid: NoServer}, open{}, open{}, &w)
+		if i == NoServer {
+			return placed
+		}
+		t.Start(i, long)
+		placed++
+	}
+}
+
+// Guards against a new holder using slots that requests of the former holder
+// may still be in, and against slots that stay held for ever.
+func TestSlotsStayHeldUntilAReportAfterTheTakeover(t *testing.T) {
+	cases := []struct {
+		name      string
+		sampledAt time.Time
+		inUse     int
+		now       time.Time
+		free      int
+	}{
+		{"no report", time.Time{}, 0, start.Add(time.Second), 0},
+		{"report from before the takeover", start, 0, start.Add(time.Second), 0},
+		{"report after the takeover", start.Add(1), 3, start.Add(time.Second), 5},
+		{"longest deadline passed", time.Time{}, 0, start.Add(time.Minute), 8},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := New(time.Minute)
+			table.SetServers(start, servers(1), func(Index) {})
+			if !c.sampledAt.IsZero() {
+				table.Report(0, c.sampledAt, c.inUse)
+			}
+			table.Expire(c.now)
+			if got := fill(table, c.now, false); got != c.free {
+				t.Errorf("%d slots usable, want %d", got, c.free)
+			}
+		})
+	}
+}
+
+// Guards against one lost exchange freeing, or extending, the slots of others.
+func TestLostSlotsHaveTheirOwnTimes(t *testing.T) {
+	table := emptyTable(1)
+	table.Start(0, false)
+	table.Start(0, false)
+	table.End(start.Add(10*time.Second), 0, false, false)
+	table.End(start.Add(20*time.Second), 0, false, false)
+	table.Report(0, start.Add(15*time.Second), 0)
+	if got := table.Held(); got != 1 {
+		t.Errorf("%d slots held after a report between two losses, want 1", got)
+	}
+	if at, _ := table.NextExpiry(); !at.Equal(start.Add(80 * time.Second)) {
+		t.Errorf("held until %v", at)
+	}
+}
+
+// Guards against long work and tasks taking every slot of a server, or more
+// than their share, while short work may come.
+func TestLongWorkAndTasksLeaveRoomForShortWork(t *testing.T) {
+	table := emptyTable(7)
+	if got := fill(table, start, true); got != 7*4 {
+		t.Errorf("long work holds %d slots, want half of 56", got)
+	}
+	var w Weighed
+	for id := 0; ; id++ {
+		i := table.ChooseTask(start, fleet.Resources{Slots: 1}, nil, open{}, &w)
+		if i == NoServer {
+			break
+		}
+		table.AddTask(i, Task{ID: fleet.TaskID(fmt.Sprint(id)), Resources: fleet.Resources{Slots: 1}})
+	}
+	if got := fill(table, start, false); got != 7*shortRoom {
+		t.Errorf("%d slots left for short work, want %d", got, 7*shortRoom)
+	}
+	unbounded := emptyTable(1)
+	unbounded.SetLimits(Limits{LongShare: 0.5})
+	if got := fill(unbounded, start, true); got != 8 {
+		t.Errorf("long work holds %d slots while no short work may come, want 8", got)
+	}
+}
+
+// Guards against batch tasks taking the slots that requests need at the peak.
+func TestTasksLeaveThePeakOfRequests(t *testing.T) {
+	table := emptyTable(7)
+	table.Need(start, 40)
+	var w Weighed
+	placed := 0
+	for ; ; placed++ {
+		i := table.ChooseTask(start.Add(time.Second), fleet.Resources{Slots: 1}, nil, open{}, &w)
+		if i == NoServer {
+			break
+		}
+		table.AddTask(i, Task{ID: fleet.TaskID(fmt.Sprint(placed)), Resources: fleet.Resources{Slots: 1}})
+	}
+	if placed != 56-44 {
+		t.Errorf("%d tasks placed beside a peak of 40 of 56 slots, want 12", placed)
+	}
+}
+
+// Guards against tasks that are counted twice, freed too early or kept for
+// ever because of lagging reports.
+func TestTasksFollowReports(t *testing.T) {
+	table := emptyTable(1)
+	table.AddTask(0, Task{ID: "placed", PlacedAt: start.Add(10 * time.Second)})
+	table.ReportTask(0, Task{ID: "adopted", PlacedAt: start})
+	table.ReportTask(0, Task{ID: "adopted", PlacedAt: start})
+	forget := func(at time.Time) {
+		table.ForgetTasks(0, at, func(fleet.TaskID) bool { return false }, func(Task) {})
+	}
+	forget(start.Add(11 * time.Second))
+	if tasks := table.Tasks(0); len(tasks) != 1 || tasks[0].ID != "placed" {
+		t.Fatalf("tasks after a report without them: %v", tasks)
+	}
+	table.ReportTask(0, Task{ID: "placed"})
+	forget(start.Add(9 * time.Second))
+	if len(table.Tasks(0)) != 1 {
+		t.Error("a report from before the start freed the room")
+	}
+	forget(start.Add(12 * time.Second))
+	if len(table.Tasks(0)) != 0 {
+		t.Error("a task that ended keeps its room")
+	}
+}
+
+// Guards against a table that grows with every replaced server, and against a
+// new server that inherits counts.
+func TestEntriesOfReplacedServersAreReused(t *testing.T) {
+	table := emptyTable(3)
+	for i := range 100 {
+		list := servers(3)
+		list[0].ID = fleet.BackendServerID(fmt.Sprint("replaced", i))
+		table.SetServers(start.Add(time.Duration(i)*time.Hour), list, func(Index) {})
+		if table.Free() != 16 {
+			t.Fatal("the slots of a new server aren't held")
+		}
+		table.Report(table.Find(list[0].ID), start.Add(time.Duration(i)*time.Hour+1), 0)
+	}
+	if table.Len() > 4 {
+		t.Errorf("%d entries for 3 servers", table.Len())
+	}
+}
+
+func BenchmarkChoose65(b *testing.B) {
+	t := emptyTable(65)
+	var w Weighed
+	b.ReportAllocs()
+	for range b.N {
+		i := t.Choose(start, Request{Avoid: NoServer}, open{}, open{}, &w)
+		t.Start(i, false)
+		t.End(start, i, false, true)
+	}
+}
