Compose the policy of a partition behind its API

The naive state was first in, first out on the least loaded server, without retries, quotas, breakers or the takeover rule per slot.

Adds the breaker relative to peers, the retry rule with a budget by count, and partition.State composed of estimate, admission, placement, breaker and retry, with a bounded ring of explanations. Completion gains Attempt, because a repeated completion of an earlier attempt on the same server can't be told apart otherwise.

A property test drives the state with random events against a model of what really runs.

--- a/decision/admission/admission.go
+++ b/decision/admission/admission.go
@@ -129,6 +129,9 @@
 // Item returns a waiting item.
 func (q *Queue) Item(h Handle) Item { return q.nodes[h].item }
 
+// SetOwner sets the caller's own reference of a waiting item.
+func (q *Queue) SetOwner(h Handle, owner int32) { q.nodes[h].item.Owner = owner }
+
 // Push takes an item, or refuses it. slots is the number of slots that work of
 // its kind may use now; with none the wait isn't estimated.
 func (q *Queue) Push(now time.Time, item Item, slots int) (Handle, Refusal) {
--- a/decision/estimate/estimate.go
+++ b/decision/estimate/estimate.go
@@ -43,6 +43,15 @@
 	return o.sketch.Quantile(0.1)
 }
 
+// Likely returns a run time that 9 of 10 runs stay within, and 0 unless it was
+// observed recently.
+func (o *Operation) Likely(now time.Time) time.Duration {
+	if !o.sketch.Fresh(now) {
+		return 0
+	}
+	return o.sketch.Quantile(0.9)
+}
+
 // Observe adds a run time.
 func (o *Operation) Observe(now time.Time, run time.Duration) {
 	o.sketch.Observe(now, run)
--- /dev/null
+++ b/decision/partition/explain.go
@@ -0,0 +1,143 @@
+package partition
+
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/decision/placement"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// historyLength is the number of decisions remembered. At 1,000 decisions a
+// second that is half a second; the history duty keeps what it needs longer.
+const historyLength = 512
+
+// Verdict is the stable word for what was decided.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictRun        Verdict = "run"
+	VerdictRefuse     Verdict = "refuse"
+	VerdictDeliver    Verdict = "deliver"
+	VerdictGiveUp     Verdict = "give-up"
+	VerdictRetry      Verdict = "retry"
+	VerdictTakeOut    Verdict = "take-out-of-service"
+	VerdictPlaceTask  Verdict = "place-task"
+	VerdictDecline    Verdict = "decline-task"
+	VerdictAdopt      Verdict = "adopt-task"
+	VerdictThrottle   Verdict = "throttle-task"
+	VerdictUnthrottle Verdict = "unthrottle-task"
+	VerdictEvict      Verdict = "evict-task"
+)
+
+// Candidate is a backend server that was weighed in a decision.
+type Candidate struct {
+	Server fleet.BackendServerID `json:"server"`
+	// Score is lower for better candidates.
+	Score float64 `json:"score"`
+}
+
+// Decision explains one decision.
+type Decision struct {
+	At time.Time `json:"at"`
+	// Subject is a request, a task or a backend server.
+	Subject string                `json:"subject"`
+	Verdict Verdict               `json:"verdict"`
+	Reason  outcome.Reason        `json:"reason,omitempty"`
+	Server  fleet.BackendServerID `json:"server,omitempty"`
+	// Wait is the time since the request was submitted; for a retry, the delay.
+	Wait time.Duration `json:"wait_ns"`
+	// Slowdown is the expected slowdown that an action relieves, as a part of
+	// the run time.
+	Slowdown float64 `json:"slowdown,omitempty"`
+	// Candidates are the best backend servers that were weighed, best first.
+	Candidates []Candidate `json:"candidates,omitempty"`
+	// Excluded counts the servers that were no candidates, by cause.
+	Excluded map[string]int `json:"excluded,omitempty"`
+}
+
+// history is a ring of the last decisions. Candidates are kept by index and
+// identifier, and turned into Candidates and Excluded only when asked for.
+type history struct {
+	records []record
+	next    int
+	// total counts all decisions, also those that were overwritten.
+	total uint64
+}
+
+type record struct {
+	decision Decision
+	weighed  placement.Weighed
+	ids      [len(placement.Weighed{}.Best)]fleet.BackendServerID
+}
+
+// explain remembers a decision; w is nil when no servers were weighed.
+func (s *State) explain(d Decision, w *placement.Weighed) {
+	h := &s.history
+	if len(h.records) < historyLength {
+		h.records = append(h.records, record{})
+	}
+	r := &h.records[h.next]
+	if h.next++; h.next == historyLength {
+		h.next = 0
+	}
+	h.total++
+	r.decision = d
+	r.weighed.Count = 0
+	if w == nil {
+		r.weighed.Excluded = [placement.CauseCount]uint16{}
+		return
+	}
+	r.weighed = *w
+	for i := range w.Count {
+		r.ids[i] = s.servers.ID(w.Best[i].Server)
+	}
+}
+
+// Explain returns the remembered decisions about a request, task or backend
+// server, oldest first. An empty identifier returns all of them.
+func (s *State) Explain(id string) (found []Decision) {
+	h := &s.history
+	for k := range h.records {
+		i := k
+		if len(h.records) == historyLength {
+			i = (h.next + k) % historyLength
+		}
+		r := &h.records[i]
+		if id == "" || r.decision.Subject == id || string(r.decision.Server) == id {
+			found = append(found, r.whole())
+		}
+	}
+	return found
+}
+
+// Explained returns how many decisions were made, also those forgotten since.
+func (s *State) Explained() uint64 { return s.history.total }
+
+func (r *record) whole() Decision {
+	d := r.decision
+	for i := range r.weighed.Count {
+		d.Candidates = append(d.Candidates, Candidate{r.ids[i], r.weighed.Best[i].Score})
+	}
+	for cause, n := range r.weighed.Excluded {
+		if n > 0 {
+			if d.Excluded == nil {
+				d.Excluded = make(map[string]int)
+			}
+			d.Excluded[placement.Cause(cause).String()] = int(n)
+		}
+	}
+	return d
+}
+
+func verdictOf(kind ActionKind) Verdict {
+	switch kind {
+	case Refuse:
+		return VerdictRefuse
+	case Deliver:
+		return VerdictDeliver
+	default:
+		return VerdictGiveUp
+	}
+}
--- /dev/null
+++ b/decision/partition/model_test.go
@@ -0,0 +1,257 @@
+package partition
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// model is the world around a State: what really runs on the servers, and what
+// each caller was told. It checks every action against it.
+type model struct {
+	t        *rapid.T
+	s        *State
+	now      time.Time
+	servers  []fleet.BackendServer
+	saidAt   map[fleet.BackendServerID]time.Time
+	onServer map[fleet.BackendServerID]map[fleet.RequestID]*occupant
+	tasks    map[fleet.BackendServerID]map[fleet.TaskID]fleet.Resources
+	requests map[fleet.RequestID]*tracked
+	done     []Completion
+	samples  []Usage
+	firsts   int
+	attempts int
+	nextID   int
+}
+
+// occupant is a request that may be in a slot of a server. It counts against
+// the capacity from the Run action on, and in reports once it has arrived.
+type occupant struct {
+	arrived  bool
+	orphaned bool // nobody waits for it any more
+	until    time.Time
+}
+
+type tracked struct {
+	work    Work
+	running fleet.BackendServerID
+	attempt int
+	written bool
+	ended   bool
+}
+
+var testConfiguration = &configuration.Configuration{
+	Services: []configuration.Service{{Name: "planner", Operations: []configuration.Operation{
+		{Name: "short", ExpectedRunTime: 50 * time.Millisecond},
+		{Name: "long", Class: fleet.Normal, ExpectedRunTime: 10 * time.Second},
+		{Name: "unknown"},
+	}}},
+	Teams:  []configuration.Team{{Name: "a", Share: 0.5}, {Name: "b", Share: 0.2}},
+	Limits: configuration.DefaultLimits,
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, now: start, saidAt: map[fleet.BackendServerID]time.Time{},
+		onServer: map[fleet.BackendServerID]map[fleet.RequestID]*occupant{},
+		tasks:    map[fleet.BackendServerID]map[fleet.TaskID]fleet.Resources{},
+		requests: map[fleet.RequestID]*tracked{},
+	}
+	for i := range rapid.IntRange(1, 4).Draw(t, "servers") {
+		id := fleet.BackendServerID(fmt.Sprint("b", i))
+		m.servers = append(m.servers, fleet.BackendServer{ID: id, Capacity: fleet.Resources{
+			Slots: rapid.IntRange(1, 4).Draw(t, "slots"), MilliCPU: 16_000, MemoryMiB: 1000, Accelerators: 1,
+		}})
+		m.onServer[id] = map[fleet.RequestID]*occupant{}
+		m.tasks[id] = map[fleet.TaskID]fleet.Resources{}
+		m.leaveBehind(id, m.servers[i].Capacity)
+	}
+	m.s = New(m.now, m.servers, testConfiguration)
+	return m
+}
+
+// leaveBehind puts work of a former holder on a server.
+func (m *model) leaveBehind(id fleet.BackendServerID, capacity fleet.Resources) {
+	slots := capacity.Slots
+	if slots > 1 && rapid.Bool().Draw(m.t, "old task") {
+		task := fleet.TaskID("old-" + string(id))
+		m.tasks[id][task] = fleet.Resources{Slots: 1, MilliCPU: capacity.MilliCPU / int64(capacity.Slots)}
+		slots--
+	}
+	for i := range rapid.IntRange(0, slots).Draw(m.t, "old requests") {
+		m.onServer[id][fleet.RequestID(fmt.Sprint("old", i))] = &occupant{
+			arrived: true, orphaned: true, until: m.now.Add(MaxDeadline),
+		}
+	}
+}
+
+// take applies and checks actions.
+func (m *model) take(actions []Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case Run:
+			m.run(a)
+		case Refuse, Deliver, GiveUp:
+			m.end(a)
+		case PlaceTask:
+			if _, known := m.tasks[a.Server][a.Task]; !known {
+				m.checkOpen(a.Server)
+			}
+			m.tasks[a.Server][a.Task] = fleet.Resources{Slots: 1, MilliCPU: 2000, MemoryMiB: 100}
+		}
+	}
+	m.checkCapacity()
+}
+
+func (m *model) run(a Action) {
+	r := m.requests[a.ID]
+	m.checkOpen(a.Server)
+	switch {
+	case r == nil || r.ended:
+		m.t.Fatalf("run of %s, which isn't open", a.ID)
+	case r.running != "":
+		m.t.Fatalf("%s runs on %s and is placed on %s", a.ID, r.running, a.Server)
+	case r.written && !r.work.Idempotent:
+		m.t.Fatalf("%s may have run and is placed again", a.ID)
+	case a.Attempt != r.attempt+1:
+		m.t.Fatalf("attempt %d of %s follows %d", a.Attempt, a.ID, r.attempt)
+	case !m.now.Before(r.work.Deadline):
+		m.t.Fatalf("%s is placed after its deadline", a.ID)
+	}
+	if a.Attempt == 1 {
+		m.firsts++
+	}
+	if m.attempts++; 10*m.attempts > 11*m.firsts {
+		m.t.Fatalf("%d attempts for %d requests", m.attempts, m.firsts)
+	}
+	r.running, r.attempt = a.Server, a.Attempt
+	m.onServer[a.Server][m.place(r)] = &occupant{until: m.now.Add(MaxDeadline)}
+}
+
+func (m *model) place(r *tracked) fleet.RequestID {
+	return r.work.ID + fleet.RequestID(fmt.Sprint("#", r.attempt))
+}
+
+func (m *model) end(a Action) {
+	r := m.requests[a.ID]
+	if r == nil || r.ended || r.running != "" {
+		m.t.Fatalf("ending %d of %s, which is not open or runs", a.Kind, a.ID)
+	}
+	if a.Kind == Refuse && r.written {
+		m.t.Fatalf("%s is refused as not run (%s) but was written", a.ID, a.Reason)
+	}
+	if a.Kind == Deliver && r.attempt == 0 {
+		m.t.Fatalf("%s is delivered without an attempt", a.ID)
+	}
+	r.ended = true
+}
+
+func (m *model) checkOpen(id fleet.BackendServerID) {
+	i := slices.IndexFunc(m.servers, func(b fleet.BackendServer) bool { return b.ID == id })
+	if i < 0 || m.servers[i].Leaving {
+		m.t.Fatalf("work is placed on %s, which is leaving", id)
+	}
+	if at, said := m.saidAt[id]; said && m.now.Sub(at) < time.Minute {
+		m.t.Fatalf("work is placed on %s, which said that it is leaving", id)
+	}
+}
+
+func (m *model) checkCapacity() {
+	for _, b := range m.servers {
+		used := fleet.Resources{Slots: len(m.onServer[b.ID])}
+		part := fleet.Resources{MilliCPU: b.Capacity.MilliCPU / int64(b.Capacity.Slots)}
+		used.MilliCPU = int64(used.Slots) * part.MilliCPU
+		for _, r := range m.tasks[b.ID] {
+			used = used.Add(r)
+		}
+		if !used.Fits(b.Capacity) {
+			m.t.Fatalf("%s holds %+v and has %+v", b.ID, b.Capacity, used)
+		}
+	}
+}
+
+// advance moves the time, ends what outlived the longest deadline and adopts
+// the former holder's tasks as the ledger would.
+func (m *model) advance(d time.Duration) {
+	m.now = m.now.Add(d)
+	for _, on := range m.onServer {
+		maps.DeleteFunc(on, func(_ fleet.RequestID, o *occupant) bool { return o.orphaned && !m.now.Before(o.until) })
+	}
+	if m.now.Sub(start) > MaxDeadline/2 {
+		for _, b := range m.servers {
+			old := fleet.TaskID("old-" + string(b.ID))
+			if r, runs := m.tasks[b.ID][old]; runs {
+				m.take(m.s.Adopt(m.now, b.ID, RunningTask{Task: old, Resources: r}, nil))
+			}
+		}
+	}
+	m.take(m.s.Tick(m.now, nil))
+}
+
+func (m *model) submit() {
+	m.nextID++
+	w := Work{
+		ID: fleet.RequestID(fmt.Sprint("r", m.nextID)), Service: "planner",
+		Operation:  rapid.SampledFrom([]fleet.Operation{"short", "long", "unknown", "absent"}).Draw(m.t, "operation"),
+		Team:       rapid.SampledFrom([]fleet.Team{"", "a", "b"}).Draw(m.t, "team"),
+		Class:      fleet.Class(rapid.IntRange(0, 2).Draw(m.t, "class")),
+		Idempotent: rapid.Bool().Draw(m.t, "idempotent"),
+		Deadline:   m.now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(m.t, "deadline ms")) * time.Millisecond),
+	}
+	m.requests[w.ID] = &tracked{work: w}
+	m.take(m.s.Submit(m.now, w, nil))
+}
+
+// runningRequests returns the running requests in a fixed order.
+func (m *model) runningRequests() (running []*tracked) {
+	for i := range m.nextID {
+		if r := m.requests[fleet.RequestID(fmt.Sprint("r", i+1))]; r.running != "" {
+			running = append(running, r)
+		}
+	}
+	return running
+}
+
+func (m *model) complete(r *tracked, result Result) {
+	c := Completion{
+		ID: r.work.ID, Server: r.running, Attempt: r.attempt, Result: result, SlotReleased: true,
+		Duration: time.Duration(rapid.IntRange(0, 5000).Draw(m.t, "ms")) * time.Millisecond,
+		Leaving:  rapid.IntRange(0, 19).Draw(m.t, "leaving") == 0,
+	}
+	on := m.onServer[r.running]
+	c.SlotReleased = result != Lost || rapid.Bool().Draw(m.t, "released")
+	if c.SlotReleased {
+		delete(on, m.place(r))
+	} else {
+		on[m.place(r)] = &occupant{arrived: true, orphaned: true, until: m.now.Add(MaxDeadline)}
+	}
+	if c.Leaving {
+		m.saidAt[r.running] = m.now
+	}
+	r.written = r.written || result != NotWritten
+	r.running = ""
+	m.done = append(m.done, c)
+	m.take(m.s.Complete(m.now, c, nil))
+}
+
+// sample takes a usage report of a server; it is delivered later or never.
+func (m *model) sample(b fleet.BackendServer) {
+	u := Usage{Server: b.ID, SampledAt: m.now}
+	for _, o := range m.onServer[b.ID] {
+		if o.arrived {
+			u.RequestSlots++
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.tasks[b.ID])) {
+		u.Tasks = append(u.Tasks, RunningTask{Task: id, Resources: m.tasks[b.ID][id]})
+	}
+	m.samples = append(m.samples, u)
+}
--- /dev/null
+++ b/decision/partition/property_test.go
@@ -0,0 +1,124 @@
+package partition
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Guards the promises that the state keeps under any order of events, with
+// late, repeated and unknown completions, lagging reports and a former holder's
+// work: no server holds more than it can, a request is on one server at a time,
+// what may have run and isn't idempotent never runs again, every request gets
+// one ending, a refused one wasn't written, leaving servers get nothing, and
+// the retry budget holds.
+func TestPromisesHoldUnderAnyEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		steps := rapid.IntRange(20, 200).Draw(t, "steps")
+		for range steps {
+			m.step()
+		}
+		m.finish()
+	})
+}
+
+func (m *model) step() {
+	t := m.t
+	server := rapid.IntRange(0, len(m.servers)-1).Draw(t, "server")
+	switch rapid.IntRange(0, 15).Draw(t, "event") {
+	case 0, 1, 2, 3:
+		m.submit()
+	case 4, 5, 6:
+		if r := m.runningRequests(); len(r) > 0 {
+			m.complete(rapid.SampledFrom(r).Draw(t, "completed"), Result(rapid.IntRange(0, 3).Draw(t, "result")))
+		}
+	case 7:
+		m.advance(time.Duration(rapid.IntRange(1, 30_000).Draw(t, "ms")) * time.Millisecond)
+	case 8:
+		m.advance(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
+	case 9:
+		for _, o := range m.onServer[m.servers[server].ID] {
+			o.arrived = true
+		}
+	case 10:
+		m.sample(m.servers[server])
+	case 11:
+		if len(m.samples) > 0 {
+			m.take(m.s.Report(m.now, rapid.SampledFrom(m.samples).Draw(t, "report"), nil))
+		}
+	case 12:
+		m.disturb()
+	case 13:
+		m.take(m.s.Cancel(m.now, fleet.RequestID(fmt.Sprint("r", rapid.IntRange(1, m.nextID+1).Draw(t, "cancelled"))), nil))
+	case 14:
+		m.changeServers(server)
+	case 15:
+		m.changeTasks(m.servers[server].ID)
+	}
+}
+
+// disturb sends repeated and unknown completions and submissions.
+func (m *model) disturb() {
+	if len(m.done) > 0 {
+		c := rapid.SampledFrom(m.done).Draw(m.t, "repeated")
+		m.take(m.s.Complete(m.now, c, nil))
+		c.ID = "never-submitted"
+		m.take(m.s.Complete(m.now, c, nil))
+	}
+	if running := m.runningRequests(); len(running) > 0 {
+		m.take(m.s.Submit(m.now, running[0].work, nil))
+	}
+}
+
+func (m *model) changeServers(i int) {
+	m.servers[i].Leaving = !m.servers[i].Leaving
+	list := slices.Clone(m.servers)
+	if rapid.Bool().Draw(m.t, "unlisted") {
+		m.servers[i].Leaving = true
+		list = slices.Delete(list, i, i+1)
+	}
+	m.take(m.s.SetServers(m.now, list, nil))
+}
+
+func (m *model) changeTasks(id fleet.BackendServerID) {
+	if rapid.Bool().Draw(m.t, "offer") {
+		m.nextID++
+		m.requests[fleet.RequestID(fmt.Sprint("r", m.nextID))] = &tracked{ended: true}
+		m.take(m.s.OfferTask(m.now, TaskOffer{
+			Task: fleet.TaskID(fmt.Sprint("task", m.nextID)), Resources: fleet.Resources{Slots: 1, MilliCPU: 2000, MemoryMiB: 100},
+		}, nil))
+		return
+	}
+	if running := slices.Sorted(maps.Keys(m.tasks[id])); len(running) > 0 {
+		delete(m.tasks[id], running[0])
+		m.take(m.s.TaskEnded(m.now, running[0], nil))
+	}
+}
+
+// finish lets everything end and checks that every request got its ending.
+func (m *model) finish() {
+	for range 4 {
+		for _, r := range m.runningRequests() {
+			m.complete(r, Lost)
+		}
+		m.advance(MaxDeadline)
+	}
+	for id, r := range m.requests {
+		if !r.ended {
+			m.t.Fatalf("%s got no ending", id)
+		}
+	}
+	if len(m.s.byID)+m.s.queue.Len()+len(m.s.retrying) > 0 {
+		m.t.Fatalf("%d requests are still held", len(m.s.byID))
+	}
+	if next := m.s.NextTick(); !next.IsZero() {
+		m.t.Fatalf("idle, but a tick is due at %v", next)
+	}
+}
--- /dev/null
+++ b/decision/partition/requests.go
@@ -0,0 +1,201 @@
+package partition
+
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/admission"
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/decision/placement"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// retryAfterNoServer is what callers are told when no backend server is in the
+// partition: the list shows a new one within about 2 s.
+const retryAfterNoServer = 2 * time.Second
+
+// maxRetrying bounds the requests that wait for another attempt; those beyond
+// end with what the last attempt brought.
+const maxRetrying = 256
+
+// Submit decides on a new request. A request whose ID is already known is
+// ignored: the ending of the first one is the ending of both.
+func (s *State) Submit(now time.Time, w Work, out []Action) []Action {
+	s.lastSeen = now
+	if _, known := s.byID[w.ID]; known {
+		return out
+	}
+	operation := s.estimates.Find(w.Service, w.Operation)
+	if operation == nil {
+		return s.refuse(now, w.ID, outcome.NoSuchService, 0, out)
+	}
+	left := w.Deadline.Sub(now)
+	if left <= 0 || operation.Least(now) > left {
+		return s.refuse(now, w.ID, outcome.DeadlineExceeded, 0, out)
+	}
+	if s.servers.Capacity() == 0 {
+		return s.refuse(now, w.ID, outcome.NoCapacity, retryAfterNoServer, out)
+	}
+	r := request{work: w, estimate: operation, arrived: now, server: placement.NoServer, team: s.queue.Team(w.Team)}
+	s.need(now, 1)
+	kind := kindOf(&r)
+	if s.queue.Backlog(kind) == 0 {
+		if server := s.choose(now, &r, kind); server != placement.NoServer {
+			return s.run(now, s.enter(r), server, out)
+		}
+	}
+	return s.wait(now, r, kind, out)
+}
+
+// kindOf returns whether a request may use every slot. Batch requests count as
+// long whatever they take, so that they leave room for the others.
+func kindOf(r *request) admission.Kind {
+	if r.work.Class >= fleet.Batch || r.estimate.Long() {
+		return admission.Long
+	}
+	return admission.Short
+}
+
+// need tells the placement how many slots latency-critical requests could use.
+func (s *State) need(now time.Time, more int) {
+	s.servers.Need(now, s.latencyCritical+more+s.queue.Waiting(fleet.Urgent)+s.queue.Waiting(fleet.Normal))
+}
+
+// wait puts a request into the queue, or refuses it.
+func (s *State) wait(now time.Time, r request, kind admission.Kind, out []Action) []Action {
+	// A run that is started so late that it can't end in time would waste its
+	// slot. Run times that exceed half of the time there is are no ground for
+	// a refusal before half of it has passed.
+	left := r.work.Deadline.Sub(now)
+	item := admission.Item{
+		Class: min(r.work.Class, fleet.Batch), Kind: kind, Team: r.team, Run: r.estimate.Mean(), Arrived: now,
+		Until: r.work.Deadline.Add(-min(r.estimate.Likely(now), left/2)),
+	}
+	handle, refusal := s.queue.Push(now, item, s.slotsFor(kind))
+	if refusal.Reason != outcome.NoReason {
+		return s.refuse(now, r.work.ID, refusal.Reason, refusal.RetryAfter, out)
+	}
+	r.phase, r.handle = waiting, handle
+	s.queue.SetOwner(handle, s.enter(r))
+	return out
+}
+
+// Cancel withdraws a request that waits. A running one runs to its end and
+// isn't tried again.
+func (s *State) Cancel(now time.Time, id fleet.RequestID, out []Action) []Action {
+	s.lastSeen = now
+	place, known := s.byID[id]
+	if !known {
+		return out
+	}
+	r := &s.requests[place]
+	switch r.phase {
+	case running:
+		r.cancelled = true
+		return out
+	case waiting:
+		s.queue.Remove(r.handle)
+	case retrying:
+		s.dropRetrying(place)
+	}
+	return s.end(now, place, outcome.Cancelled, 0, out)
+}
+
+// Tick refuses waiting requests whose time has passed, starts attempts that
+// are due and carries on with relief. It is due at NextTick.
+func (s *State) Tick(now time.Time, out []Action) []Action {
+	out = s.drain(now, out)
+	return s.relieve(now, out)
+}
+
+// drain starts waiting requests while there is room.
+func (s *State) drain(now time.Time, out []Action) []Action {
+	s.lastSeen = now
+	s.servers.Expire(now)
+	for h, ok := s.queue.Expired(now); ok; h, ok = s.queue.Expired(now) {
+		out = s.end(now, s.queue.Remove(h).Owner, outcome.DeadlineExceeded, 0, out)
+	}
+	out = s.retry(now, out)
+	room := [2]bool{true, true}
+	for room[admission.Short] || room[admission.Long] {
+		h, ok := s.queue.Next(now, room)
+		if !ok {
+			return out
+		}
+		place := s.queue.Item(h).Owner
+		r := &s.requests[place]
+		kind := s.queue.Item(h).Kind
+		if kind == admission.Short && kindOf(r) == admission.Long {
+			s.queue.Reclassify(h, admission.Long)
+			continue
+		}
+		server := s.choose(now, r, kind)
+		if server == placement.NoServer {
+			room[kind] = false
+			// A server with room for long work has room for short work too.
+			room[admission.Long] = room[admission.Long] && room[admission.Short]
+			continue
+		}
+		s.queue.Remove(h)
+		s.queue.Started()
+		out = s.run(now, place, server, out)
+	}
+	return out
+}
+
+// choose returns the backend server for a request, or NoServer.
+func (s *State) choose(now time.Time, r *request, kind admission.Kind) placement.Index {
+	ask := placement.Request{Service: r.work.Service, Long: kind == admission.Long, Avoid: r.server}
+	r.long = ask.Long
+	return s.servers.Choose(now, ask, gate{s}, cost{s}, &s.weighed)
+}
+
+// run places a request on a backend server.
+func (s *State) run(now time.Time, place int32, server placement.Index, out []Action) []Action {
+	r := &s.requests[place]
+	r.phase, r.server = running, server
+	r.attempt++
+	if r.attempt == 1 {
+		s.budget.First()
+	}
+	s.servers.Start(server, r.long)
+	s.breakers.Started(int(server))
+	s.queue.Hold(r.team, 1)
+	if r.work.Class < fleet.Batch {
+		s.latencyCritical++
+	}
+	id := s.servers.ID(server)
+	s.explain(Decision{
+		At: now, Subject: string(r.work.ID), Verdict: VerdictRun, Server: id, Wait: now.Sub(r.arrived),
+	}, &s.weighed)
+	return append(out, Action{Kind: Run, ID: r.work.ID, Server: id, Attempt: r.attempt})
+}
+
+// refuse ends a request that was never entered.
+func (s *State) refuse(now time.Time, id fleet.RequestID, reason outcome.Reason, after time.Duration, out []Action) []Action {
+	s.explain(Decision{At: now, Subject: string(id), Verdict: VerdictRefuse, Reason: reason}, nil)
+	return append(out, Action{Kind: Refuse, ID: id, Reason: reason, RetryAfter: after})
+}
+
+// end ends a request that has no running attempt. Only a request that was
+// never written is refused as not run.
+func (s *State) end(now time.Time, place int32, reason outcome.Reason, after time.Duration, out []Action) []Action {
+	r := &s.requests[place]
+	action := Action{Kind: Refuse, ID: r.work.ID, Reason: reason, RetryAfter: after}
+	if r.failed {
+		action = Action{Kind: Deliver, ID: r.work.ID}
+	} else if r.written {
+		action = Action{Kind: GiveUp, ID: r.work.ID, Reason: reason}
+	}
+	s.explain(Decision{
+		At: now, Subject: string(r.work.ID), Verdict: verdictOf(action.Kind), Reason: action.Reason, Wait: now.Sub(r.arrived),
+	}, nil)
+	s.leave(place)
+	return append(out, action)
+}
+
+// gate shows the breakers to the placement.
+type gate struct{ *State }
+
+func (g gate) Allowed(now time.Time, i placement.Index, slots int) int {
+	return g.breakers.Allowed(now, int(i), slots)
+}
--- /dev/null
+++ b/decision/partition/state.go
@@ -0,0 +1,200 @@
+package partition
+
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/admission"
+	"lacewingfork.example/lacewingfork/decision/breaker"
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/decision/estimate"
+	"lacewingfork.example/lacewingfork/decision/placement"
+	"lacewingfork.example/lacewingfork/decision/retry"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// State is the whole state of a partition. It is not safe for concurrent use.
+type State struct {
+	limits    configuration.Limits
+	estimates estimate.Table
+	queue     *admission.Queue
+	servers   *placement.Table
+	breakers  breaker.Breaker
+	budget    retry.Budget
+	// requests holds the requests that wait, run or will be tried again;
+	// unused lists its free entries.
+	requests []request
+	unused   []int32
+	byID     map[fleet.RequestID]int32
+	// retrying lists requests that have been placed before and wait for
+	// another attempt.
+	retrying []int32
+	// latencyCritical counts running requests that aren't batch.
+	latencyCritical int
+	// sampled is the time of the newest report of each server.
+	sampled []time.Time
+	// lastSeen is the time of the newest event.
+	lastSeen time.Time
+	history  history
+	weighed  placement.Weighed
+}
+
+type phase uint8
+
+const (
+	waiting phase = iota
+	running
+	retrying
+)
+
+// request is one request between Submit and its ending.
+type request struct {
+	work     Work
+	estimate *estimate.Operation
+	phase    phase
+	handle   admission.Handle
+	team     admission.TeamIndex
+	arrived  time.Time
+	// server and long describe the running attempt. Between attempts server is
+	// the one to avoid.
+	server  placement.Index
+	long    bool
+	attempt int
+	// written is set once any attempt may have been written, failed when an
+	// attempt brought a whole answer that reports a server failure.
+	written, failed bool
+	cancelled       bool
+	retryAt         time.Time
+}
+
+// New returns the state of a partition that was taken over now. Every slot
+// counts as in use until a usage report sampled later shows otherwise, or
+// MaxDeadline has passed. Without a configuration every request is refused.
+func New(now time.Time, servers []fleet.BackendServer, c *configuration.Configuration) *State {
+	s := &State{
+		queue:   admission.New(MaxWaiting),
+		servers: placement.New(MaxDeadline),
+		byID:    make(map[fleet.RequestID]int32),
+	}
+	s.setConfiguration(c)
+	s.SetServers(now, servers, nil)
+	return s
+}
+
+// SetServers takes the partition's backend servers from the instance list.
+func (s *State) SetServers(now time.Time, servers []fleet.BackendServer, out []Action) []Action {
+	s.servers.SetServers(now, servers, func(i placement.Index) {
+		s.breakers.Reset(int(i))
+		for len(s.sampled) <= int(i) {
+			s.sampled = append(s.sampled, time.Time{})
+		}
+		s.sampled[i] = time.Time{}
+	})
+	present := 0
+	for i := range placement.Index(s.servers.Len()) {
+		if s.servers.Leaving(i) {
+			s.breakers.Reset(int(i))
+		} else {
+			present++
+		}
+	}
+	s.breakers.SetCount(s.servers.Len(), present)
+	s.queue.SetSlots(s.servers.Capacity())
+	return s.drain(now, out)
+}
+
+// SetConfiguration takes a new version in force. Requests that were accepted
+// under the old one keep their places.
+func (s *State) SetConfiguration(now time.Time, c *configuration.Configuration, out []Action) []Action {
+	s.setConfiguration(c)
+	return s.drain(now, out)
+}
+
+func (s *State) setConfiguration(c *configuration.Configuration) {
+	if c == nil {
+		c = &configuration.Configuration{Limits: configuration.DefaultLimits}
+	}
+	s.limits = c.Limits
+	if s.limits == (configuration.Limits{}) {
+		s.limits = configuration.DefaultLimits
+	}
+	s.estimates.SetConfiguration(c)
+	s.queue.SetTeams(c.Teams)
+	s.limitLong()
+}
+
+// limitLong applies the share of long work, which holds only while some
+// operation is short.
+func (s *State) limitLong() {
+	s.servers.SetLimits(placement.Limits{
+		LongShare: s.limits.LongShare, ShortMayCome: s.estimates.ShortMayCome(),
+	})
+}
+
+// Load returns the free slots, all slots and the number of waiting requests.
+func (s *State) Load(time.Time) (free, capacity, waiting int) {
+	return s.servers.Free(), s.servers.Capacity(), s.queue.Len() + len(s.retrying)
+}
+
+// ExpectedWait returns what an urgent short request submitted now would wait.
+func (s *State) ExpectedWait(time.Time) time.Duration {
+	if s.servers.Free() > 0 && s.queue.Backlog(admission.Short) == 0 {
+		return 0
+	}
+	item := admission.Item{Class: fleet.Urgent, Kind: admission.Short, Team: admission.Unlisted}
+	return s.queue.Wait(item, s.slotsFor(admission.Short))
+}
+
+// slotsFor returns how many slots waiting work of a kind may expect to use, or
+// 0 when that isn't known because held slots are all there is.
+func (s *State) slotsFor(kind admission.Kind) int {
+	slots := s.servers.RequestSlots()
+	long := min(slots, s.servers.LongSlots())
+	if kind == admission.Long {
+		return long
+	}
+	if s.queue.Backlog(admission.Long) == 0 {
+		long = min(long, s.servers.LongHeld())
+	}
+	return slots - long
+}
+
+// NextTick returns when Tick is due next; the zero time means never.
+func (s *State) NextTick() time.Time {
+	next := s.nextRelief()
+	earlier := func(at time.Time, ok bool) {
+		if ok && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	earlier(s.queue.NextUntil())
+	for _, r := range s.retrying {
+		earlier(s.requests[r].retryAt, true)
+	}
+	if s.queue.Len()+len(s.retrying) > 0 {
+		earlier(s.servers.NextExpiry())
+		earlier(s.breakers.NextChange(s.lastSeen))
+	}
+	return next
+}
+
+// enter adds a request and returns its place.
+func (s *State) enter(r request) int32 {
+	var place int32
+	if n := len(s.unused); n > 0 {
+		place = s.unused[n-1]
+		s.unused = s.unused[:n-1]
+		s.requests[place] = r
+	} else {
+		place = int32(len(s.requests))
+		s.requests = append(s.requests, r)
+	}
+	s.byID[r.work.ID] = place
+	return place
+}
+
+// leave drops a request that has ended.
+func (s *State) leave(place int32) {
+	delete(s.byID, s.requests[place].work.ID)
+	s.requests[place] = request{}
+	s.unused = append(s.unused, place)
+}
--- a/decision/partition/tasks.go
+++ b/decision/partition/tasks.go
@@ -1,100 +1,117 @@
 package partition
 
 import (
-	"slices"
 	"time"
 
+	"lacewingfork.example/lacewingfork/decision/admission"
 	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/decision/placement"
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
+// retryAfterDecline is when a declined task is worth another offer: room for
+// tasks changes with the ends of other tasks, not from moment to moment.
+const retryAfterDecline = time.Second
+
 // OfferTask asks for room for a batch task. The answer is one PlaceTask, which
 // reserves the room until TaskEnded, or one DeclineTask with the reason.
 // Offering a task that already has room repeats the PlaceTask.
 func (s *State) OfferTask(now time.Time, offer TaskOffer, out []Action) []Action {
-	if holder := s.holderOf(offer.Task); holder != nil {
-		return append(out, Action{Kind: PlaceTask, Task: offer.Task, Server: holder.info.ID})
+	out = s.drain(now, out)
+	if i := s.servers.FindTask(offer.Task, 0); i != placement.NoServer {
+		return append(out, Action{Kind: PlaceTask, Task: offer.Task, Server: s.servers.ID(i)})
 	}
-	var best *server
-	for _, candidate := range s.order {
-		if slices.Contains(offer.Avoid, candidate.info.ID) || candidate.free(now) <= 0 ||
-			!offer.Resources.Fits(candidate.freeForTasks(now)) {
-			continue
-		}
-		if best == nil || candidate.free(now) > best.free(now) {
-			best = candidate
-		}
+	team := s.queue.Team(offer.Team)
+	if s.queue.Waiting(fleet.Urgent)+s.queue.Waiting(fleet.Normal) > 0 {
+		return s.decline(now, offer.Task, outcome.NoCapacity, nil, out)
 	}
-	if best == nil {
-		return append(out, Action{Kind: DeclineTask, Task: offer.Task, Reason: outcome.NoCapacity, RetryAfter: time.Second})
+	if !s.queue.Below(team) && s.queue.Len() > 0 {
+		return s.decline(now, offer.Task, outcome.Quota, nil, out)
 	}
-	best.tasks[offer.Task] = RunningTask{Task: offer.Task, Kind: offer.Kind, Resources: offer.Resources}
-	return append(out, Action{Kind: PlaceTask, Task: offer.Task, Server: best.info.ID})
+	s.need(now, 0)
+	i := s.servers.ChooseTask(now, offer.Resources, offer.Avoid, gate{s}, &s.weighed)
+	if i == placement.NoServer {
+		return s.decline(now, offer.Task, outcome.NoCapacity, &s.weighed, out)
+	}
+	s.addTask(i, placement.Task{
+		ID: offer.Task, Kind: offer.Kind, Team: int32(team), Resources: offer.Resources, PlacedAt: now,
+	})
+	id := s.servers.ID(i)
+	s.explain(Decision{At: now, Subject: string(offer.Task), Verdict: VerdictPlaceTask, Server: id}, &s.weighed)
+	return append(out, Action{Kind: PlaceTask, Task: offer.Task, Server: id})
+}
+
+func (s *State) decline(now time.Time, task fleet.TaskID, reason outcome.Reason, w *placement.Weighed, out []Action) []Action {
+	s.explain(Decision{At: now, Subject: string(task), Verdict: VerdictDecline, Reason: reason}, w)
+	return append(out, Action{Kind: DeclineTask, Task: task, Reason: reason, RetryAfter: retryAfterDecline})
 }
 
 // TaskEnded frees the room of a task, whether it ended, failed, was evicted or
 // never started. Unknown tasks are ignored.
 func (s *State) TaskEnded(now time.Time, task fleet.TaskID, out []Action) []Action {
-	holder := s.holderOf(task)
-	if holder == nil {
-		return out
+	for i := s.servers.FindTask(task, 0); i != placement.NoServer; i = s.servers.FindTask(task, i+1) {
+		if ended, ok := s.servers.RemoveTask(i, task); ok {
+			s.taskGone(now, i, ended)
+		}
 	}
-	delete(holder.tasks, task)
 	return s.drain(now, out)
 }
 
 // Adopt takes room on a backend server for a task that a former holder
-// started. It is taken even where the server then holds more than it should.
-func (s *State) Adopt(_ time.Time, id fleet.BackendServerID, task RunningTask, out []Action) []Action {
-	if holder := s.servers[id]; holder != nil {
-		holder.tasks[task.Task] = task
+// started, before any report shows it. It is taken even where the server then
+// holds more than it should.
+func (s *State) Adopt(now time.Time, server fleet.BackendServerID, task RunningTask, out []Action) []Action {
+	if i := s.servers.Find(server); i != placement.NoServer && s.servers.FindTask(task.Task, i) != i {
+		s.addTask(i, placement.Task{
+			ID: task.Task, Kind: task.Kind, Resources: task.Resources, Progress: task.Progress, PlacedAt: now,
+		})
 	}
 	return out
 }
 
-// holderOf returns the backend server with room for the task, or nil.
-func (s *State) holderOf(task fleet.TaskID) *server {
-	for _, candidate := range s.order {
-		if _, ok := candidate.tasks[task]; ok {
-			return candidate
-		}
-	}
-	return nil
+func (s *State) addTask(i placement.Index, task placement.Task) {
+	s.servers.AddTask(i, task)
+	s.queue.Hold(admission.TeamIndex(task.Team), task.Resources.Slots)
 }
 
-// freeForTasks returns what batch tasks may still take. One slot stays free
-// for latency-critical work.
-func (v *server) freeForTasks(now time.Time) fleet.Resources {
-	free := v.info.Capacity
-	for _, t := range v.tasks {
-		free = free.Sub(t.Resources)
-	}
-	free.Slots = v.free(now) - 1
-	return free
+// taskGone takes that a task no longer has room on a server.
+func (s *State) taskGone(_ time.Time, _ placement.Index, task placement.Task) {
+	s.queue.Hold(admission.TeamIndex(task.Team), -task.Resources.Slots)
 }
 
-// Candidate is a backend server that was weighed in a decision.
-type Candidate struct {
-	Server fleet.BackendServerID `json:"server"`
-	// Score is lower for better candidates.
-	Score float64 `json:"score"`
+// Report takes a usage report. Reports that were sampled before the newest one
+// of the same server are ignored.
+func (s *State) Report(now time.Time, u Usage, out []Action) []Action {
+	i := s.servers.Find(u.Server)
+	if i == placement.NoServer || !u.SampledAt.After(s.sampled[i]) {
+		return out
+	}
+	s.sampled[i] = u.SampledAt
+	s.servers.Report(i, u.SampledAt, u.RequestSlots)
+	s.reportTasks(now, i, u)
+	out = s.drain(now, out)
+	return s.relieve(now, out)
 }
 
-// Decision explains one decision.
-type Decision struct {
-	At      time.Time     `json:"at"`
-	Subject string        `json:"subject"` // request, task or backend server
-	Action  ActionKind    `json:"action"`
-	Reason  string        `json:"reason"`
-	Server  string        `json:"server,omitempty"`
-	Wait    time.Duration `json:"wait_ns"`
-	// Candidates are the best backend servers that were weighed.
-	Candidates []Candidate `json:"candidates,omitempty"`
+// reportTasks takes room for tasks that weren't known and frees that of tasks
+// that stopped.
+func (s *State) reportTasks(now time.Time, i placement.Index, u Usage) {
+	for _, shown := range u.Tasks {
+		task := placement.Task{
+			ID: shown.Task, Kind: shown.Kind, Resources: shown.Resources, Progress: shown.Progress, PlacedAt: u.SampledAt,
+		}
+		if s.servers.ReportTask(i, task) {
+			s.queue.Hold(admission.TeamIndex(task.Team), task.Resources.Slots)
+			s.explain(Decision{At: now, Subject: string(task.ID), Verdict: VerdictAdopt, Server: u.Server}, nil)
+		}
+	}
+	isShown := func(id fleet.TaskID) bool {
+		for k := range u.Tasks {
+			if u.Tasks[k].Task == id {
+				return true
+			}
+		}
+		return false
+	}
+	s.servers.ForgetTasks(i, u.SampledAt, isShown, func(task placement.Task) { s.taskGone(now, i, task) })
 }
-
-// Explain returns the remembered decisions about a request, task or backend
-// server, oldest first.
-func (s *State) Explain(string) []Decision { return nil }
-
-// ExpectedWait returns what an urgent request submitted now would wait.
-func (s *State) ExpectedWait(time.Time) time.Duration { return 0 }
--- a/decision/placement/tasks.go
+++ b/decision/placement/tasks.go
@@ -19,9 +19,10 @@
 
 // Task is a batch task that has room on a backend server.
 type Task struct {
-	ID        fleet.TaskID
-	Kind      string
-	Team      fleet.Team
+	ID   fleet.TaskID
+	Kind string
+	// Team is the user's own reference of the team that holds the room.
+	Team      int32
 	Resources fleet.Resources
 	// Progress is the work that an eviction without a checkpoint would lose.
 	Progress time.Duration
