cmd/lacewingfork: the operators' command line

Cause: operators check and publish configurations, follow them on every instance, submit jobs, look into instances and stop them, from scripts as well as by hand. Ruled out: repeating an append under a new identifier when its answer is lost; both could be in the log, and the second would be told as lost to the first. The identifier is fixed before the first append, looked for in the stream, and a repetition under it has no effect. Conclusion: a publication ends with its verdict or with exit code 6 and the identifier to take it up again.

--- a/callerapi/callerapi.go
+++ b/callerapi/callerapi.go
@@ -43,3 +43,21 @@
 	RunMillis  int64  `json:"run_ms"`
 	Parameters string `json:"parameters,omitempty"`
 }
+
+// JobStatus is a job with what became of it. The counts are tasks.
+type JobStatus struct {
+	Job
+	State     string `json:"state,omitempty"` // waiting, running, succeeded, failed, cancelled or set-aside
+	Waiting   int    `json:"waiting"`
+	Running   int    `json:"running"`
+	Succeeded int    `json:"succeeded"`
+	Failed    int    `json:"failed"`
+	Evictions int    `json:"evictions"`
+	Reason    string `json:"reason,omitempty"`
+}
+
+// ErrorAnswer is the body of an answer that is neither a request's outcome nor
+// a success.
+type ErrorAnswer struct {
+	Error string `json:"error"`
+}
--- /dev/null
+++ b/cmd/lacewingfork/internal/cli/cli.go
@@ -0,0 +1,134 @@
+// Package cli is the operators' command line. The main package starts it with
+// the arguments and the process's streams; it owns nothing beyond one command,
+// and every failure ends in one of the exit codes below.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+
+	"lacewingfork.example/lacewingfork/findings"
+	"lacewingfork.example/lacewingfork/platformapi"
+)
+
+// ExitCode is the exit code of the process.
+type ExitCode int
+
+// Exit codes; they are part of the command line's contract.
+const (
+	Success     ExitCode = 0
+	Failure     ExitCode = 1 // the command could not be carried out
+	Usage       ExitCode = 2 // unknown command or option, or a wrong value
+	Faulty      ExitCode = 3 // the configuration has findings
+	Rejected    ExitCode = 4 // another publication won, or an entry instance refused
+	Unreachable ExitCode = 5 // the log or an entry instance did not answer
+	Unknown     ExitCode = 6 // it may still take effect; no verdict in time
+	Unconfirmed ExitCode = 7 // an instance has not confirmed the version in force
+	NotFound    ExitCode = 8 // there is no such job, or nothing is known of it
+)
+
+var exitMeanings = []string{
+	Success:     "done",
+	Failure:     "the command could not be carried out",
+	Usage:       "unknown command or option, or a wrong value",
+	Faulty:      "the configuration has findings; all of them are printed",
+	Rejected:    "another publication won the race, or an entry instance refused",
+	Unreachable: "the log or an entry instance did not answer; what did answer is printed",
+	Unknown:     "no verdict in time; it may still take effect",
+	Unconfirmed: "an instance has not confirmed the version in force",
+	NotFound:    "there is no such job, or nothing is known of the identifier",
+}
+
+// codedError carries the exit code of a failure.
+type codedError struct {
+	code ExitCode
+	err  error
+}
+
+func (e *codedError) Error() string { return e.err.Error() }
+func (e *codedError) Unwrap() error { return e.err }
+
+func failf(code ExitCode, format string, values ...any) error {
+	return &codedError{code: code, err: errors.Errorf(format, values...)}
+}
+
+func coded(code ExitCode, err error) error { return &codedError{code: code, err: err} }
+
+// Environment is what the process gives to a command.
+type Environment struct {
+	Stdout, Stderr io.Writer
+	// Terminal is set when Stderr is a terminal; only then progress is shown.
+	Terminal bool
+	// OpenLog returns a client of the log service at a base URL.
+	OpenLog func(baseURL string) (platformapi.Log, error)
+	HTTP    *http.Client
+	// NewID returns a new identifier for a publication or job.
+	NewID func() string
+}
+
+type globalOptions struct {
+	JSON       bool          `long:"json" description:"print JSON instead of a table"`
+	Log        string        `long:"log" env:"LACEWINGFORK_LOG" description:"base URL of the log service, such as http://127.0.0.1:7000"`
+	Operations []string      `long:"operations" env:"LACEWINGFORK_OPERATIONS" env-delim:"," description:"operations address (host:port) of an entry instance; repeat it for each"`
+	Callers    []string      `long:"callers" env:"LACEWINGFORK_CALLERS" env-delim:"," description:"callers' address (host:port) of an entry instance; repeat it for each"`
+	Timeout    time.Duration `long:"timeout" default:"30s" description:"bound on the whole command"`
+}
+
+// app is one run of the command line.
+type app struct {
+	env     Environment
+	ctx     context.Context
+	options globalOptions
+}
+
+// Run carries out one command and returns the exit code.
+func Run(ctx context.Context, args []string, env Environment) ExitCode {
+	a := &app{env: env, ctx: ctx}
+	parser, err := a.parser()
+	if err != nil {
+		fmt.Fprintln(env.Stderr, "error:", err)
+		return Failure
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return failf(Usage, "unexpected argument %q", rest[0])
+		}
+		timed, cancel := context.WithTimeout(ctx, a.options.Timeout)
+		defer cancel()
+		a.ctx = timed
+		return command.Execute(rest)
+	}
+	_, err = parser.ParseArgs(args)
+	return a.exit(err)
+}
+
+func (a *app) exit(err error) ExitCode {
+	var coded *codedError
+	var usage *flags.Error
+	var report *findings.Error
+	if errors.As(err, &report) {
+		fmt.Fprintln(a.env.Stderr, report)
+		err = failf(codeOf(err), "%d findings", len(report.Findings))
+	}
+	switch {
+	case err == nil:
+		return Success
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(a.env.Stdout, usage.Message)
+		return Success
+	case errors.As(err, &usage):
+		fmt.Fprintln(a.env.Stderr, "error:", usage.Message)
+		return Usage
+	case errors.As(err, &coded):
+		fmt.Fprintln(a.env.Stderr, "error:", err)
+		return coded.code
+	}
+	fmt.Fprintln(a.env.Stderr, "error:", err)
+	return Failure
+}
--- /dev/null
+++ b/cmd/lacewingfork/internal/cli/commands.go
@@ -0,0 +1,140 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// command is one command with its documentation.
+type command struct {
+	path        string // words separated by a space
+	arguments   string
+	short, long string
+	codes       []ExitCode // besides Success, Failure and Usage
+	data        flags.Commander
+}
+
+// groups are the commands that only hold others.
+var groups = []struct{ name, short string }{
+	{"config", "check, publish and follow configurations"},
+	{"job", "submit and follow batch jobs"},
+	{"state", "look into the duties of entry instances"},
+}
+
+func (a *app) commands() []command {
+	return []command{
+		{
+			"config check", "FILE", "check a configuration file", "Reports everything that is wrong with the file.",
+			[]ExitCode{Faulty},
+			&configCheck{app: a},
+		},
+		{
+			"config publish", "FILE --replaces VERSION", "publish a configuration",
+			"Appends the configuration to the log and waits for the verdict. A repeated append under the same identifier has no effect, so after exit code 6 run the command again with --id.",
+			[]ExitCode{Faulty, Rejected, Unreachable, Unknown},
+			&configPublish{app: a},
+		},
+		{
+			"config show", "", "print the configuration in force", "Reads the log.",
+			[]ExitCode{Unreachable, NotFound},
+			&configShow{app: a},
+		},
+		{
+			"config history", "", "print the newest publications and their verdicts", "Reads the log.",
+			[]ExitCode{Unreachable},
+			&configHistory{app: a},
+		},
+		{
+			"config status", "", "print which version is in force on which instance",
+			"Asks every operations address; with --log the version in force is taken from the log, otherwise it is the newest that an instance has.",
+			[]ExitCode{Unreachable, Unconfirmed},
+			&configStatus{app: a},
+		},
+		{
+			"job submit", "", "submit a batch job",
+			"A repeated submission of the same identifier is the same job, so after exit code 6 run the command again with --id.",
+			[]ExitCode{Rejected, Unreachable, Unknown},
+			&jobSubmit{app: a},
+		},
+		{"job status", "ID", "print one job", "", []ExitCode{Rejected, Unreachable, NotFound}, &jobStatus{app: a}},
+		{"job cancel", "ID", "cancel a job", "", []ExitCode{Rejected, Unreachable, Unknown, NotFound}, &jobCancel{app: a}},
+		{"job list", "", "print all jobs", "", []ExitCode{Rejected, Unreachable}, &jobList{app: a}},
+		{
+			"state dump", "", "print the state of every duty as JSON", "Asks every operations address.",
+			[]ExitCode{Unreachable},
+			&stateDump{app: a},
+		},
+		{
+			"state tables", "", "print the rings of every duty as a table", "Asks every operations address.",
+			[]ExitCode{Unreachable},
+			&stateTables{app: a},
+		},
+		{
+			"explain", "ID", "print what was decided about a request, task, job, partition or backend server",
+			"Asks every operations address and orders the events by time.",
+			[]ExitCode{Unreachable, NotFound},
+			&explain{app: a},
+		},
+		{
+			"drain", "ADDRESS", "stop an entry instance without cutting off requests",
+			"ADDRESS is its operations address.",
+			[]ExitCode{Rejected, Unreachable, Unknown},
+			&drain{app: a},
+		},
+		{"version", "", "print the version of this program", "", nil, &version{app: a}},
+	}
+}
+
+func (a *app) parser() (*flags.Parser, error) {
+	parser := flags.NewParser(&a.options, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "lacewingfork"
+	parents := map[string]*flags.Command{"": parser.Command}
+	for _, g := range groups {
+		group, err := parser.AddCommand(g.name, g.short, "", &struct{}{})
+		if err != nil {
+			return nil, errors.Wrap(err, g.name)
+		}
+		parents[g.name] = group
+	}
+	for _, c := range a.commands() {
+		parent, name, nested := strings.Cut(c.path, " ")
+		if !nested {
+			parent, name = "", c.path
+		}
+		if _, err := parents[parent].AddCommand(name, c.short, c.long+"\n\n"+exitHelp(c.codes), c.data); err != nil {
+			return nil, errors.Wrap(err, c.path)
+		}
+	}
+	return parser, nil
+}
+
+func allCodes(more []ExitCode) []ExitCode {
+	return append([]ExitCode{Success, Failure, Usage}, more...)
+}
+
+func exitHelp(more []ExitCode) string {
+	var b strings.Builder
+	b.WriteString("Exit codes:")
+	for _, code := range allCodes(more) {
+		fmt.Fprintf(&b, "\n  %d  %s", code, exitMeanings[code])
+	}
+	return b.String()
+}
+
+// Reference renders every command with its exit codes for the documentation.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("| command | effect | exit codes |\n|---|---|---|\n")
+	for _, c := range (&app{}).commands() {
+		codes := strings.Trim(strings.ReplaceAll(fmt.Sprint(allCodes(c.codes)), " ", ", "), "[]")
+		fmt.Fprintf(&b, "| `%s` | %s. %s | %s |\n", strings.TrimSpace(c.path+" "+c.arguments), c.short, c.long, codes)
+	}
+	b.WriteString("\n| exit code | meaning |\n|---|---|\n")
+	for code, meaning := range exitMeanings {
+		fmt.Fprintf(&b, "| %d | %s |\n", code, meaning)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/cmd/lacewingfork/internal/cli/config.go
@@ -0,0 +1,127 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/findings"
+	entries "lacewingfork.example/lacewingfork/records/configuration"
+)
+
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" description:"configuration in TOML"`
+}
+
+type configCheck struct {
+	app  *app
+	Args fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// checkAnswer is the JSON of config check.
+type checkAnswer struct {
+	Valid    bool          `json:"valid"`
+	Findings findings.List `json:"findings,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *configCheck) Execute([]string) error {
+	_, err := c.app.loadConfiguration(c.Args.File)
+	if err == nil {
+		return c.app.print(checkAnswer{Valid: true}, table{head: []string{c.Args.File + ": no findings"}})
+	}
+	var report *findings.Error
+	if !errors.As(err, &report) || !c.app.options.JSON {
+		return err
+	}
+	if err := c.app.printJSON(checkAnswer{Findings: report.Findings}); err != nil {
+		return err
+	}
+	return failf(Faulty, "%d findings", len(report.Findings))
+}
+
+// loadConfiguration returns the text of a valid configuration file.
+func (a *app) loadConfiguration(file string) (string, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", errors.Wrap(err, "read configuration")
+	}
+	if _, err := entries.Decode(file, text); err != nil {
+		return "", coded(Faulty, err)
+	}
+	return string(text), nil
+}
+
+type configShow struct{ app *app }
+
+// showAnswer is the JSON of config show.
+type showAnswer struct {
+	Version  int64  `json:"version"`
+	ID       string `json:"id"`
+	Operator string `json:"operator"`
+	TOML     string `json:"toml"`
+}
+
+// Execute implements flags.Commander.
+func (c *configShow) Execute([]string) error {
+	f, err := c.app.catchUp()
+	if err != nil {
+		return err
+	}
+	state := f.fold.State
+	if state.Version == 0 {
+		return failf(NotFound, "no configuration was published yet")
+	}
+	if c.app.options.JSON {
+		return c.app.printJSON(showAnswer{state.Version, state.InForce.ID, state.InForce.Operator, state.InForce.Text})
+	}
+	fmt.Fprintf(c.app.env.Stdout, "# version %d, published by %s as %s\n%s",
+		state.Version, state.InForce.Operator, state.InForce.ID, state.InForce.Text)
+	return nil
+}
+
+type configHistory struct{ app *app }
+
+// Execute implements flags.Commander.
+func (c *configHistory) Execute([]string) error {
+	f, err := c.app.catchUp()
+	if err != nil {
+		return err
+	}
+	results := entries.EncodeResults(f.fold.State.Results)
+	if results == nil {
+		results = []entries.Result{}
+	}
+	t := table{head: []string{"OFFSET", "ID", "OPERATOR", "REPLACES", "VERDICT", "VERSION", "WINNER", "FINDINGS"}}
+	for _, r := range results {
+		version, winner := "-", "-"
+		if r.Version > 0 {
+			version = fmt.Sprint(r.Version)
+		}
+		if r.WinnerID != "" {
+			winner = r.WinnerOperator + " (" + r.WinnerID + ")"
+		}
+		t.add(r.Offset, r.ID, r.Operator, r.Replaces, r.Verdict, version, winner, len(r.Findings))
+	}
+	return c.app.print(results, t)
+}
+
+// describeVerdict says in words what became of a publication.
+func describeVerdict(r configuration.Result, inForce int64) string {
+	switch r.Verdict {
+	case configuration.Accepted:
+		return fmt.Sprintf("accepted as version %d", r.Version)
+	case configuration.LostRace:
+		winner := "another publication"
+		if r.WinnerID != "" {
+			winner = fmt.Sprintf("publication %s of %s", r.WinnerID, r.WinnerOperator)
+		}
+		return fmt.Sprintf("not accepted: version %d was replaced by %s; version %d is in force", r.Replaces, winner, inForce)
+	case configuration.Ahead:
+		return fmt.Sprintf("not accepted: version %d was not in force; version %d is", r.Replaces, inForce)
+	default:
+		return "not accepted: it has findings"
+	}
+}
--- /dev/null
+++ b/cmd/lacewingfork/internal/cli/instances.go
@@ -0,0 +1,133 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/callerapi"
+)
+
+const (
+	// callTimeout bounds one call to an entry instance, so that one that does
+	// not answer does not use up the command's time.
+	callTimeout = 5 * time.Second
+	// maxBodyBytes bounds an answer; a state dump is the largest.
+	maxBodyBytes = 64 << 20
+)
+
+// errNotSent means that no connection was made, so the call had no effect.
+var errNotSent = errors.New("cannot connect")
+
+// call sends a request to an entry instance and decodes a successful answer.
+// The error carries an exit code: Unreachable, Rejected or NotFound.
+func (a *app) call(method, address, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
+	defer cancel()
+	var content io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+		content = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, content)
+	if err != nil {
+		return coded(Usage, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := a.env.HTTP.Do(request)
+	if err != nil {
+		if isDial(err) {
+			err = errors.Wrapf(errNotSent, "%s (%v)", address, err)
+		}
+		return coded(Unreachable, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	if err != nil {
+		return coded(Unreachable, errors.Wrap(err, address))
+	}
+	return decodeAnswer(address, response.StatusCode, data, answer)
+}
+
+func decodeAnswer(address string, status int, data []byte, answer any) error {
+	switch {
+	case status == http.StatusNotFound:
+		return failf(NotFound, "%s: not found", address)
+	case status >= 500:
+		return failf(Unreachable, "%s: status %d: %s", address, status, reason(data))
+	case status < 200 || status > 299:
+		return failf(Rejected, "%s: status %d: %s", address, status, reason(data))
+	case answer == nil:
+		return nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return coded(Unreachable, errors.Wrapf(err, "%s: answer is not the expected JSON", address))
+	}
+	return nil
+}
+
+func reason(data []byte) string {
+	var body callerapi.ErrorAnswer
+	if err := json.Unmarshal(data, &body); err == nil && body.Error != "" {
+		return body.Error
+	}
+	return string(bytes.TrimSpace(data[:min(len(data), 200)]))
+}
+
+// reply is one instance's answer.
+type reply[T any] struct {
+	Address string `json:"address"`
+	Error   string `json:"error,omitempty"`
+	Answer  T      `json:"answer,omitempty"`
+	err     error
+}
+
+// askAll calls every operations address at once and keeps their order.
+func askAll[T any](a *app, path string) ([]reply[T], error) {
+	if len(a.options.Operations) == 0 {
+		return nil, failf(Usage, "no operations address was given; give --operations or LACEWINGFORK_OPERATIONS")
+	}
+	replies := make([]reply[T], len(a.options.Operations))
+	var calls sync.WaitGroup
+	for i, address := range a.options.Operations {
+		calls.Go(func() {
+			r := &replies[i]
+			r.Address = address
+			if r.err = a.call(http.MethodGet, address, path, nil, &r.Answer); r.err != nil {
+				r.Error = r.err.Error()
+			}
+		})
+	}
+	calls.Wait()
+	return replies, nil
+}
+
+// unreachable returns an error that names the instances without an answer.
+func unreachable[T any](replies []reply[T]) error {
+	var failed []error
+	for _, r := range replies {
+		if r.err != nil {
+			failed = append(failed, r.err)
+		}
+	}
+	if len(failed) == 0 {
+		return nil
+	}
+	return coded(Unreachable, errors.Join(failed...))
+}
+
+// isDial reports whether a call failed before it was sent.
+func isDial(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- /dev/null
+++ b/cmd/lacewingfork/internal/cli/job.go
@@ -0,0 +1,147 @@
+package cli
+
+import (
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/callerapi"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+type jobSubmit struct {
+	app          *app
+	ID           string        `long:"id" description:"identifier of the job, to take up an earlier run; chosen when missing"`
+	Team         string        `long:"team" required:"yes" description:"team that the job counts for"`
+	Kind         string        `long:"kind" required:"yes" description:"kind of batch work, as configured"`
+	Tasks        int           `long:"tasks" default:"1" description:"number of tasks"`
+	Slots        int           `long:"slots" description:"slots of a task; as configured for the kind when missing"`
+	MilliCPU     int64         `long:"milli-cpu" description:"thousandths of a core of a task"`
+	MemoryMiB    int64         `long:"memory-mib" description:"memory of a task in MiB"`
+	Accelerators int           `long:"accelerators" description:"accelerators of a task"`
+	RunTime      time.Duration `long:"run-time" description:"declared run time of a task, such as 90m"`
+	Parameters   string        `long:"parameters" description:"text that is passed to each task"`
+}
+
+// Execute implements flags.Commander.
+func (c *jobSubmit) Execute([]string) error {
+	if c.Tasks < 1 || c.RunTime < 0 || c.Slots < 0 || c.MilliCPU < 0 || c.MemoryMiB < 0 || c.Accelerators < 0 {
+		return failf(Usage, "a job has at least one task, and none of its sizes is negative")
+	}
+	if c.ID == "" {
+		c.ID = c.app.env.NewID()
+	}
+	job := callerapi.Job{
+		ID: fleet.JobID(c.ID), Team: fleet.Team(c.Team), Kind: c.Kind, Tasks: c.Tasks,
+		Resources: fleet.Resources{
+			Slots: c.Slots, MilliCPU: c.MilliCPU, MemoryMiB: c.MemoryMiB, Accelerators: c.Accelerators,
+		},
+		RunMillis: c.RunTime.Milliseconds(), Parameters: c.Parameters,
+	}
+	var accepted callerapi.JobStatus
+	if err := c.app.callJobs(http.MethodPost, callerapi.PathJobs, job, &accepted, true); err != nil {
+		if codeOf(err) == Unknown {
+			err = coded(Unknown, errors.Wrapf(err, "job %s may have been accepted; run the command again with --id %s", c.ID, c.ID))
+		}
+		return err
+	}
+	accepted.ID = job.ID
+	return c.app.printJobs(accepted, accepted)
+}
+
+type jobStatus struct {
+	app  *app
+	Args idArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *jobStatus) Execute([]string) error {
+	var job callerapi.JobStatus
+	if err := c.app.callJobs(http.MethodGet, jobPath(c.Args.ID), nil, &job, false); err != nil {
+		return err
+	}
+	return c.app.printJobs(job, job)
+}
+
+type jobCancel struct {
+	app  *app
+	Args idArgument `positional-args:"yes" required:"yes"`
+}
+
+// cancelAnswer is the JSON of job cancel.
+type cancelAnswer struct {
+	ID        string `json:"id"`
+	Cancelled bool   `json:"cancelled"`
+}
+
+// Execute implements flags.Commander.
+func (c *jobCancel) Execute([]string) error {
+	if err := c.app.callJobs(http.MethodDelete, jobPath(c.Args.ID), nil, nil, true); err != nil {
+		return err
+	}
+	return c.app.print(cancelAnswer{c.Args.ID, true}, table{head: []string{c.Args.ID + ": cancelled"}})
+}
+
+type jobList struct {
+	app  *app
+	Team string `long:"team" description:"only jobs of this team"`
+}
+
+// Execute implements flags.Commander.
+func (c *jobList) Execute([]string) error {
+	var jobs []callerapi.JobStatus
+	if err := c.app.callJobs(http.MethodGet, callerapi.PathJobs, nil, &jobs, false); err != nil {
+		return err
+	}
+	selected := []callerapi.JobStatus{}
+	for _, job := range jobs {
+		if c.Team == "" || string(job.Team) == c.Team {
+			selected = append(selected, job)
+		}
+	}
+	return c.app.printJobs(selected, selected...)
+}
+
+func jobPath(id string) string { return callerapi.PathJobs + "/" + url.PathEscape(id) }
+
+func (a *app) printJobs(value any, jobs ...callerapi.JobStatus) error {
+	t := table{head: []string{"ID", "TEAM", "KIND", "STATE", "TASKS", "WAITING", "RUNNING", "SUCCEEDED", "FAILED", "EVICTIONS", "REASON"}}
+	for _, j := range jobs {
+		t.add(j.ID, j.Team, j.Kind, j.State, j.Tasks, j.Waiting, j.Running, j.Succeeded, j.Failed, j.Evictions, j.Reason)
+	}
+	return a.print(value, t)
+}
+
+// callJobs tries each callers' address until one answers. Every call may be
+// repeated, because the identifier of the job is fixed. When none answers, a
+// call with an effect that may have been sent ends as Unknown.
+func (a *app) callJobs(method, path string, body, answer any, effect bool) error {
+	if len(a.options.Callers) == 0 {
+		return failf(Usage, "no callers' address was given; give --callers or LACEWINGFORK_CALLERS")
+	}
+	var failures []error
+	sent := false
+	for _, address := range a.options.Callers {
+		err := a.call(method, address, path, body, answer)
+		if err == nil || codeOf(err) != Unreachable {
+			return err
+		}
+		sent = sent || !errors.Is(err, errNotSent)
+		failures = append(failures, err)
+	}
+	code := Unreachable
+	if sent && effect {
+		code = Unknown
+	}
+	return coded(code, errors.Join(failures...))
+}
+
+func codeOf(err error) ExitCode {
+	var coded *codedError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return Failure
+}
--- /dev/null
+++ b/cmd/lacewingfork/internal/cli/publish.go
@@ -0,0 +1,132 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/findings"
+	"lacewingfork.example/lacewingfork/platformapi"
+	"lacewingfork.example/lacewingfork/records"
+	entries "lacewingfork.example/lacewingfork/records/configuration"
+)
+
+// lookWait is how long the stream is read for a publication whose append was
+// not confirmed before the append is repeated under the same identifier.
+const lookWait = 3 * time.Second
+
+type configPublish struct {
+	app      *app
+	Replaces int64        `long:"replaces" required:"yes" description:"version in force that this one replaces; 0 for the first"`
+	Operator string       `long:"operator" env:"USER" required:"yes" description:"who publishes"`
+	ID       string       `long:"id" description:"identifier of the publication, to take up an earlier run; chosen when missing"`
+	Args     fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configPublish) Execute([]string) error {
+	text, err := c.app.loadConfiguration(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if c.ID == "" {
+		c.ID = c.app.env.NewID()
+	}
+	value, err := entries.Decode(c.Args.File, []byte(text))
+	if err != nil {
+		return coded(Faulty, err)
+	}
+	p := configuration.Publication{ID: c.ID, Replaces: c.Replaces, Operator: c.Operator, Text: text, Value: value}
+	result, inForce, err := c.app.publish(p)
+	if err != nil {
+		return err
+	}
+	return c.app.reportVerdict(result, inForce)
+}
+
+func (a *app) reportVerdict(r configuration.Result, inForce int64) error {
+	text := describeVerdict(r, inForce)
+	if a.options.JSON {
+		if err := a.printJSON(entries.EncodeResults([]configuration.Result{r})[0]); err != nil {
+			return err
+		}
+	} else if r.Verdict == configuration.Accepted {
+		fmt.Fprintf(a.env.Stdout, "%s: %s\n", r.ID, text)
+	}
+	switch r.Verdict {
+	case configuration.Accepted:
+		return nil
+	case configuration.Invalid:
+		return coded(Faulty, errors.Wrap(&findings.Error{Findings: r.Findings}, text))
+	default:
+		return failf(Rejected, "%s", text)
+	}
+}
+
+// publish appends a publication and reads its verdict back. The identifier is
+// fixed before the first append; an append whose answer is lost is looked for
+// in the stream, and a repeated one has no effect there.
+func (a *app) publish(p configuration.Publication) (configuration.Result, int64, error) {
+	var none configuration.Result
+	f, err := a.catchUp()
+	if err != nil {
+		return none, 0, err
+	}
+	if r := f.verdict(p.ID); r != nil {
+		return *r, f.fold.State.Version, nil
+	}
+	// A publication that would be rejected now is not appended at all.
+	if _, r := f.fold.Publish(p, configuration.Position{Offset: f.next}); r.Verdict != configuration.Accepted {
+		return *r, f.fold.State.Version, nil
+	}
+	record, err := encodeRecord(p)
+	if err != nil {
+		return none, 0, err
+	}
+	defer a.progress("")
+	started := time.Now()
+	for a.ctx.Err() == nil {
+		_, err = f.log.Append(a.ctx, entries.Stream, record)
+		if errors.Is(err, platformapi.ErrInvalid) {
+			return none, 0, errors.Wrap(err, "append")
+		}
+		if r := a.awaitVerdict(f, p.ID, err == nil, started); r != nil {
+			return *r, f.fold.State.Version, nil
+		}
+	}
+	return none, 0, failf(Unknown,
+		"no verdict on publication %s within %v; it may still come into force; run the command again with --id %s", p.ID, a.options.Timeout, p.ID)
+}
+
+func encodeRecord(p configuration.Publication) ([]byte, error) {
+	data, err := entries.EncodePublication(p)
+	if err != nil {
+		return nil, coded(Usage, err)
+	}
+	record, err := records.Encode([]records.Entry{{ID: p.ID, Data: data}})
+	if err != nil {
+		return nil, coded(Usage, err)
+	}
+	return record, nil
+}
+
+// awaitVerdict reads on until the verdict appears. When the append was not
+// confirmed it gives up after lookWait, so that the append can be repeated.
+func (a *app) awaitVerdict(f *follower, id string, confirmed bool, started time.Time) *configuration.Result {
+	ctx := a.ctx
+	if !confirmed {
+		limited, cancel := context.WithTimeout(ctx, lookWait)
+		defer cancel()
+		ctx = limited
+	}
+	var found *configuration.Result
+	_ = f.until(ctx, readWait, func(bool) bool {
+		a.progress("waiting for the verdict on %s, %d s", id, int(time.Since(started).Seconds()))
+		found = f.verdict(id)
+		return found != nil || ctx.Err() != nil
+	})
+	return found
+}
--- /dev/null
+++ b/cmd/lacewingfork/internal/cli/status.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"fmt"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// instanceStatus is the body of GET /v1/status.
+type instanceStatus struct {
+	Instance             fleet.InstanceID    `json:"instance"`
+	Region               fleet.Region        `json:"region"`
+	DataCentre           fleet.DataCentre    `json:"data_centre"`
+	Ready                bool                `json:"ready"`
+	Draining             bool                `json:"draining"`
+	ConfigurationVersion int64               `json:"configuration_version"`
+	Partitions           []fleet.PartitionID `json:"partitions"`
+}
+
+type configStatus struct{ app *app }
+
+// statusAnswer is the JSON of config status.
+type statusAnswer struct {
+	// Version is the version in force: that of the log, or the newest one
+	// that an instance has when no log was given.
+	Version     int64                   `json:"version"`
+	Instances   []reply[instanceStatus] `json:"instances"`
+	Unconfirmed []string                `json:"unconfirmed"` // addresses
+}
+
+// Execute implements flags.Commander.
+func (c *configStatus) Execute([]string) error {
+	replies, err := askAll[instanceStatus](c.app, "/v1/status")
+	if err != nil {
+		return err
+	}
+	answer := statusAnswer{Instances: replies, Unconfirmed: []string{}}
+	if answer.Version, err = c.version(replies); err != nil {
+		return err
+	}
+	t := table{head: []string{"ADDRESS", "INSTANCE", "REGION", "DATA CENTRE", "READY", "VERSION", "CONFIRMED", "PARTITIONS"}}
+	for _, r := range replies {
+		s := r.Answer
+		confirmed := r.err == nil && s.ConfigurationVersion >= answer.Version
+		if !confirmed {
+			answer.Unconfirmed = append(answer.Unconfirmed, r.Address)
+		}
+		if r.err != nil {
+			t.add(r.Address, "-", "-", "-", "-", "-", "no answer", "-")
+			continue
+		}
+		t.add(r.Address, s.Instance, s.Region, s.DataCentre, s.Ready, s.ConfigurationVersion, confirmed, len(s.Partitions))
+	}
+	if err := c.app.print(answer, t); err != nil {
+		return err
+	}
+	if err := unreachable(replies); err != nil {
+		return err
+	}
+	if n := len(answer.Unconfirmed); n > 0 {
+		return failf(Unconfirmed, "version %d is not confirmed by %d of %d instances", answer.Version, n, len(replies))
+	}
+	return nil
+}
+
+func (c *configStatus) version(replies []reply[instanceStatus]) (int64, error) {
+	newest := int64(0)
+	for _, r := range replies {
+		newest = max(newest, r.Answer.ConfigurationVersion)
+	}
+	if c.app.options.Log == "" {
+		return newest, nil
+	}
+	f, err := c.app.catchUp()
+	if err != nil {
+		return 0, err
+	}
+	// An instance may have read further by now.
+	return max(newest, f.fold.State.Version), nil
+}
+
+// idArgument names a job or a subject of explanations.
+type idArgument struct {
+	ID string `positional-arg-name:"ID"`
+}
+
+type version struct{ app *app }
+
+// Execute implements flags.Commander.
+func (c *version) Execute([]string) error {
+	info := buildVersion()
+	return c.app.print(info, table{head: []string{fmt.Sprintf("lacewingfork %s (%s, %s)", info.Version, info.Revision, info.Go)}})
+}
--- a/entry/configuration/duty.go
+++ b/entry/configuration/duty.go
@@ -11,8 +11,6 @@
 	"hash/fnv"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
@@ -169,17 +167,14 @@
 
 func (d *duty) takeEntry(entry message.LogEntry) {
 	at := configuration.Position{Offset: entry.Offset, Index: entry.Index}
-	decoded, err := records.DecodeEntry(entry.Data)
-	switch {
-	case err != nil:
+	fold, applied, err := records.Apply(d.fold, at, entry.Data)
+	d.fold = fold
+	if err != nil {
 		d.malformed++
-		d.lastError = errors.Wrapf(err, "entry at offset %d", entry.Offset).Error()
-		d.fold = d.fold.Skip(at)
-	case decoded.Snapshot != nil:
-		d.fold = d.fold.Snapshot(*decoded.Snapshot, at)
+		d.lastError = err.Error()
+	}
+	if applied.Snapshot {
 		d.lastSnapshot = time.Now()
-	default:
-		d.fold, _ = d.fold.Publish(*decoded.Publication, at)
 	}
 }
 
--- a/records/configuration/entry.go
+++ b/records/configuration/entry.go
@@ -186,3 +186,24 @@
 	}
 	return state, nil
 }
+
+// Applied says what an entry did to a fold. Result is nil unless the entry was
+// a publication that was folded now.
+type Applied struct {
+	Result   *configuration.Result
+	Snapshot bool
+}
+
+// Apply decodes an entry and folds it. With an error the entry is passed over,
+// as every reader of the stream does.
+func Apply(f configuration.Fold, at configuration.Position, data []byte) (configuration.Fold, Applied, error) {
+	e, err := DecodeEntry(data)
+	switch {
+	case err != nil:
+		return f.Skip(at), Applied{}, errors.Wrapf(err, "entry at offset %d", at.Offset)
+	case e.Snapshot != nil:
+		return f.Snapshot(*e.Snapshot, at), Applied{Snapshot: true}, nil
+	}
+	f, result := f.Publish(*e.Publication, at)
+	return f, Applied{Result: result}, nil
+}
