--- a/decision/configuration/configuration.go
+++ b/decision/configuration/configuration.go
@@ -103,16 +103,6 @@
 	return nil
 }
 
-// FindKind returns a kind of batch work, or nil.
-func (c *Configuration) FindKind(name string) *BatchKind {
-	for i := range c.Kinds {
-		if c.Kinds[i].Name == name {
-			return &c.Kinds[i]
-		}
-	}
-	return nil
-}
-
 // Regions returns the regions in which a service runs; empty means all.
 func (c *Configuration) Regions(service fleet.Service) []fleet.Region {
 	for i := range c.Services {
@@ -132,3 +122,13 @@
 	}
 	return nil
 }
+
+// FindKind returns a kind of batch work, or nil.
+func (c *Configuration) FindKind(name string) *BatchKind {
+	for i := range c.Kinds {
+		if c.Kinds[i].Name == name {
+			return &c.Kinds[i]
+		}
+	}
+	return nil
+}
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -74,13 +74,14 @@
 	Controls  *supervise.Ring[Control]
 }
 
-// New adds the peers supervisor below root. Link changes go to routing.
-func New(root *supervise.Tree, settings Settings, listener net.Listener, receivers Receivers, links *supervise.Ring[message.LinkChange]) *Supervisor {
+// New adds the peers supervisor below root. Link changes go to routing;
+// ownHints brings the load of the partitions held here.
+func New(root *supervise.Tree, settings Settings, listener net.Listener, receivers Receivers, links *supervise.Ring[message.LinkChange], ownHints *supervise.Ring[[]message.LoadHint]) *Supervisor {
 	s := &Supervisor{
 		tree: root.Child("peers", supervise.DefaultIntensity), settings: settings,
 		listener: listener, receivers: receivers, links: links,
 		Snapshots: supervise.NewRing[message.ListSnapshot]("peers.snapshots", 1, supervise.DropOldest),
-		OwnHints:  supervise.NewRing[[]message.LoadHint]("peers.own-hints", 1, supervise.DropOldest),
+		OwnHints:  ownHints,
 		Controls:  supervise.NewRing[Control]("peers.controls", controlCapacity, supervise.DropOldest),
 	}
 	s.tree.Start(supervise.Duty{Name: "listener", Run: s.listen})
