Drive the property test into retries and task resources

The property test rarely had a retry budget and its tasks took no more than a slot's part, so variants without the rule on written requests or without resource checks passed.

The model now fills the budget first, reports at once in half of the cases and offers tasks that need more than a slot's part.

--- a/decision/partition/model_test.go
+++ b/decision/partition/model_test.go
@@ -32,6 +32,10 @@
 	nextID   int
 }
 
+// taskNeed takes more than a slot's part of the milli CPU, so that slots alone
+// don't tell what is free.
+var taskNeed = fleet.Resources{Slots: 1, MilliCPU: 9000, MemoryMiB: 100}
+
 // occupant is a request that may be in a slot of a server. It counts against
 // the capacity from the Run action on, and in reports once it has arrived.
 type occupant struct {
@@ -68,7 +72,7 @@
 	for i := range rapid.IntRange(1, 4).Draw(t, "servers") {
 		id := fleet.BackendServerID(fmt.Sprint("b", i))
 		m.servers = append(m.servers, fleet.BackendServer{ID: id, Capacity: fleet.Resources{
-			Slots: rapid.IntRange(1, 4).Draw(t, "slots"), MilliCPU: 16_000, MemoryMiB: 1000, Accelerators: 1,
+			Slots: rapid.IntRange(1, 6).Draw(t, "slots"), MilliCPU: 16_000, MemoryMiB: 1000, Accelerators: 1,
 		}})
 		m.onServer[id] = map[fleet.RequestID]*occupant{}
 		m.tasks[id] = map[fleet.TaskID]fleet.Resources{}
@@ -105,7 +109,7 @@
 			if _, known := m.tasks[a.Server][a.Task]; !known {
 				m.checkOpen(a.Server)
 			}
-			m.tasks[a.Server][a.Task] = fleet.Resources{Slots: 1, MilliCPU: 2000, MemoryMiB: 100}
+			m.tasks[a.Server][a.Task] = taskNeed
 		}
 	}
 	m.checkCapacity()
--- a/decision/partition/property_test.go
+++ b/decision/partition/property_test.go
@@ -21,7 +21,11 @@
 func TestPromisesHoldUnderAnyEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
-		steps := rapid.IntRange(20, 200).Draw(t, "steps")
+		steps := rapid.IntRange(20, 400).Draw(t, "steps")
+		if rapid.Bool().Draw(t, "reports at once") {
+			m.reportAll()
+			m.fillBudget()
+		}
 		for range steps {
 			m.step()
 		}
@@ -32,15 +36,16 @@
 func (m *model) step() {
 	t := m.t
 	server := rapid.IntRange(0, len(m.servers)-1).Draw(t, "server")
-	switch rapid.IntRange(0, 15).Draw(t, "event") {
-	case 0, 1, 2, 3:
+	switch rapid.IntRange(0, 20).Draw(t, "event") {
+	default:
 		m.submit()
 	case 4, 5, 6:
 		if r := m.runningRequests(); len(r) > 0 {
 			m.complete(rapid.SampledFrom(r).Draw(t, "completed"), Result(rapid.IntRange(0, 3).Draw(t, "result")))
 		}
 	case 7:
-		m.advance(time.Duration(rapid.IntRange(1, 30_000).Draw(t, "ms")) * time.Millisecond)
+		long := rapid.SampledFrom([]int{10, 1000, 30_000}).Draw(t, "most ms")
+		m.advance(time.Duration(rapid.IntRange(1, long).Draw(t, "ms")) * time.Millisecond)
 	case 8:
 		m.advance(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
 	case 9:
@@ -64,6 +69,25 @@
 	}
 }
 
+// reportAll reports every server a moment after the takeover.
+func (m *model) reportAll() {
+	m.advance(time.Millisecond)
+	for _, b := range m.servers {
+		m.sample(b)
+		m.take(m.s.Report(m.now, m.samples[len(m.samples)-1], nil))
+	}
+}
+
+// fillBudget runs requests one by one, which fills the retry budget.
+func (m *model) fillBudget() {
+	for range rapid.IntRange(0, 50).Draw(m.t, "earlier requests") {
+		m.submit()
+		for _, r := range m.runningRequests() {
+			m.complete(r, Succeeded)
+		}
+	}
+}
+
 // disturb sends repeated and unknown completions and submissions.
 func (m *model) disturb() {
 	if len(m.done) > 0 {
@@ -92,7 +116,7 @@
 		m.nextID++
 		m.requests[fleet.RequestID(fmt.Sprint("r", m.nextID))] = &tracked{ended: true}
 		m.take(m.s.OfferTask(m.now, TaskOffer{
-			Task: fleet.TaskID(fmt.Sprint("task", m.nextID)), Resources: fleet.Resources{Slots: 1, MilliCPU: 2000, MemoryMiB: 100},
+			Task: fleet.TaskID(fmt.Sprint("task", m.nextID)), Resources: taskNeed,
 		}, nil))
 		return
 	}
