Add request keys

A repeat of a non-idempotent request must join the first one, and a later holder must not run keys that an earlier one issued.

The demand that batch tasks leave free is now smoothed over 3 s, because the peak of single samples kept most slots idle at a steady load.

--- a/decision/partition/state.go
+++ b/decision/partition/state.go
@@ -8,6 +8,7 @@
 	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/decision/estimate"
 	"lacewingfork.example/lacewingfork/decision/placement"
+	"lacewingfork.example/lacewingfork/decision/requestkey"
 	"lacewingfork.example/lacewingfork/decision/retry"
 	"lacewingfork.example/lacewingfork/fleet"
 )
@@ -20,6 +21,7 @@
 	servers   *placement.Table
 	breakers  breaker.Breaker
 	budget    retry.Budget
+	keys      *requestkey.Table
 	// requests holds the requests that wait, run or will be tried again;
 	// unused lists its free entries.
 	requests []request
@@ -177,6 +179,15 @@
 	return next
 }
 
+// SetLease sets the partition and epoch that request keys carry. Keys are
+// issued and used through Keys, before a request is submitted.
+func (s *State) SetLease(partition fleet.PartitionID, epoch fleet.Epoch) {
+	s.keys = requestkey.New(partition, epoch, 0)
+}
+
+// Keys returns the used keys of the epoch, or nil before SetLease.
+func (s *State) Keys() *requestkey.Table { return s.keys }
+
 // enter adds a request and returns its place.
 func (s *State) enter(r request) int32 {
 	var place int32
--- a/decision/placement/tasks.go
+++ b/decision/placement/tasks.go
@@ -9,12 +9,15 @@
 )
 
 const (
-	// demandHalfLife is how fast the remembered peak of requests decays.
-	// Demand swings within seconds and batch tasks run for hours, so room that
-	// was needed a few minutes ago is kept.
+	// demandWindow smooths the demand of requests: shorter peaks are waited
+	// out in the queue instead of keeping slots idle.
+	demandWindow = 3 * time.Second
+	// demandHalfLife is how fast the remembered peak of the smoothed demand
+	// decays. Demand swings within seconds and batch tasks run for hours, so
+	// room that was needed a few minutes ago is kept.
 	demandHalfLife = 10 * time.Minute
 	// demandMargin is the room kept above the remembered peak.
-	demandMargin = 1.1
+	demandMargin = 1.05
 )
 
 // Task is a batch task that has room on a backend server.
@@ -31,17 +34,28 @@
 	Reported bool
 }
 
-// demand remembers the peak of the slots that requests needed.
+// demand remembers the peak of the smoothed number of slots that requests
+// needed.
 type demand struct {
-	peak float64
-	at   time.Time
+	smooth, peak     float64
+	smoothAt, peakAt time.Time
 }
 
 // Need takes how many slots requests need now, running and waiting.
 func (t *Table) Need(now time.Time, slots int) {
-	slots = min(slots, t.capacity)
-	if peak := t.peak(now); float64(slots) >= peak {
-		t.demand = demand{float64(slots), now}
+	d := &t.demand
+	passed := now.Sub(d.smoothAt)
+	if passed <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-float64(passed)/float64(demandWindow))
+	if d.smoothAt.IsZero() {
+		weight = 0
+	}
+	d.smooth += weight * (float64(min(slots, t.capacity)) - d.smooth)
+	d.smoothAt = now
+	if d.smooth >= t.peak(now) {
+		d.peak, d.peakAt = d.smooth, now
 	}
 }
 
@@ -49,7 +63,7 @@
 	if t.demand.peak == 0 {
 		return 0
 	}
-	return t.demand.peak * math.Exp2(-float64(now.Sub(t.demand.at))/float64(demandHalfLife))
+	return t.demand.peak * math.Exp2(-float64(now.Sub(t.demand.peakAt))/float64(demandHalfLife))
 }
 
 // Reserved returns the slots of the partition that batch tasks leave.
