Join repeats of a request key to the first use

A booking that a caller repeats after a lost answer must not run twice. The partition duty consults the key table before it admits a request, joins a repeat to the running request or to its kept answer, and marks refusals that speak for every use of the key. A refusal by a part that can't look the key up is told as an unknown outcome.

Ruled out: refusing such repeats as not run, because the first use may have run.

--- a/decision/outcome/outcome.go
+++ b/decision/outcome/outcome.go
@@ -46,6 +46,7 @@
 	LeaseLapsed      Reason = "lease-lapsed"
 	KeyExpired       Reason = "key-expired"
 	KeyOtherEpoch    Reason = "key-of-another-epoch"
+	AnswerForgotten  Reason = "answer-no-longer-kept"
 	KeyInvalid       Reason = "key-invalid"
 	ConnectFailed    Reason = "connect-failed"
 	BackendTimeout   Reason = "backend-timeout"
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -20,7 +20,9 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
+	"lacewingfork.example/lacewingfork/callerapi"
 	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/decision/requestkey"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
 	"lacewingfork.example/lacewingfork/supervise"
@@ -40,19 +42,6 @@
 	waitGrace = 500 * time.Millisecond
 )
 
-// Header names of the contract with callers.
-const (
-	HeaderOutcome    = "Lacewingfork-Outcome"
-	HeaderReason     = "Lacewingfork-Reason"
-	HeaderRequestID  = "Lacewingfork-Request-Id"
-	HeaderTraceID    = "Lacewingfork-Trace-Id"
-	HeaderServer     = "Lacewingfork-Backend-Server"
-	HeaderDeadline   = "Lacewingfork-Deadline-Ms"
-	HeaderTeam       = "Lacewingfork-Team"
-	HeaderCaller     = "Lacewingfork-Caller"
-	HeaderRequestKey = "Idempotency-Key"
-)
-
 // Settings of the front end.
 type Settings struct {
 	Instance    fleet.InstanceID
@@ -87,8 +76,8 @@
 		incarnation:    randomHex(6),
 	}
 	router := mux.NewRouter()
-	router.HandleFunc("/v1/services/{service}/{operation}", s.handleRequest).Methods(http.MethodPost)
-	router.HandleFunc("/v1/keys/{service}", s.handleKey).Methods(http.MethodPost)
+	router.HandleFunc(callerapi.PathServices+"{service}/{operation}", s.handleRequest).Methods(http.MethodPost)
+	router.HandleFunc(callerapi.PathKeys+"{service}", s.handleKey).Methods(http.MethodPost)
 	for _, add := range register {
 		add(router)
 	}
@@ -152,7 +141,7 @@
 		s.write(w, r, *refusal)
 		return
 	}
-	answer := s.submit(r.Context(), message.Submission{Request: request, Partition: keyPartition(request.Key)})
+	answer := s.submitKeyed(r.Context(), request)
 	s.metrics.observe(request, answer, time.Since(started))
 	s.write(w, r, answer)
 }
@@ -179,6 +168,24 @@
 	s.write(w, r, answer)
 }
 
+// submitKeyed sends a request with a key to the partition that issued it. The
+// same key may have been used before, so a refusal by anyone who can't look
+// that up doesn't prove that the request was not run.
+func (s *Supervisor) submitKeyed(ctx context.Context, request *message.Request) message.Answer {
+	if request.Key == "" {
+		return s.submit(ctx, message.Submission{Request: request})
+	}
+	key, err := requestkey.Parse(request.Key)
+	if err != nil {
+		return message.Refuse(request.ID, outcome.KeyInvalid, 0)
+	}
+	answer := s.submit(ctx, message.Submission{Request: request, Partition: key.Partition})
+	if answer.Outcome == outcome.RefusedNotRun && !answer.KeyChecked {
+		answer.Outcome = outcome.Unknown
+	}
+	return answer
+}
+
 // submit hands the request over and waits for its one answer. When the caller
 // goes away the request is withdrawn if it has not started.
 func (s *Supervisor) submit(ctx context.Context, sub message.Submission) message.Answer {
--- a/entry/callers/codec.go
+++ b/entry/callers/codec.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 
+	"lacewingfork.example/lacewingfork/callerapi"
 	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/entry/message"
@@ -39,7 +40,7 @@
 		return refuse(outcome.NoSuchService, 0)
 	}
 	deadline, ok := deadlineOf(r, op, c.Value.Limits)
-	if !ok || len(r.Header.Get(HeaderTeam)) > maxNameBytes || len(r.Header.Get(HeaderCaller)) > maxNameBytes {
+	if !ok || len(r.Header.Get(callerapi.HeaderTeam)) > maxNameBytes || len(r.Header.Get(callerapi.HeaderCaller)) > maxNameBytes {
 		return refuse(outcome.MalformedRequest, 0)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
@@ -51,9 +52,9 @@
 		return refuse(outcome.MalformedRequest, 0)
 	}
 	return &message.Request{
-		ID: id, Caller: fleet.Caller(r.Header.Get(HeaderCaller)), Team: fleet.Team(r.Header.Get(HeaderTeam)),
+		ID: id, Caller: fleet.Caller(r.Header.Get(callerapi.HeaderCaller)), Team: fleet.Team(r.Header.Get(callerapi.HeaderTeam)),
 		Service: service, Operation: operation, Class: op.Class, Idempotent: op.Idempotent,
-		Key: r.Header.Get(HeaderRequestKey), Deadline: deadline, Fields: forwarded(r.Header), Body: body,
+		Key: r.Header.Get(callerapi.HeaderRequestKey), Deadline: deadline, Fields: forwarded(r.Header), Body: body,
 	}, nil
 }
 
@@ -61,7 +62,7 @@
 // none, bounded by the limit.
 func deadlineOf(r *http.Request, op *configuration.Operation, limits configuration.Limits) (time.Time, bool) {
 	wait := op.Deadline
-	if text := r.Header.Get(HeaderDeadline); text != "" {
+	if text := r.Header.Get(callerapi.HeaderDeadline); text != "" {
 		millis, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || millis <= 0 || millis > limits.MaxDeadline.Milliseconds() {
 			return time.Time{}, false
@@ -76,8 +77,8 @@
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-	"Expect": true, HeaderRequestKey: true, HeaderRequestID: true, HeaderTeam: true, HeaderDeadline: true,
-	HeaderOutcome: true, HeaderReason: true,
+	"Expect": true, callerapi.HeaderRequestKey: true, callerapi.HeaderRequestID: true, callerapi.HeaderTeam: true, callerapi.HeaderDeadline: true,
+	callerapi.HeaderOutcome: true, callerapi.HeaderReason: true,
 }
 
 func forwarded(header http.Header) []message.Field {
@@ -101,20 +102,20 @@
 			header.Add(f.Name, f.Value)
 		}
 	}
-	header.Set(HeaderOutcome, a.Outcome.String())
-	header.Set(HeaderTraceID, string(a.ID))
-	if own := r.Header.Get(HeaderRequestID); own != "" {
-		header.Set(HeaderRequestID, own)
+	header.Set(callerapi.HeaderOutcome, a.Outcome.String())
+	header.Set(callerapi.HeaderTraceID, string(a.ID))
+	if own := r.Header.Get(callerapi.HeaderRequestID); own != "" {
+		header.Set(callerapi.HeaderRequestID, own)
 	}
 	if a.Server != "" {
-		header.Set(HeaderServer, string(a.Server))
+		header.Set(callerapi.HeaderBackendServer, string(a.Server))
 	}
 	if a.Reason != outcome.NoReason {
-		header.Set(HeaderReason, string(a.Reason))
+		header.Set(callerapi.HeaderReason, string(a.Reason))
 	}
 	if a.RetryAfter > 0 {
 		seconds := (a.RetryAfter + time.Second - 1) / time.Second
-		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+		header.Set(callerapi.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
 	}
 	body, status := a.Body, a.Status
 	if a.Outcome != outcome.Answered {
@@ -146,13 +147,6 @@
 }
 
 func encodeKey(key string) []byte {
-	body, _ := json.Marshal(map[string]string{"key": key})
+	body, _ := json.Marshal(callerapi.KeyAnswer{Key: key})
 	return body
 }
-
-// keyPartition returns the partition that issued a request key; a malformed
-// key is left to the holder that gets it.
-func keyPartition(key string) fleet.PartitionID {
-	_ = key
-	return ""
-}
--- a/entry/message/request.go
+++ b/entry/message/request.go
@@ -62,6 +62,9 @@
 	// Server ran the request, if any did.
 	Server    fleet.BackendServerID
 	Partition fleet.PartitionID
+	// KeyChecked is set when the holder consulted its table of request keys,
+	// so that a refusal speaks for every use of the key.
+	KeyChecked bool
 	// Key is the issued request key when one was asked for.
 	Key string
 	// Hint is the partition's load when it answered.
--- a/entry/peers/codec.go
+++ b/entry/peers/codec.go
@@ -49,7 +49,7 @@
 		Id: string(a.ID), Outcome: uint32(a.Outcome), Reason: string(a.Reason),
 		RetryAfterUs: a.RetryAfter.Microseconds(), Status: int32(a.Status),
 		Fields: encodeFields(a.Fields), Body: a.Body,
-		Server: string(a.Server), Partition: string(a.Partition), Key: a.Key, Hint: encodeHint(a.Hint),
+		Server: string(a.Server), Partition: string(a.Partition), Key: a.Key, KeyChecked: a.KeyChecked, Hint: encodeHint(a.Hint),
 	}}}
 }
 
@@ -58,7 +58,7 @@
 		ID: fleet.RequestID(a.Id), Outcome: outcome.Outcome(a.Outcome), Reason: outcome.Reason(a.Reason),
 		RetryAfter: time.Duration(a.RetryAfterUs) * time.Microsecond, Status: int(a.Status),
 		Fields: decodeFields(a.Fields), Body: a.Body,
-		Server: fleet.BackendServerID(a.Server), Partition: fleet.PartitionID(a.Partition), Key: a.Key,
+		Server: fleet.BackendServerID(a.Server), Partition: fleet.PartitionID(a.Partition), Key: a.Key, KeyChecked: a.KeyChecked,
 		Hint: decodeHint(a.Hint),
 	}
 }
--- a/entry/scheduling/actions.go
+++ b/entry/scheduling/actions.go
@@ -45,7 +45,7 @@
 		p.answer = message.Refuse(a.ID, outcome.LeaseLapsed, 0)
 	}
 	return w.state.Complete(time.Now(), partition.Completion{
-		ID: a.ID, Server: a.Server, Result: partition.NotWritten, SlotReleased: true,
+		ID: a.ID, Server: a.Server, Attempt: a.Attempt, Result: partition.NotWritten, SlotReleased: true,
 	}, actions)
 }
 
@@ -62,6 +62,7 @@
 		return
 	}
 	delete(w.pending, id)
+	a = w.keys.end(p.submission.Request, a)
 	p.submission.Deliver(w.withHint(a))
 }
 
@@ -72,7 +73,7 @@
 	free, capacity, waiting := w.state.Load(time.Now())
 	a.Hint = message.LoadHint{
 		Partition: w.lease.Partition, Epoch: w.lease.Epoch,
-		FreeSlots: free, Capacity: capacity, Waiting: waiting,
+		FreeSlots: free, Capacity: capacity, Waiting: waiting, ExpectedWait: w.state.ExpectedWait(time.Now()),
 	}
 	return a
 }
--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -119,6 +119,7 @@
 	lease    message.Holding
 	lines    map[fleet.BackendServerID]*dispatch.Line
 	pending  map[fleet.RequestID]*pending
+	keys     *keyedRequests
 	inFlight int
 	draining bool
 	actions  []partition.Action
@@ -130,6 +131,7 @@
 		state:   partition.New(time.Now(), d.servers, d.configuration.Value),
 		lines:   map[fleet.BackendServerID]*dispatch.Line{},
 		pending: map[fleet.RequestID]*pending{},
+		keys:    newKeyedRequests(d.holding.Partition, d.holding.Epoch),
 	}
 	w.openLines(d.servers)
 	return w
@@ -191,6 +193,13 @@
 		s.Deliver(w.withHint(message.Refuse(r.ID, reason, 0)))
 		return
 	}
+	if s.KeyWanted {
+		s.Deliver(w.withHint(w.keys.issue(r.ID)))
+		return
+	}
+	if !w.keys.admit(s) {
+		return
+	}
 	w.pending[r.ID] = &pending{submission: s}
 	w.act(ctx, w.state.Submit(time.Now(), workOf(r), w.actions[:0]))
 }
@@ -221,7 +230,7 @@
 		p.answer = done.Answer
 	}
 	w.act(ctx, w.state.Complete(time.Now(), partition.Completion{
-		ID: done.Answer.ID, Server: done.Server, Result: resultOf(done),
+		ID: done.Answer.ID, Server: done.Server, Attempt: done.Attempt, Result: resultOf(done),
 		Duration: done.Duration, SlotReleased: done.SlotReleased, Leaving: done.Leaving,
 	}, w.actions[:0]))
 }
@@ -262,13 +271,12 @@
 // drain refuses what waits and lets what runs end.
 func (w *partitionWork) drain(ctx context.Context) {
 	w.draining = true
-	for id, p := range w.pending {
+	for id := range w.pending {
 		w.actions = w.state.Cancel(time.Now(), id, w.actions[:0])
 		if len(w.actions) == 0 {
 			continue
 		}
-		delete(w.pending, id)
-		p.submission.Deliver(message.Refuse(id, outcome.NotHolder, 0))
+		w.finish(id, message.Refuse(id, outcome.NotHolder, 0))
 	}
 }
 
@@ -283,6 +291,7 @@
 // abandon answers what the duty still holds when it ends or fails.
 func (w *partitionWork) abandon() {
 	for id, p := range w.pending {
+		w.keys.end(p.submission.Request, message.Unknown(id, outcome.DutyFailed))
 		p.submission.Deliver(message.Unknown(id, outcome.DutyFailed))
 	}
 	for _, line := range w.lines {
@@ -299,6 +308,7 @@
 	Capacity  int               `json:"slots"`
 	Waiting   int               `json:"waiting"`
 	InFlight  int               `json:"exchanges_in_progress"`
+	Keys      int               `json:"request_keys"`
 }
 
 func (w *partitionWork) dump() partitionDump {
@@ -306,6 +316,6 @@
 	return partitionDump{
 		Partition: w.lease.Partition, Epoch: w.lease.Epoch,
 		LeaseFor: time.Until(w.lease.Until).Round(time.Millisecond).String(), Draining: w.draining,
-		Free: free, Capacity: capacity, Waiting: waiting, InFlight: w.inFlight,
+		Free: free, Capacity: capacity, Waiting: waiting, InFlight: w.inFlight, Keys: w.keys.table.Len(),
 	}
 }
