--- a/entry/scheduling/actions.go
+++ b/entry/scheduling/actions.go
@@ -19,7 +19,7 @@
 		case partition.Run:
 			actions = w.start(ctx, a, actions)
 		case partition.Refuse:
-			w.finish(a.ID, message.Refuse(a.ID, a.Reason, a.RetryAfter))
+			w.finish(a.ID, message.Refuse(a.ID, w.refusalReason(a.Reason), a.RetryAfter))
 		case partition.Deliver:
 			w.deliver(a.ID)
 		case partition.GiveUp:
@@ -29,6 +29,15 @@
 	w.actions = actions[:0]
 }
 
+// refusalReason sends requests that were withdrawn by a drain to the next
+// holder.
+func (w *partitionWork) refusalReason(reason outcome.Reason) outcome.Reason {
+	if w.draining && reason == outcome.Cancelled {
+		return outcome.NotHolder
+	}
+	return reason
+}
+
 func (w *partitionWork) start(ctx context.Context, a partition.Action, actions []partition.Action) []partition.Action {
 	p, line := w.pending[a.ID], w.lines[a.Server]
 	if p != nil && line != nil && time.Now().Before(w.lease.Until) {
--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -268,15 +268,11 @@
 	return u
 }
 
-// drain refuses what waits and lets what runs end.
+// drain withdraws what waits and lets what runs end.
 func (w *partitionWork) drain(ctx context.Context) {
 	w.draining = true
 	for id := range w.pending {
-		w.actions = w.state.Cancel(time.Now(), id, w.actions[:0])
-		if len(w.actions) == 0 {
-			continue
-		}
-		w.finish(id, message.Refuse(id, outcome.NotHolder, 0))
+		w.act(ctx, w.state.Cancel(time.Now(), id, w.actions[:0]))
 	}
 }
 
