--- /dev/null
+++ b/cmd/lacewingfork-demo/main.go
@@ -0,0 +1,72 @@
+// Command lacewingfork-demo runs the whole system on loopback addresses,
+// breaks it on the way and exits non-zero if a promise did not hold.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"lacewingfork.example/lacewingfork/demo"
+)
+
+// Exit codes.
+const (
+	exitBroken = 1 // a promise did not hold
+	exitFailed = 2 // the system could not be run
+)
+
+type options struct {
+	Keep bool `long:"keep" description:"keep the directory with the settings and logs of the processes"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitFailed
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return fail(err)
+	}
+	work, err := os.MkdirTemp("", "lacewingfork-demo-")
+	if err != nil {
+		return fail(err)
+	}
+	if o.Keep {
+		fmt.Println("logs are in", work)
+	} else {
+		defer func() { _ = os.RemoveAll(work) }()
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	report, err := demo.Run(ctx, demo.Settings{Bin: filepath.Dir(program), Work: work, Out: os.Stdout})
+	if err != nil {
+		return fail(err)
+	}
+	report.Print(os.Stdout)
+	broken := report.Broken()
+	for _, text := range broken {
+		fmt.Println("broken promise:", text)
+	}
+	if len(broken) > 0 {
+		return exitBroken
+	}
+	fmt.Println("every promise held")
+	return 0
+}
+
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, "demo:", err)
+	return exitFailed
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,68 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+)
+
+// Print writes the short table.
+func (r Report) Print(out io.Writer) {
+	sent := 0
+	for _, n := range r.Load.Ends {
+		sent += n
+	}
+	millis := func(quantile float64) float64 { return float64(r.Load.Times.ValueAtQuantile(quantile)) / 1000 }
+	rows := []struct {
+		name  string
+		value any
+	}{
+		{"sent", sent},
+		{"answered", r.Load.Ends[endAnswered]},
+		{"refused as not run", r.Load.Ends[endRefused]},
+		{"outcome unknown", r.Load.Ends[endUnknown]},
+		{"failed at the backend server", r.Load.Ends[endFailed]},
+		{"wrong answers", r.Load.Ends[endWrong]},
+		{"refused but run", r.RefusedThatRan},
+		{"answered but not run", r.LostBookings},
+		{"bookings run twice", r.Violations.KeysRunAgain},
+		{"tasks in two places", r.Violations.TasksInTwoPlaces},
+		{"checkpoints resumed twice", r.Violations.CheckpointsResumedAgain},
+		{"slots over capacity", r.Violations.SlotsOverCapacity},
+		{"connections over capacity", r.Violations.ConnectionsOverCapacity},
+		{"work on leaving servers", r.Violations.WorkOnLeaving},
+		{"p50", fmt.Sprintf("%.1f ms", millis(50))},
+		{"p99", fmt.Sprintf("%.1f ms", millis(99))},
+		{"batch tasks finished", fmt.Sprintf("%d of %d", r.TasksFinished, batchJobs*tasksOfJob)},
+	}
+	for _, row := range rows {
+		fmt.Fprintf(out, "%-30s %v\n", row.name, row.value)
+	}
+	if r.Stop != nil {
+		fmt.Fprintf(out, "%-30s %v\n", "planned stop", r.Stop)
+	}
+}
+
+// Broken lists the promises that did not hold.
+func (r Report) Broken() []string {
+	var broken []string
+	for _, check := range []struct {
+		bad  bool
+		text string
+	}{
+		{r.Load.Ends[endWrong] > 0, "a caller got an answer that was not whole or not its own"},
+		{r.RefusedThatRan > 0, "a request that was refused as not run had run"},
+		{r.LostBookings > 0, "an answered booking never ran"},
+		{r.Violations.KeysRunAgain > 0, "a booking ran twice"},
+		{r.Violations.TasksInTwoPlaces > 0, "a task ran in two places"},
+		{r.Violations.CheckpointsResumedAgain > 0, "evicted work was resumed twice"},
+		{r.Violations.SlotsOverCapacity > 0 || r.Violations.ConnectionsOverCapacity > 0, "a backend server got more work than it holds"},
+		{r.Violations.WorkOnLeaving > 0, "a leaving backend server got new work"},
+		{r.TasksFinished < batchJobs*tasksOfJob, "batch tasks did not finish"},
+		{r.Stop != nil, "a planned stop was not graceful"},
+	} {
+		if check.bad {
+			broken = append(broken, check.text)
+		}
+	}
+	return broken
+}
