Choose between holders without scanning the table

Candidates are now split by region when the table changes, and a full scan happens only when both draws look saturated or were refused.

Adds table and property tests of the routing rules.

--- a/decision/routing/routing.go
+++ b/decision/routing/routing.go
@@ -68,11 +68,10 @@
 type State struct {
 	region     fleet.Region
 	dataCentre fleet.DataCentre
-	candidates []*candidate
 	byID       map[fleet.PartitionID]*candidate
 	budget     *rate.Limiter
 	sentBytes  uint64
-	near, far  []*candidate // scratch space of Choose
+	near, far  []*candidate // reachable, of the own region and of others
 }
 
 type candidate struct {
@@ -105,7 +104,7 @@
 func (s *State) SetCandidates(list []Candidate) {
 	known := s.byID
 	s.byID = make(map[fleet.PartitionID]*candidate, len(list))
-	s.candidates = s.candidates[:0]
+	s.near, s.far = s.near[:0], s.far[:0]
 	for _, c := range list {
 		entry := known[c.Partition]
 		if entry == nil || entry.Epoch != c.Epoch {
@@ -113,7 +112,13 @@
 		}
 		entry.Candidate = c
 		s.byID[c.Partition] = entry
-		s.candidates = append(s.candidates, entry)
+		switch {
+		case !c.Reachable:
+		case c.Region == s.region:
+			s.near = append(s.near, entry)
+		default:
+			s.far = append(s.far, entry)
+		}
 	}
 }
 
@@ -171,17 +176,6 @@
 
 // Choose returns the partition for a request, or the reason why there is none.
 func (s *State) Choose(now time.Time, need Need) (Candidate, outcome.Reason) {
-	s.near, s.far = s.near[:0], s.far[:0]
-	for _, c := range s.candidates {
-		if !c.Reachable || !serves(need.Regions, c.Region) || contains(need.Tried, c.Partition) {
-			continue
-		}
-		if c.Region == s.region {
-			s.near = append(s.near, c)
-		} else {
-			s.far = append(s.far, c)
-		}
-	}
 	best := s.pick(now, s.near, need)
 	if best != nil && best.meets(now, need.Deadline, 0) {
 		return best.Candidate, outcome.NoReason
@@ -208,19 +202,31 @@
 	if len(from) == 0 {
 		return nil
 	}
-	first := from[need.Random%uint64(len(from))]
-	second := from[(need.Random>>32)%uint64(len(from))]
-	best := s.better(now, first, second)
-	if best.load(now) < 1 {
+	var best *candidate
+	for _, draw := range [2]uint64{need.Random, need.Random >> 32} {
+		if c := from[draw%uint64(len(from))]; need.allows(c) {
+			best = s.better(now, best, c)
+		}
+	}
+	if best != nil && best.load(now) < 1 {
 		return best
 	}
 	for _, c := range from {
-		best = s.better(now, best, c)
+		if need.allows(c) {
+			best = s.better(now, best, c)
+		}
 	}
 	return best
 }
 
+func (n *Need) allows(c *candidate) bool {
+	return serves(n.Regions, c.Region) && !contains(n.Tried, c.Partition)
+}
+
 func (s *State) better(now time.Time, a, b *candidate) *candidate {
+	if a == nil {
+		return b
+	}
 	loadA, loadB := a.load(now), b.load(now)
 	switch {
 	case loadA < loadB:
--- /dev/null
+++ b/decision/routing/routing_test.go
@@ -0,0 +1,165 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func partitions(region fleet.Region, n, slots int) []Candidate {
+	list := make([]Candidate, 0, n)
+	for i := range n {
+		dc := fleet.DataCentre(fmt.Sprintf("%s-%d", region, i%2+1))
+		list = append(list, Candidate{
+			Partition: fleet.PartitionOf(dc, fleet.Rack(fmt.Sprintf("r%d", i))), Region: region,
+			DataCentre: dc, Slots: slots, Reachable: true, Epoch: 1, Holder: fleet.InstanceID(fmt.Sprintf("e%d", i)),
+		})
+	}
+	return list
+}
+
+func full(slots, waiting int) Hint {
+	return Hint{At: start, FreeSlots: 0, Waiting: waiting, ExpectedWait: time.Second}
+}
+
+// Guards against a request that leaves its region although a partition there
+// can take it, that goes to an unreachable or refused partition, or that
+// exceeds the byte budget between regions.
+func TestChoices(t *testing.T) {
+	near, far := partitions("accra", 2, 8), partitions("takoradi", 1, 8)
+	cases := []struct {
+		name   string
+		change func(s *State, need *Need)
+		region fleet.Region
+		reason outcome.Reason
+	}{
+		{"free slots nearby", func(*State, *Need) {}, "accra", outcome.NoReason},
+		{"region is full", func(s *State, _ *Need) {
+			s.Observe(near[0].Partition, 1, full(8, 40))
+			s.Observe(near[1].Partition, 1, full(8, 40))
+		}, "takoradi", outcome.NoReason},
+		{"region is full, budget is spent", func(s *State, need *Need) {
+			s.Observe(near[0].Partition, 1, full(8, 40))
+			s.Observe(near[1].Partition, 1, full(8, 40))
+			need.Bytes = 10_000
+		}, "accra", outcome.NoReason},
+		{"stale hint says full", func(s *State, _ *Need) {
+			old := full(8, 40)
+			old.At = start.Add(-time.Minute)
+			s.Observe(near[0].Partition, 1, old)
+			s.Observe(near[1].Partition, 1, old)
+		}, "accra", outcome.NoReason},
+		{"refused by the whole region", func(_ *State, need *Need) {
+			need.Tried = []fleet.PartitionID{near[0].Partition, near[1].Partition}
+		}, "takoradi", outcome.NoReason},
+		{"service runs elsewhere only", func(_ *State, need *Need) {
+			need.Regions = []fleet.Region{"takoradi"}
+		}, "takoradi", outcome.NoReason},
+		{"service runs elsewhere, budget is spent", func(_ *State, need *Need) {
+			need.Regions, need.Bytes = []fleet.Region{"takoradi"}, 10_000
+		}, "", outcome.RegionBudget},
+		{"nobody holds anything", func(s *State, _ *Need) {
+			s.SetCandidates(nil)
+		}, "", outcome.NoHolder},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := New("accra", "accra-1", 1000)
+			s.SetCandidates(append(append([]Candidate{}, near...), far...))
+			need := Need{Deadline: start.Add(500 * time.Millisecond), Bytes: 100, Random: 7}
+			c.change(s, &need)
+			got, reason := s.Choose(start, need)
+			if got.Region != c.region || reason != c.reason {
+				t.Fatalf("got %q in %q, reason %q", got.Partition, got.Region, reason)
+			}
+		})
+	}
+}
+
+// Guards against choices outside the rules, whatever the table, the hints and
+// the history of requests.
+func TestChooseKeepsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New("accra", "accra-1", 2000)
+		list := append(partitions("accra", rapid.IntRange(0, 5).Draw(t, "near"), 8), partitions("takoradi", rapid.IntRange(0, 3).Draw(t, "far"), 8)...)
+		for i := range list {
+			list[i].Reachable = rapid.Bool().Draw(t, "reachable")
+		}
+		s.SetCandidates(list)
+		now, sent := start, 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if len(list) > 0 && rapid.Bool().Draw(t, "hint") {
+				c := rapid.SampledFrom(list).Draw(t, "hinted")
+				s.Ended(c.Partition, Hint{At: now, FreeSlots: rapid.IntRange(0, 8).Draw(t, "free"), Waiting: rapid.IntRange(0, 50).Draw(t, "waiting")})
+			}
+			need := Need{Deadline: now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "wait")) * time.Millisecond), Bytes: rapid.IntRange(0, 900).Draw(t, "bytes"), Random: rapid.Uint64().Draw(t, "random")}
+			if len(list) > 0 && rapid.Bool().Draw(t, "tried") {
+				need.Tried = []fleet.PartitionID{rapid.SampledFrom(list).Draw(t, "refused").Partition}
+			}
+			got, reason := s.Choose(now, need)
+			if reason != outcome.NoReason {
+				continue
+			}
+			if !got.Reachable || contains(need.Tried, got.Partition) {
+				t.Fatalf("chose %+v, tried %v", got, need.Tried)
+			}
+			if got.Region != "accra" {
+				sent += need.Bytes
+			}
+			s.Sent(got.Partition)
+		}
+		if allowed := 2000 + int(2000*now.Sub(start).Seconds()); sent > allowed {
+			t.Fatalf("sent %d bytes to other regions, %d allowed", sent, allowed)
+		}
+	})
+}
+
+// Guards against a herd: with hints that lag, all choices going to the
+// partition that looked least loaded.
+func TestLaggingHintsDontDrawAHerd(t *testing.T) {
+	const requests = 600
+	s := New("accra", "accra-1", 1000)
+	list := partitions("accra", 6, 80)
+	s.SetCandidates(list)
+	for i, c := range list {
+		s.Observe(c.Partition, 1, Hint{At: start, FreeSlots: 40 + i})
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	counts := map[fleet.PartitionID]int{}
+	for range requests {
+		c, _ := s.Choose(start, Need{Deadline: start.Add(time.Second), Random: random.Uint64()})
+		s.Sent(c.Partition)
+		counts[c.Partition]++
+	}
+	for id, n := range counts {
+		if n > 2*requests/len(list) {
+			t.Errorf("%s got %d of %d requests", id, n, requests)
+		}
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{7, 45, 540} {
+		b.Run(fmt.Sprintf("partitions=%d", n), func(b *testing.B) {
+			s := New("accra", "accra-1", 1000)
+			s.SetCandidates(partitions("accra", n, 80))
+			need := Need{Deadline: start.Add(time.Second)}
+			b.ReportAllocs()
+			for i := range b.N {
+				need.Random = uint64(i) * 0x9e3779b97f4a7c15
+				c, _ := s.Choose(start, need)
+				s.Sent(c.Partition)
+				s.Ended(c.Partition, Hint{At: start, FreeSlots: 40})
+			}
+		})
+	}
+}
