--- a/entry/peers/link.go
+++ b/entry/peers/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -105,8 +104,7 @@
 }
 
 func (l *link) dial(ctx context.Context) (*session, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", l.peer.PeerAddress)
+	conn, err := l.supervisor.settings.Dial(ctx, "tcp", l.peer.PeerAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial peer")
 	}
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -44,6 +44,8 @@
 	Instance   fleet.InstanceID
 	Region     fleet.Region
 	DataCentre fleet.DataCentre
+	// Dial opens a connection to a peer; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Control is a control message for one peer, or for all when To is empty.
@@ -77,6 +79,9 @@
 // New adds the peers supervisor below root. Link changes go to routing;
 // ownHints brings the load of the partitions held here.
 func New(root *supervise.Tree, settings Settings, listener net.Listener, receivers Receivers, links *supervise.Ring[message.LinkChange], ownHints *supervise.Ring[[]message.LoadHint]) *Supervisor {
+	if settings.Dial == nil {
+		settings.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	s := &Supervisor{
 		tree: root.Child("peers", supervise.DefaultIntensity), settings: settings,
 		listener: listener, receivers: receivers, links: links,
