configuration: hand the version in force to a restarted subscriber

Cause: a subscriber that its supervisor restarts with clean state has already taken the version off its ring. The status duty would then report the instance as not ready until the next publication. Ruled out: repeating the version on every ring at intervals. The routing duty sets its byte budget anew with each item, which would refill it. Change: a subscriber that starts puts its ring on Rings.Wanted and gets the version in force once more. A test runs two instances' duties and four racing operators against the stand-in's log. Conclusion: the subscribers have to ask when they start; that is not wired yet.

--- a/entry/configuration/duty.go
+++ b/entry/configuration/duty.go
@@ -25,6 +25,8 @@
 	requestRingCapacity = 16
 	// offerRingCapacity is the same: each peer answers a request once.
 	offerRingCapacity = 16
+	// wantedRingCapacity has room for every subscriber of an instance at once.
+	wantedRingCapacity = 64
 )
 
 // Settings configure the duty.
@@ -57,11 +59,13 @@
 	}
 }
 
-// Rings joins the duty with others. Log, Requests and Offers are its inputs.
+// Rings joins the duty with others. Log, Requests, Offers and Wanted are its
+// inputs.
 type Rings struct {
 	Log      *supervise.Ring[message.LogRecords]
 	Requests *supervise.Ring[message.ConfigurationRequest]
 	Offers   *message.ConfigurationOfferRing
+	Wanted   *supervise.Ring[message.ConfigurationWanted]
 
 	// Subscribers get each new version in force.
 	Subscribers []*message.ConfigurationRing
@@ -80,15 +84,17 @@
 		Log:      supervise.NewRing[message.LogRecords]("configuration.log", logRingCapacity, supervise.Wait),
 		Requests: supervise.NewRing[message.ConfigurationRequest]("configuration.requests", requestRingCapacity, supervise.DropOldest),
 		Offers:   supervise.NewRing[message.ConfigurationOffer]("configuration.offers", offerRingCapacity, supervise.DropOldest),
+		Wanted:   supervise.NewRing[message.ConfigurationWanted]("configuration.wanted", wantedRingCapacity, supervise.Wait),
 	}
 }
 
 // New returns the duty.
 func New(settings Settings, rings Rings) supervise.Duty {
-	published := int64(0) // kept across restarts: subscribers never go back
+	// Kept across restarts, so that subscribers never go back.
+	var published message.ConfigurationInForce
 	return supervise.Duty{
 		Name:  "configuration",
-		Rings: []supervise.Measured{rings.Log, rings.Requests, rings.Offers},
+		Rings: []supervise.Measured{rings.Log, rings.Requests, rings.Offers, rings.Wanted},
 		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 			d := &duty{settings: settings, rings: rings, fold: configuration.NewFold(), published: &published}
 			return d.run(ctx, dumps)
@@ -100,7 +106,7 @@
 	settings  Settings
 	rings     Rings
 	fold      configuration.Fold
-	published *int64
+	published *message.ConfigurationInForce
 	// caughtUp is set once the whole stream has been read.
 	caughtUp bool
 	// next is the offset after the last batch.
@@ -134,6 +140,8 @@
 			d.takeOffer(ctx, offer)
 		case request := <-d.rings.Requests.Items():
 			d.answer(ctx, request)
+		case wanted := <-d.rings.Wanted.Items():
+			d.repeat(ctx, wanted.Ring)
 		case <-ask.C:
 			d.askPeers(ctx)
 			d.writeSnapshotIfDue(ctx)
@@ -181,12 +189,19 @@
 // publish hands a newer version to the subscribers.
 func (d *duty) publish(ctx context.Context) {
 	state := d.fold.State
-	if state.Version <= *d.published {
+	if state.Version <= d.published.Version {
 		return
 	}
-	*d.published = state.Version
+	*d.published = message.ConfigurationInForce{Version: state.Version, Value: state.InForce.Value}
 	for _, subscriber := range d.rings.Subscribers {
-		_ = subscriber.Put(ctx, message.ConfigurationInForce{Version: state.Version, Value: state.InForce.Value})
+		_ = subscriber.Put(ctx, *d.published)
+	}
+}
+
+// repeat hands the version in force to a subscriber that lost it.
+func (d *duty) repeat(ctx context.Context, subscriber *message.ConfigurationRing) {
+	if d.published.Version > 0 && subscriber != nil {
+		_ = subscriber.Put(ctx, *d.published)
 	}
 }
 
--- a/entry/configuration/duty_test.go
+++ b/entry/configuration/duty_test.go
@@ -138,6 +138,10 @@
 		if got := taken(b.subscriber); got.Version != 4 {
 			t.Fatalf("got version %d, want 4", got.Version)
 		}
+		_ = b.rings.Wanted.Put(t.Context(), message.ConfigurationWanted{Ring: b.subscriber})
+		if got := taken(b.subscriber); got.Version != 4 {
+			t.Fatalf("a subscriber that started again got version %d, want 4", got.Version)
+		}
 	})
 }
 
--- a/entry/message/configuration.go
+++ b/entry/message/configuration.go
@@ -30,3 +30,8 @@
 	// Snapshot is encoded as a snapshot entry of the stream.
 	Snapshot []byte
 }
+
+// ConfigurationWanted goes from a subscriber that starts again with clean
+// state to the configuration duty, which puts the version in force on the ring
+// once more. Its ring waits.
+type ConfigurationWanted struct{ Ring *ConfigurationRing }
