cmd/lacewingfork: restore a configuration that the log lost

It refuses while an instance or the log still knows a version; of two racing restores the first one counts. Conclusion: the loss is no longer permanent; the operator has to know the newest version.

--- a/cmd/lacewingfork/internal/cli/cli_test.go
+++ b/cmd/lacewingfork/internal/cli/cli_test.go
@@ -27,6 +27,8 @@
 	faults  []string
 	// racer is appended before the first append of the test.
 	racer []byte
+	// dropped counts the records that retention dropped.
+	dropped fleet.Offset
 }
 
 func (l *faultyLog) Append(ctx context.Context, _ string, data []byte) (fleet.Offset, error) {
@@ -52,13 +54,16 @@
 }
 
 func (l *faultyLog) Read(ctx context.Context, _ string, from fleet.Offset, wait time.Duration) (platformapi.Batch, error) {
-	end := fleet.Offset(len(l.records))
+	end := l.dropped + fleet.Offset(len(l.records))
+	if from < l.dropped {
+		return platformapi.Batch{Oldest: l.dropped, Next: l.dropped, End: end}, platformapi.ErrTruncated
+	}
 	if from == end && !pause(ctx, wait) {
 		return platformapi.Batch{}, platformapi.ErrUnavailable
 	}
 	batch := platformapi.Batch{Next: end, End: end}
 	for i := from; i < end; i++ {
-		batch.Records = append(batch.Records, platformapi.Record{Offset: i, Data: l.records[i]})
+		batch.Records = append(batch.Records, platformapi.Record{Offset: i, Data: l.records[i-l.dropped]})
 	}
 	return batch, nil
 }
@@ -134,6 +139,35 @@
 	}
 }
 
+// Guards against a restore that takes the place of a state which still exists,
+// and against a deployment that stays without a configuration for good.
+func TestRestore(t *testing.T) {
+	empty := instance(t, map[string]string{"GET /v1/status": `{"instance":"entry-1"}`})
+	ready := instance(t, map[string]string{"GET /v1/status": `{"instance":"entry-1","configuration_version":7}`})
+	file := write(t, "[limits]\nlong_share = 0.4\n")
+	cases := []struct {
+		code    ExitCode
+		address string
+		log     *faultyLog
+		text    string
+	}{
+		{Rejected, empty, &faultyLog{}, "publish instead"},
+		{Rejected, ready, &faultyLog{dropped: 50}, "has version 7"},
+		{Unreachable, gone(t), &faultyLog{dropped: 50}, "cannot connect"},
+		{Success, empty, &faultyLog{dropped: 50, faults: []string{"lost answer"}}, "restored as version 9"},
+	}
+	for _, c := range cases {
+		got := run(t, c.log, "--log", "x", "--operations", c.address, "config", "restore", file, "--version", "9", "--operator", "abena")
+		if got.code != c.code || !strings.Contains(got.out+got.errors, c.text) {
+			t.Errorf("%+v, want code %d and %q", got, c.code, c.text)
+		}
+	}
+	log := cases[len(cases)-1].log
+	if got := run(t, log, "--log", "x", "config", "publish", file, "--replaces", "9", "--operator", "abena"); got.code != Success {
+		t.Errorf("publish after the restore: %+v", got)
+	}
+}
+
 // Guards against differences between the commands and the platform's protocol:
 // the configuration that was published over HTTP is the one that is shown.
 func TestPublishOverHTTP(t *testing.T) {
--- a/cmd/lacewingfork/internal/cli/commands.go
+++ b/cmd/lacewingfork/internal/cli/commands.go
@@ -53,6 +53,12 @@
 			[]ExitCode{Unreachable, Unconfirmed},
 			&configStatus{app: a},
 		},
+		{
+			"config restore", "FILE --version VERSION", "put a configuration back after the log lost the stream",
+			"Only for a log that dropped every snapshot because no entry instance ran for longer than its retention. Asks every operations address, and refuses while an instance or the log still knows a version.",
+			[]ExitCode{Faulty, Rejected, Unreachable, Unknown},
+			&configRestore{app: a},
+		},
 		{
 			"job submit", "", "submit a batch job",
 			"A repeated submission of the same identifier is the same job, so after exit code 6 run the command again with --id.",
--- /dev/null
+++ b/cmd/lacewingfork/internal/cli/restore.go
@@ -0,0 +1,101 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/platformapi"
+	"lacewingfork.example/lacewingfork/records"
+	entries "lacewingfork.example/lacewingfork/records/configuration"
+)
+
+// configRestore is for a stream whose snapshots are all gone, because no entry
+// instance ran for longer than the log retains records.
+type configRestore struct {
+	app      *app
+	Version  int64        `long:"version" required:"yes" description:"version that the configuration gets; at least the newest one that was ever in force"`
+	Operator string       `long:"operator" env:"USER" required:"yes" description:"who restores"`
+	Args     fileArgument `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configRestore) Execute([]string) error {
+	if c.Version < 1 {
+		return failf(Usage, "version %d, expected at least 1", c.Version)
+	}
+	text, err := c.app.loadConfiguration(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if err := c.app.nobodyHasAVersion(); err != nil {
+		return err
+	}
+	f, err := c.app.readAll()
+	if err != nil {
+		return err
+	}
+	if !f.fold.Missing {
+		return failf(Rejected, "the log still holds the stream, with version %d in force; publish instead", f.fold.State.Version)
+	}
+	id := c.app.env.NewID()
+	state := configuration.State{
+		Version: c.Version, Through: configuration.Position{Offset: f.next - 1},
+		InForce: configuration.Publication{ID: id, Replaces: c.Version - 1, Operator: c.Operator, Text: text},
+	}
+	if err := c.app.restore(f, id, state); err != nil {
+		return err
+	}
+	answer := showAnswer{Version: c.Version, ID: id, Operator: c.Operator, TOML: text}
+	return c.app.print(answer, table{head: []string{fmt.Sprintf("%s: restored as version %d", id, c.Version)}})
+}
+
+// nobodyHasAVersion makes sure that no instance still has a state, which it
+// would write to the log by itself.
+func (a *app) nobodyHasAVersion() error {
+	replies, err := askAll[instanceStatus](a, "/v1/status")
+	if err != nil {
+		return err
+	}
+	if err := unreachable(replies); err != nil {
+		return err
+	}
+	for _, r := range replies {
+		if r.Answer.ConfigurationVersion > 0 {
+			return failf(Rejected, "%s has version %d and writes it to the log by itself", r.Address, r.Answer.ConfigurationVersion)
+		}
+	}
+	return nil
+}
+
+// restore appends a snapshot and reads it back. Instances take the first one
+// that covers what they miss; a second one has no effect on them.
+func (a *app) restore(f *follower, id string, state configuration.State) error {
+	data, err := entries.EncodeSnapshot(state)
+	if err != nil {
+		return err
+	}
+	record, err := records.Encode([]records.Entry{{ID: id, Data: data}})
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	defer a.progress("")
+	_, appendErr := f.log.Append(a.ctx, entries.Stream, record)
+	if errors.Is(appendErr, platformapi.ErrInvalid) {
+		return errors.Wrap(appendErr, "append")
+	}
+	err = f.until(a.ctx, readWait, func(bool) bool {
+		a.progress("waiting for the snapshot, %d s", int(time.Since(started).Seconds()))
+		return !f.fold.Missing || a.ctx.Err() != nil
+	})
+	switch {
+	case f.fold.Missing:
+		return coded(Unknown, errors.Errorf("the snapshot was not read back (append: %v, read: %v); run the command again", appendErr, err))
+	case f.fold.State.InForce.ID != id:
+		return failf(Rejected, "%s restored version %d first", f.fold.State.InForce.Operator, f.fold.State.Version)
+	}
+	return nil
+}
--- a/cmd/lacewingfork/internal/cli/stream.go
+++ b/cmd/lacewingfork/internal/cli/stream.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// catchUp reads the whole stream.
-func (a *app) catchUp() (*follower, error) {
+// readAll reads the stream to its end.
+func (a *app) readAll() (*follower, error) {
 	f, err := a.follow()
 	if err != nil {
 		return nil, err
@@ -112,9 +112,18 @@
 	if err := f.until(a.ctx, 0, func(atEnd bool) bool { return atEnd }); err != nil {
 		return nil, coded(Unreachable, errors.Wrap(err, "read the log"))
 	}
+	return f, nil
+}
+
+// catchUp is readAll for a stream whose state is known at its end.
+func (a *app) catchUp() (*follower, error) {
+	f, err := a.readAll()
+	if err != nil {
+		return nil, err
+	}
 	if f.fold.Missing {
 		return nil, failf(Unreachable,
-			"the log no longer holds the beginning of the stream, and no snapshot of an entry instance covers it yet; try again in a minute")
+			"the log no longer holds the beginning of the stream, and no snapshot of an entry instance covers it; try again in a minute, or see config restore")
 	}
 	return f, nil
 }
