--- a/entry/message/scheduling.go
+++ b/entry/message/scheduling.go
@@ -49,3 +49,18 @@
 	Peer  fleet.InstanceID
 	Hints []LoadHint
 }
+
+// ExplainQuery asks what was decided about a request, task or backend server.
+// It goes from the operations server to the history duty and the scheduling
+// manager, and from there to each partition duty. Its rings refuse when full.
+type ExplainQuery struct {
+	Subject string
+	Reply   *supervise.Ring[ExplainAnswer]
+}
+
+// ExplainAnswer is one duty's part of the answer.
+type ExplainAnswer struct {
+	Events []Event
+	// More is the number of further answers that will come.
+	More int
+}
--- a/entry/operations/history.go
+++ b/entry/operations/history.go
@@ -14,12 +14,6 @@
 	eventCapacity = 4096
 )
 
-// explainQuery asks the history duty for the events of a subject.
-type explainQuery struct {
-	subject string
-	reply   *supervise.Ring[[]message.Event]
-}
-
 // history is the state of the history duty: the newest events, oldest first.
 type history struct {
 	events []message.Event
@@ -54,7 +48,7 @@
 		case e := <-s.Events.Items():
 			h.add(e)
 		case q := <-s.explain.Items():
-			_ = q.reply.Put(ctx, h.about(q.subject))
+			_ = q.Reply.Put(ctx, message.ExplainAnswer{Events: h.about(q.Subject)})
 		case r := <-dumps:
 			r.Answer(map[string]int{"events": len(h.events)})
 		}
--- a/entry/operations/operations.go
+++ b/entry/operations/operations.go
@@ -46,7 +46,8 @@
 	Configurations *message.ConfigurationRing
 	Holdings       *message.HoldingsRing
 	Snapshots      *message.SnapshotRing
-	explain        *supervise.Ring[explainQuery]
+	explain        *supervise.Ring[message.ExplainQuery] // of the history duty
+	explainers     []*supervise.Ring[message.ExplainQuery]
 	statuses       *supervise.Ring[*supervise.Ring[Status]]
 	drained        *supervise.Ring[struct{}]
 }
@@ -58,20 +59,23 @@
 }
 
 // New adds the operations supervisor below root. drain starts the planned stop
-// of the process and returns at once.
+// of the process and returns at once; explainers answer questions besides the
+// history duty.
 func New(
 	root *supervise.Tree, settings Settings, listener net.Listener,
 	events *supervise.Ring[message.Event], registry *prometheus.Registry, drain func(),
+	explainers ...*supervise.Ring[message.ExplainQuery],
 ) *Supervisor {
 	s := &Supervisor{
 		settings: settings, listener: listener, directory: root.Directory(), drain: drain, Events: events,
 		Configurations: supervise.NewRing[message.ConfigurationInForce]("operations.configurations", 1, supervise.DropOldest),
 		Holdings:       supervise.NewRing[message.Holdings]("operations.holdings", 1, supervise.DropOldest),
 		Snapshots:      supervise.NewRing[message.ListSnapshot]("operations.snapshots", 1, supervise.DropOldest),
-		explain:        supervise.NewRing[explainQuery]("operations.explain", 16, supervise.Wait),
+		explain:        supervise.NewRing[message.ExplainQuery]("operations.explain", 16, supervise.Refuse),
 		statuses:       supervise.NewRing[*supervise.Ring[Status]]("operations.statuses", 16, supervise.Wait),
 		drained:        supervise.NewRing[struct{}]("operations.drained", 1, supervise.DropOldest),
 	}
+	s.explainers = append([]*supervise.Ring[message.ExplainQuery]{s.explain}, explainers...)
 	registry.MustRegister(&ringCollector{directory: s.directory})
 	s.server = &http.Server{Handler: s.routes(registry), ReadHeaderTimeout: 5 * time.Second}
 	tree := root.Child("operations", supervise.DefaultIntensity)
@@ -141,16 +145,7 @@
 }
 
 func (s *Supervisor) handleExplain(w http.ResponseWriter, r *http.Request) {
-	query := explainQuery{
-		subject: mux.Vars(r)["id"],
-		reply:   supervise.NewRing[[]message.Event]("operations.explained", 1, supervise.Refuse),
-	}
-	events, err := ask(r.Context(), s.explain, query, query.reply)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeJSON(w, http.StatusOK, events)
+	writeJSON(w, http.StatusOK, s.explainAll(r.Context(), mux.Vars(r)["id"]))
 }
 
 func (s *Supervisor) handleDrain(w http.ResponseWriter, _ *http.Request) {
--- a/entry/scheduling/actions.go
+++ b/entry/scheduling/actions.go
@@ -17,12 +17,17 @@
 		a := actions[i]
 		switch a.Kind {
 		case partition.Run:
+			if a.Attempt > 1 {
+				w.record(ctx, string(a.ID))
+			}
 			actions = w.start(ctx, a, actions)
 		case partition.Refuse:
+			w.record(ctx, string(a.ID))
 			w.finish(a.ID, message.Refuse(a.ID, w.refusalReason(a.Reason), a.RetryAfter))
 		case partition.Deliver:
 			w.deliver(a.ID)
 		case partition.GiveUp:
+			w.record(ctx, string(a.ID))
 			w.finish(a.ID, message.Unknown(a.ID, a.Reason))
 		}
 	}
--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -17,6 +17,8 @@
 	// submissionCapacity is what a partition of 88 slots starts within a few
 	// milliseconds of 10 ms requests; more would only hide overload.
 	submissionCapacity = 1024
+	// explainCapacity is as many operators as ask at the same time.
+	explainCapacity = 4
 	// minCompletions leaves room for backend servers that join the rack.
 	minCompletions = 128
 	// failureServerErrors is the lowest status that counts as a failure of
@@ -36,6 +38,7 @@
 	configuration *message.ConfigurationRing
 	lease         *supervise.Ring[message.Holding]
 	release       *supervise.Ring[struct{}]
+	explain       *supervise.Ring[message.ExplainQuery]
 }
 
 func newPartitionRings(holding message.Holding, slots int) partitionRings {
@@ -48,11 +51,12 @@
 		configuration: supervise.NewRing[message.ConfigurationInForce](name("configuration"), 1, supervise.DropOldest),
 		lease:         supervise.NewRing[message.Holding](name("lease"), 1, supervise.DropOldest),
 		release:       supervise.NewRing[struct{}](name("release"), 1, supervise.DropOldest),
+		explain:       supervise.NewRing[message.ExplainQuery](name("explain"), explainCapacity, supervise.Refuse),
 	}
 }
 
 func (r partitionRings) measured() []supervise.Measured {
-	return []supervise.Measured{r.submissions, r.completions, r.servers, r.usage, r.configuration, r.lease, r.release}
+	return []supervise.Measured{r.submissions, r.completions, r.servers, r.usage, r.configuration, r.lease, r.release, r.explain}
 }
 
 // partitionDuty owns the work of one partition under one epoch. When its state
@@ -164,6 +168,8 @@
 			w.lease = lease
 		case <-rings.release.Items():
 			w.drain(ctx)
+		case q := <-rings.explain.Items():
+			_ = q.Reply.Put(ctx, message.ExplainAnswer{Events: w.explained(q.Subject)})
 		case <-timer.C:
 			w.act(ctx, w.state.Tick(time.Now(), w.actions[:0]))
 		case r := <-dumps:
--- a/entry/scheduling/scheduling.go
+++ b/entry/scheduling/scheduling.go
@@ -28,6 +28,8 @@
 	Holdings       *message.HoldingsRing
 	Configurations *message.ConfigurationRing
 
+	Explains *supervise.Ring[message.ExplainQuery]
+
 	changes    *supervise.Ring[message.PartitionChange]
 	relinquish *supervise.Ring[message.Relinquish]
 	events     *supervise.Ring[message.Event]
@@ -45,11 +47,12 @@
 		Usage:          supervise.NewRing[message.UsageReports]("scheduling.usage", 4, supervise.DropOldest),
 		Holdings:       supervise.NewRing[message.Holdings]("scheduling.holdings", 1, supervise.DropOldest),
 		Configurations: supervise.NewRing[message.ConfigurationInForce]("scheduling.configurations", 1, supervise.DropOldest),
+		Explains:       supervise.NewRing[message.ExplainQuery]("scheduling.explains", explainCapacity, supervise.Refuse),
 		changes:        changes, relinquish: relinquish, events: events,
 	}
 	s.tree.Start(supervise.Duty{
 		Name:  "manager",
-		Rings: []supervise.Measured{s.Snapshots, s.Usage, s.Holdings, s.Configurations},
+		Rings: []supervise.Measured{s.Snapshots, s.Usage, s.Holdings, s.Configurations, s.Explains},
 		Run:   s.run,
 	})
 	return s
@@ -79,6 +82,9 @@
 			m.setConfiguration(ctx, c)
 		case h := <-s.Holdings.Items():
 			m.holdings = h
+		case q := <-s.Explains.Items():
+			m.explain(ctx, q)
+			continue
 		case r := <-dumps:
 			r.Answer(m.dump())
 			continue
@@ -170,6 +176,17 @@
 	}
 }
 
+// explain passes the question on to every open partition.
+func (m *manager) explain(ctx context.Context, q message.ExplainQuery) {
+	asked := 0
+	for _, d := range m.open {
+		if d.rings.explain.Put(ctx, q) == nil {
+			asked++
+		}
+	}
+	_ = q.Reply.Put(ctx, message.ExplainAnswer{More: asked})
+}
+
 type managerDump struct {
 	Open                 map[fleet.PartitionID]fleet.Epoch `json:"open"`
 	BackendServers       int                               `json:"backend_servers"`
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -120,10 +120,10 @@
 
 func newOperations(
 	tree *supervise.Tree, s settings.Settings, l *Listeners, events *supervise.Ring[message.Event],
-	registry *prometheus.Registry, shutdowner fx.Shutdowner,
+	registry *prometheus.Registry, shutdowner fx.Shutdowner, sched *scheduling.Supervisor,
 ) *operations.Supervisor {
 	place := operations.Settings{Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre}
-	return operations.New(tree, place, l.Operations, events, registry, func() { _ = shutdowner.Shutdown() })
+	return operations.New(tree, place, l.Operations, events, registry, func() { _ = shutdowner.Shutdown() }, sched.Explains)
 }
 
 func startOwnership(
