Carry configuration offers over the links; announce partitions and links again

A routing duty that was restarted knew neither the open partitions nor the links that were up until they changed. Both are announced again every second and every heartbeat; a repeated announcement changes nothing.

--- a/entry/peers/acceptor.go
+++ b/entry/peers/acceptor.go
@@ -32,10 +32,10 @@
 		return errors.New("first frame of a link is not a hello")
 	}
 	peer := fleet.InstanceID(hello.Instance)
-	replies := supervise.NewRing[message.Answer](fmt.Sprintf("accepted.%s.answers", peer), answerCapacity, supervise.Refuse)
+	replies := newReplies(peer)
 	sender := a.supervisor.tree.Start(supervise.Duty{
-		Name:  fmt.Sprintf("accepted/%s/%p", peer, replies),
-		Rings: []supervise.Measured{replies},
+		Name:  fmt.Sprintf("accepted/%s/%p", peer, replies.answers),
+		Rings: []supervise.Measured{replies.answers, replies.offers},
 		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 			return sendAnswers(ctx, stream, replies, dumps)
 		},
@@ -50,12 +50,25 @@
 	}
 }
 
-func (a *acceptor) dispatch(ctx context.Context, peer fleet.InstanceID, frame *peerpb.Frame, replies *supervise.Ring[message.Answer]) {
+// replies are the rings of what goes back on an accepted link.
+type replies struct {
+	answers *supervise.Ring[message.Answer]
+	offers  *message.ConfigurationOfferRing
+}
+
+func newReplies(peer fleet.InstanceID) replies {
+	return replies{
+		answers: supervise.NewRing[message.Answer](fmt.Sprintf("accepted.%s.answers", peer), answerCapacity, supervise.Refuse),
+		offers:  supervise.NewRing[message.ConfigurationOffer](fmt.Sprintf("accepted.%s.offers", peer), 1, supervise.DropOldest),
+	}
+}
+
+func (a *acceptor) dispatch(ctx context.Context, peer fleet.InstanceID, frame *peerpb.Frame, replies replies) {
 	receivers := a.supervisor.receivers
 	switch body := frame.Body.(type) {
 	case *peerpb.Frame_Forward:
 		s := decodeForward(body.Forward, time.Now())
-		s.Reply = replies
+		s.Reply = replies.answers
 		if receivers.Submissions.Put(ctx, s) != nil {
 			s.Deliver(message.Refuse(s.Request.ID, outcome.RingFull, time.Second))
 		}
@@ -65,6 +78,11 @@
 		})
 	case *peerpb.Frame_LoadHints:
 		_ = receivers.Hints.Put(ctx, message.PeerHints{Peer: peer, Hints: decodeHints(body.LoadHints)})
+	case *peerpb.Frame_ConfigurationRequest:
+		_ = receivers.ConfigurationRequests.Put(ctx, message.ConfigurationRequest{
+			Version: body.ConfigurationRequest.Version, Offset: fleet.Offset(body.ConfigurationRequest.Offset),
+			Reply: replies.offers,
+		})
 	case *peerpb.Frame_Heartbeat, *peerpb.Frame_Hello:
 	default:
 		receivers.Control(peer, frame)
@@ -73,7 +91,7 @@
 
 // sendAnswers is the sender duty of an accepted link. It also sends heartbeats,
 // by which the dialling side notices a silent connection.
-func sendAnswers(ctx context.Context, stream peerpb.DRPCPeer_LinkStream, replies *supervise.Ring[message.Answer], dumps <-chan supervise.DumpRequest) error {
+func sendAnswers(ctx context.Context, stream peerpb.DRPCPeer_LinkStream, replies replies, dumps <-chan supervise.DumpRequest) error {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	var sent, beats uint64
@@ -84,9 +102,11 @@
 			return ctx.Err()
 		case <-stream.Context().Done():
 			return nil
-		case a := <-replies.Items():
+		case a := <-replies.answers.Items():
 			sent++
 			err = stream.Send(encodeAnswer(a))
+		case o := <-replies.offers.Items():
+			err = stream.Send(encodeConfigurationOffer(o))
 		case <-ticker.C:
 			beats++
 			err = stream.Send(encodeHeartbeat(beats))
--- a/entry/peers/codec.go
+++ b/entry/peers/codec.go
@@ -97,6 +97,22 @@
 	return hints
 }
 
+func encodeConfigurationRequest(r message.ConfigurationRequest) *peerpb.Frame {
+	return &peerpb.Frame{Body: &peerpb.Frame_ConfigurationRequest{ConfigurationRequest: &peerpb.ConfigurationRequest{
+		Version: r.Version, Offset: int64(r.Offset),
+	}}}
+}
+
+func encodeConfigurationOffer(o message.ConfigurationOffer) *peerpb.Frame {
+	return &peerpb.Frame{Body: &peerpb.Frame_ConfigurationOffer{ConfigurationOffer: &peerpb.ConfigurationOffer{
+		Version: o.Version, Offset: int64(o.Offset), Snapshot: o.Snapshot,
+	}}}
+}
+
+func decodeConfigurationOffer(o *peerpb.ConfigurationOffer) message.ConfigurationOffer {
+	return message.ConfigurationOffer{Version: o.Version, Offset: fleet.Offset(o.Offset), Snapshot: o.Snapshot}
+}
+
 func encodeFields(fields []message.Field) []*peerpb.Field {
 	out := make([]*peerpb.Field, 0, len(fields))
 	for _, f := range fields {
--- a/entry/peers/link.go
+++ b/entry/peers/link.go
@@ -167,8 +167,7 @@
 
 func (s *session) serve(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 	l := s.link
-	up := message.LinkChange{Peer: l.peer.ID, Forwards: l.forwards}
-	if err := l.supervisor.links.Put(ctx, up); err != nil {
+	if err := s.announce(ctx); err != nil {
 		return err
 	}
 	ticker := time.NewTicker(heartbeatInterval)
@@ -183,11 +182,11 @@
 		case frame := <-l.controls.Items():
 			err = s.stream.Send(frame)
 		case frame := <-s.received.Items():
-			s.take(frame)
+			s.take(ctx, frame)
 		case err = <-s.broken.Items():
 			return errors.Wrap(err, "link broken")
 		case <-ticker.C:
-			err = s.beat()
+			err = s.beat(ctx)
 		case r := <-dumps:
 			r.Answer(s.dump())
 		}
@@ -208,21 +207,33 @@
 	return s.stream.Send(encodeForward(sub, time.Now()))
 }
 
-func (s *session) beat() error {
+// beat also announces the link again, for a routing duty that was restarted.
+func (s *session) beat(ctx context.Context) error {
 	if time.Since(s.heardAt) > silenceLimit {
 		return errSilent
 	}
 	s.beats++
-	return s.stream.Send(encodeHeartbeat(s.beats))
+	if err := s.stream.Send(encodeHeartbeat(s.beats)); err != nil {
+		return err
+	}
+	return s.announce(ctx)
+}
+
+func (s *session) announce(ctx context.Context) error {
+	return s.link.supervisor.links.Put(ctx, message.LinkChange{Peer: s.link.peer.ID, Forwards: s.link.forwards})
 }
 
-func (s *session) take(frame *peerpb.Frame) {
+func (s *session) take(ctx context.Context, frame *peerpb.Frame) {
 	s.heardAt = time.Now()
-	body, ok := frame.Body.(*peerpb.Frame_Answer)
-	if !ok {
-		return
+	switch body := frame.Body.(type) {
+	case *peerpb.Frame_Answer:
+		s.answer(decodeAnswer(body.Answer))
+	case *peerpb.Frame_ConfigurationOffer:
+		_ = s.link.supervisor.receivers.ConfigurationOffers.Put(ctx, decodeConfigurationOffer(body.ConfigurationOffer))
 	}
-	a := decodeAnswer(body.Answer)
+}
+
+func (s *session) answer(a message.Answer) {
 	sub, ok := s.pending[a.ID]
 	if !ok {
 		s.unknown++
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -58,6 +58,10 @@
 type Receivers struct {
 	Submissions *supervise.Ring[message.Submission]
 	Hints       *supervise.Ring[message.PeerHints]
+	// ConfigurationRequests and ConfigurationOffers belong to the
+	// configuration duty.
+	ConfigurationRequests *supervise.Ring[message.ConfigurationRequest]
+	ConfigurationOffers   *message.ConfigurationOfferRing
 	// Control takes promises, promise requests, give-backs and configuration
 	// messages. It must not block.
 	Control func(from fleet.InstanceID, frame *peerpb.Frame)
@@ -74,6 +78,8 @@
 	Snapshots *message.SnapshotRing
 	OwnHints  *supervise.Ring[[]message.LoadHint]
 	Controls  *supervise.Ring[Control]
+	// ConfigurationAsks goes to every peer.
+	ConfigurationAsks *supervise.Ring[message.ConfigurationRequest]
 }
 
 // New adds the peers supervisor below root. Link changes go to routing;
@@ -85,13 +91,14 @@
 	s := &Supervisor{
 		tree: root.Child("peers", supervise.DefaultIntensity), settings: settings,
 		listener: listener, receivers: receivers, links: links,
-		Snapshots: supervise.NewRing[message.ListSnapshot]("peers.snapshots", 1, supervise.DropOldest),
-		OwnHints:  ownHints,
-		Controls:  supervise.NewRing[Control]("peers.controls", controlCapacity, supervise.DropOldest),
+		Snapshots:         supervise.NewRing[message.ListSnapshot]("peers.snapshots", 1, supervise.DropOldest),
+		OwnHints:          ownHints,
+		Controls:          supervise.NewRing[Control]("peers.controls", controlCapacity, supervise.DropOldest),
+		ConfigurationAsks: supervise.NewRing[message.ConfigurationRequest]("peers.configuration-asks", 1, supervise.DropOldest),
 	}
 	s.tree.Start(supervise.Duty{Name: "listener", Run: s.listen})
 	s.tree.Start(supervise.Duty{
-		Name: "manager", Rings: []supervise.Measured{s.Snapshots, s.OwnHints, s.Controls}, Run: s.manage,
+		Name: "manager", Rings: []supervise.Measured{s.Snapshots, s.OwnHints, s.Controls, s.ConfigurationAsks}, Run: s.manage,
 	})
 	return s
 }
@@ -126,6 +133,8 @@
 			s.reconcile(links, snapshot.Instances)
 		case hints := <-s.OwnHints.Items():
 			send(ctx, links, Control{Frame: encodeHints(hints)})
+		case ask := <-s.ConfigurationAsks.Items():
+			send(ctx, links, Control{Frame: encodeConfigurationRequest(ask)})
 		case c := <-s.Controls.Items():
 			send(ctx, links, c)
 		case r := <-dumps:
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -156,11 +156,13 @@
 			r.configuration = c
 			r.state.SetBudget(time.Now(), c.Value.Limits.RegionBytesPerSecond)
 		case change := <-d.Partitions.Items():
-			r.setPartition(change)
-			r.rebuild()
+			if r.setPartition(change) {
+				r.rebuild()
+			}
 		case change := <-d.Links.Items():
-			r.setLink(change)
-			r.rebuild()
+			if r.setLink(change) {
+				r.rebuild()
+			}
 		case hints := <-d.Hints.Items():
 			r.observe(hints)
 		case <-ticker.C:
--- a/entry/routing/table.go
+++ b/entry/routing/table.go
@@ -20,21 +20,31 @@
 	}
 }
 
-func (r *router) setPartition(change message.PartitionChange) {
-	if change.Opened != nil {
-		r.own[change.Opened.Partition] = *change.Opened
+// setPartition reports whether the table changed; a repeated announcement
+// changes nothing.
+func (r *router) setPartition(change message.PartitionChange) bool {
+	if o := change.Opened; o != nil && r.own[o.Partition] != *o {
+		r.own[o.Partition] = *o
+		return true
 	}
 	if c := change.Closed; c != nil && r.own[c.Partition].Epoch == c.Epoch {
 		delete(r.own, c.Partition)
+		return true
 	}
+	return false
 }
 
-func (r *router) setLink(change message.LinkChange) {
+// setLink reports whether the table changed.
+func (r *router) setLink(change message.LinkChange) bool {
+	if r.links[change.Peer] == change.Forwards {
+		return false
+	}
 	if change.Forwards != nil {
 		r.links[change.Peer] = change.Forwards
-		return
+	} else {
+		delete(r.links, change.Peer)
 	}
-	delete(r.links, change.Peer)
+	return true
 }
 
 // rebuild derives the candidates from the list, the holders, the partitions of
--- a/entry/scheduling/scheduling.go
+++ b/entry/scheduling/scheduling.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lacewingfork.example/lacewingfork/entry/dispatch"
 	"lacewingfork.example/lacewingfork/entry/message"
@@ -17,6 +18,9 @@
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
+// announceInterval is how long a restarted routing duty may miss a partition.
+const announceInterval = time.Second
+
 // Supervisor runs the manager and the partition duties.
 type Supervisor struct {
 	tree  *supervise.Tree
@@ -70,6 +74,8 @@
 func (s *Supervisor) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 	m := &manager{Supervisor: s, open: map[fleet.PartitionID]*partitionDuty{}}
 	defer m.closeAll(ctx)
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -82,6 +88,9 @@
 			m.setConfiguration(ctx, c)
 		case h := <-s.Holdings.Items():
 			m.holdings = h
+		case <-ticker.C:
+			m.announce(ctx)
+			continue
 		case q := <-s.Explains.Items():
 			m.explain(ctx, q)
 			continue
@@ -130,8 +139,19 @@
 	}
 	m.open[h.Partition] = d
 	m.tree.Start(supervise.Duty{Name: d.name(), Rings: d.rings.measured(), Run: d.run})
+	m.announceOne(ctx, d)
+}
+
+// announce repeats the open partitions, for a routing duty that was restarted.
+func (m *manager) announce(ctx context.Context) {
+	for _, d := range m.open {
+		m.announceOne(ctx, d)
+	}
+}
+
+func (m *manager) announceOne(ctx context.Context, d *partitionDuty) {
 	_ = m.changes.Put(ctx, message.PartitionChange{Opened: &message.PartitionOpened{
-		Partition: h.Partition, Epoch: h.Epoch, Submissions: d.rings.submissions,
+		Partition: d.holding.Partition, Epoch: d.holding.Epoch, Submissions: d.rings.submissions,
 	}})
 }
 
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -94,10 +94,12 @@
 
 func newPeers(
 	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, hints ownHintsRing,
+	rings *configuration.Rings,
 ) *peers.Supervisor {
 	place := peers.Settings{Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre}
 	receivers := peers.Receivers{
 		Submissions: route.Submissions, Hints: route.Hints,
+		ConfigurationRequests: rings.Requests, ConfigurationOffers: rings.Offers,
 		Control: func(fleet.InstanceID, *peerpb.Frame) {},
 	}
 	return peers.New(tree, place, l.Peers, receivers, route.Links, hints)
@@ -136,12 +138,13 @@
 func startConfiguration(
 	tree *supervise.Tree, s settings.Settings, rings *configuration.Rings, appends *platform.Platform,
 	route *routing.Duty, sched *scheduling.Supervisor, front *callers.Supervisor, ops *operations.Supervisor,
+	links *peers.Supervisor,
 ) {
 	rings.Subscribers = []*message.ConfigurationRing{
 		route.Configurations, sched.Configurations, front.Configurations, ops.Configurations,
 	}
 	rings.Appends = appends.Appends()
-	rings.Asks = supervise.NewRing[message.ConfigurationRequest]("peers.configuration-requests", 16, supervise.DropOldest)
+	rings.Asks = links.ConfigurationAsks
 	duty := configuration.New(configuration.DefaultSettings(s.Instance.ID), *rings)
 	tree.Child("configuration", supervise.DefaultIntensity).Start(duty)
 }
