Follow only changes of a link in its tests

The links announce themselves again with each heartbeat; the test's ring was not read meanwhile and held the link duty back until all of the bubble waited.

--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -85,7 +85,7 @@
 // pair is instance a, which dials instance b.
 type pair struct {
 	network     *memoryListener
-	changes     *supervise.Ring[message.LinkChange]
+	transitions chan *supervise.Ring[message.Submission] // nil when the link went down
 	submissions *supervise.Ring[message.Submission] // of b
 	a           *Supervisor
 }
@@ -94,36 +94,52 @@
 	t.Helper()
 	p := &pair{
 		network:     newMemoryListener(),
-		changes:     supervise.NewRing[message.LinkChange]("changes", 16, supervise.Wait),
+		transitions: make(chan *supervise.Ring[message.Submission], 16),
 		submissions: supervise.NewRing[message.Submission]("submissions", 16, supervise.Refuse),
 	}
+	changes := supervise.NewRing[message.LinkChange]("changes", 16, supervise.Wait)
+	go p.watch(ctx, changes)
 	hints := func() *supervise.Ring[[]message.LoadHint] {
 		return supervise.NewRing[[]message.LoadHint]("hints", 1, supervise.DropOldest)
 	}
 	treeA := supervise.NewTree("a", supervise.DefaultIntensity, func(supervise.Event) {})
 	treeB := supervise.NewTree("b", supervise.DefaultIntensity, func(supervise.Event) {})
 	unused := newMemoryListener()
-	p.a = New(treeA, Settings{Instance: "a", Region: "accra", Dial: p.network.dial}, unused, Receivers{}, p.changes, hints())
+	p.a = New(treeA, Settings{Instance: "a", Region: "accra", Dial: p.network.dial}, unused, Receivers{}, changes, hints())
 	New(treeB, Settings{Instance: "b", Region: "accra"}, p.network, Receivers{
 		Submissions: p.submissions,
 		Hints:       supervise.NewRing[message.PeerHints]("hints", 16, supervise.DropOldest),
 		Control:     func(fleet.InstanceID, *peerpb.Frame) {},
-	}, p.changes, hints())
+	}, changes, hints())
 	go func() { _ = treeA.Serve(ctx) }()
 	go func() { _ = treeB.Serve(ctx) }()
 	_ = p.a.Snapshots.Put(ctx, message.ListSnapshot{Instances: []fleet.Instance{{ID: "a"}, {ID: "b", PeerAddress: "b:1"}}})
 	return p
 }
 
+// watch passes on changes of the link and drops repeated announcements.
+func (p *pair) watch(ctx context.Context, changes *supervise.Ring[message.LinkChange]) {
+	var last *supervise.Ring[message.Submission]
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-changes.Items():
+			if c.Forwards != last {
+				last = c.Forwards
+				p.transitions <- last
+			}
+		}
+	}
+}
+
 // up waits for the link and returns the ring for requests to b.
-func (p *pair) up(t *testing.T) *supervise.Ring[message.Submission] {
-	t.Helper()
-	for change := range p.changes.Items() {
-		if change.Forwards != nil {
-			return change.Forwards
+func (p *pair) up() *supervise.Ring[message.Submission] {
+	for {
+		if forwards := <-p.transitions; forwards != nil {
+			return forwards
 		}
 	}
-	return nil
 }
 
 func submissionOf(id fleet.RequestID, wait time.Duration) message.Submission {
@@ -152,7 +168,7 @@
 // reaches another request when answers cross.
 func TestForwardsAndCrossedAnswers(t *testing.T) {
 	runPair(t, func(ctx context.Context, p *pair) {
-		forwards := p.up(t)
+		forwards := p.up()
 		first, second := submissionOf("q1", time.Second), submissionOf("q2", time.Second)
 		_ = forwards.Put(ctx, first)
 		_ = forwards.Put(ctx, second)
@@ -177,7 +193,7 @@
 // not replaced.
 func TestSilentLinkIsReplaced(t *testing.T) {
 	runPair(t, func(ctx context.Context, p *pair) {
-		forwards := p.up(t)
+		forwards := p.up()
 		lost := submissionOf("q1", time.Minute)
 		p.network.silent.Store(true)
 		began := time.Now()
@@ -190,7 +206,7 @@
 			t.Errorf("noticed the silence after %v", took)
 		}
 		next := submissionOf("q2", time.Minute)
-		_ = p.up(t).Put(ctx, next)
+		_ = p.up().Put(ctx, next)
 		got := <-p.submissions.Items()
 		if got.Request.ID != "q2" {
 			t.Errorf("got %s over the new link", got.Request.ID)
@@ -202,13 +218,11 @@
 // is down requests are refused as not run.
 func TestDownLinkRefusesAsNotRun(t *testing.T) {
 	runPair(t, func(ctx context.Context, p *pair) {
-		forwards := p.up(t)
+		forwards := p.up()
 		_ = p.network.Close() // b accepts no more
 		p.network.silent.Store(true)
-		for change := range p.changes.Items() {
-			if change.Forwards == nil {
-				break
-			}
+		if up := <-p.transitions; up != nil {
+			t.Fatal("the link is still up")
 		}
 		s := submissionOf("q1", time.Minute)
 		_ = forwards.Put(ctx, s)
