tomlfile: bound the work that a hostile text causes

Cause: rows were kept for every nested path, and each level repeats its parents; rows were counted from the start of the file for every key, and each finding searched all others. A publication of 128 KiB is read by every instance before its verdict, also when it is refused. Ruled out: a smaller limit on the text; the target size needs tens of KiB.

--- a/findings/tomlfile/document.go
+++ b/findings/tomlfile/document.go
@@ -21,6 +21,7 @@
 	rows     map[string]int
 	tables   []*Table
 	findings findings.List
+	reported map[string]bool // by key
 	broken   bool
 	root     *Table
 }
@@ -28,7 +29,7 @@
 // Parse reads a file's content. A syntax error becomes a finding; the document
 // is then empty and Broken.
 func Parse(file string, data []byte) *Document {
-	d := &Document{file: file, rows: map[string]int{}}
+	d := &Document{file: file, rows: map[string]int{}, reported: map[string]bool{}}
 	values := map[string]any{}
 	if err := toml.Unmarshal(data, &values); err != nil {
 		d.broken = true
@@ -78,6 +79,7 @@
 
 // Report adds a finding about a key.
 func (d *Document) Report(path, problem, expected string) {
+	d.reported[path] = true
 	d.findings.Add(findings.Finding{
 		File: d.file, Row: d.Row(path), Key: path, Problem: problem, Expected: expected,
 	})
@@ -85,12 +87,7 @@
 
 // Reported tells whether a finding about exactly this key exists.
 func (d *Document) Reported(path string) bool {
-	for _, f := range d.findings {
-		if f.Key == path {
-			return true
-		}
-	}
-	return false
+	return d.reported[path]
 }
 
 // Err reports keys that nobody read and returns all findings as a
--- a/records/configuration/configuration_test.go
+++ b/records/configuration/configuration_test.go
@@ -81,3 +81,36 @@
 		t.Errorf("invalid text: %+v, %v; want a publication with one finding", entry.Publication, err)
 	}
 }
+
+// Guards against a text that ends the process or that changes when it is
+// printed again.
+func FuzzDecode(f *testing.F) {
+	f.Add("[limits]\nlong_share = 0.5\n[[team]]\nname = 'a'\nshare = 1\n")
+	f.Add("[[service]]\nname = 'a'\noperation = [{name = 'b', class = 'urgent', deadline = '1s', expected_run_time = '1ms'}]\n")
+	f.Add("[[region]]\nname = 'a'\ndata_centres = ['b']\n[[kind]]\nname = 'k'\nexpected_run_time = '2h'\n")
+	f.Add("limits = [1]\n[[service]]\nregions = {a.b = 1}\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := Decode("fuzz.toml", []byte(text))
+		if err != nil {
+			return
+		}
+		printed, err := Encode(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Decode("printed.toml", printed)
+		if err != nil || !reflect.DeepEqual(normal(again), normal(c)) {
+			t.Fatalf("%+v became %+v, %v", c, again, err)
+		}
+	})
+}
+
+// normal makes an empty list of regions equal to a missing one.
+func normal(c *configuration.Configuration) configuration.Configuration {
+	n := *c
+	n.Services = append([]configuration.Service(nil), c.Services...)
+	for i := range n.Services {
+		n.Services[i].Regions = append([]fleet.Region(nil), n.Services[i].Regions...)
+	}
+	return n
+}
