--- a/entry/scheduling/actions.go
+++ b/entry/scheduling/actions.go
@@ -17,18 +17,32 @@
 		a := actions[i]
 		switch a.Kind {
 		case partition.Run:
+			if a.Attempt > 1 {
+				w.record(ctx, string(a.ID))
+			}
 			actions = w.start(ctx, a, actions)
 		case partition.Refuse:
-			w.finish(a.ID, message.Refuse(a.ID, a.Reason, a.RetryAfter))
+			w.record(ctx, string(a.ID))
+			w.finish(a.ID, message.Refuse(a.ID, w.refusalReason(a.Reason), a.RetryAfter))
 		case partition.Deliver:
 			w.deliver(a.ID)
 		case partition.GiveUp:
+			w.record(ctx, string(a.ID))
 			w.finish(a.ID, message.Unknown(a.ID, a.Reason))
 		}
 	}
 	w.actions = actions[:0]
 }
 
+// refusalReason sends requests that were withdrawn by a drain to the next
+// holder.
+func (w *partitionWork) refusalReason(reason outcome.Reason) outcome.Reason {
+	if w.draining && reason == outcome.Cancelled {
+		return outcome.NotHolder
+	}
+	return reason
+}
+
 func (w *partitionWork) start(ctx context.Context, a partition.Action, actions []partition.Action) []partition.Action {
 	p, line := w.pending[a.ID], w.lines[a.Server]
 	if p != nil && line != nil && time.Now().Before(w.lease.Until) {
@@ -45,7 +59,7 @@
 		p.answer = message.Refuse(a.ID, outcome.LeaseLapsed, 0)
 	}
 	return w.state.Complete(time.Now(), partition.Completion{
-		ID: a.ID, Server: a.Server, Result: partition.NotWritten, SlotReleased: true,
+		ID: a.ID, Server: a.Server, Attempt: a.Attempt, Result: partition.NotWritten, SlotReleased: true,
 	}, actions)
 }
 
@@ -62,6 +76,7 @@
 		return
 	}
 	delete(w.pending, id)
+	a = w.keys.end(p.submission.Request, a)
 	p.submission.Deliver(w.withHint(a))
 }
 
@@ -72,7 +87,7 @@
 	free, capacity, waiting := w.state.Load(time.Now())
 	a.Hint = message.LoadHint{
 		Partition: w.lease.Partition, Epoch: w.lease.Epoch,
-		FreeSlots: free, Capacity: capacity, Waiting: waiting,
+		FreeSlots: free, Capacity: capacity, Waiting: waiting, ExpectedWait: w.state.ExpectedWait(time.Now()),
 	}
 	return a
 }
--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -17,6 +17,8 @@
 	// submissionCapacity is what a partition of 88 slots starts within a few
 	// milliseconds of 10 ms requests; more would only hide overload.
 	submissionCapacity = 1024
+	// explainCapacity is as many operators as ask at the same time.
+	explainCapacity = 4
 	// minCompletions leaves room for backend servers that join the rack.
 	minCompletions = 128
 	// failureServerErrors is the lowest status that counts as a failure of
@@ -36,6 +38,7 @@
 	configuration *message.ConfigurationRing
 	lease         *supervise.Ring[message.Holding]
 	release       *supervise.Ring[struct{}]
+	explain       *supervise.Ring[message.ExplainQuery]
 }
 
 func newPartitionRings(holding message.Holding, slots int) partitionRings {
@@ -48,11 +51,12 @@
 		configuration: supervise.NewRing[message.ConfigurationInForce](name("configuration"), 1, supervise.DropOldest),
 		lease:         supervise.NewRing[message.Holding](name("lease"), 1, supervise.DropOldest),
 		release:       supervise.NewRing[struct{}](name("release"), 1, supervise.DropOldest),
+		explain:       supervise.NewRing[message.ExplainQuery](name("explain"), explainCapacity, supervise.Refuse),
 	}
 }
 
 func (r partitionRings) measured() []supervise.Measured {
-	return []supervise.Measured{r.submissions, r.completions, r.servers, r.usage, r.configuration, r.lease, r.release}
+	return []supervise.Measured{r.submissions, r.completions, r.servers, r.usage, r.configuration, r.lease, r.release, r.explain}
 }
 
 // partitionDuty owns the work of one partition under one epoch. When its state
@@ -119,6 +123,7 @@
 	lease    message.Holding
 	lines    map[fleet.BackendServerID]*dispatch.Line
 	pending  map[fleet.RequestID]*pending
+	keys     *keyedRequests
 	inFlight int
 	draining bool
 	actions  []partition.Action
@@ -130,6 +135,7 @@
 		state:   partition.New(time.Now(), d.servers, d.configuration.Value),
 		lines:   map[fleet.BackendServerID]*dispatch.Line{},
 		pending: map[fleet.RequestID]*pending{},
+		keys:    newKeyedRequests(d.holding.Partition, d.holding.Epoch),
 	}
 	w.openLines(d.servers)
 	return w
@@ -162,6 +168,8 @@
 			w.lease = lease
 		case <-rings.release.Items():
 			w.drain(ctx)
+		case q := <-rings.explain.Items():
+			_ = q.Reply.Put(ctx, message.ExplainAnswer{Events: w.explained(q.Subject)})
 		case <-timer.C:
 			w.act(ctx, w.state.Tick(time.Now(), w.actions[:0]))
 		case r := <-dumps:
@@ -191,6 +199,13 @@
 		s.Deliver(w.withHint(message.Refuse(r.ID, reason, 0)))
 		return
 	}
+	if s.KeyWanted {
+		s.Deliver(w.withHint(w.keys.issue(r.ID)))
+		return
+	}
+	if !w.keys.admit(s) {
+		return
+	}
 	w.pending[r.ID] = &pending{submission: s}
 	w.act(ctx, w.state.Submit(time.Now(), workOf(r), w.actions[:0]))
 }
@@ -221,7 +236,7 @@
 		p.answer = done.Answer
 	}
 	w.act(ctx, w.state.Complete(time.Now(), partition.Completion{
-		ID: done.Answer.ID, Server: done.Server, Result: resultOf(done),
+		ID: done.Answer.ID, Server: done.Server, Attempt: done.Attempt, Result: resultOf(done),
 		Duration: done.Duration, SlotReleased: done.SlotReleased, Leaving: done.Leaving,
 	}, w.actions[:0]))
 }
@@ -259,16 +274,11 @@
 	return u
 }
 
-// drain refuses what waits and lets what runs end.
+// drain withdraws what waits and lets what runs end.
 func (w *partitionWork) drain(ctx context.Context) {
 	w.draining = true
-	for id, p := range w.pending {
-		w.actions = w.state.Cancel(time.Now(), id, w.actions[:0])
-		if len(w.actions) == 0 {
-			continue
-		}
-		delete(w.pending, id)
-		p.submission.Deliver(message.Refuse(id, outcome.NotHolder, 0))
+	for id := range w.pending {
+		w.act(ctx, w.state.Cancel(time.Now(), id, w.actions[:0]))
 	}
 }
 
@@ -283,6 +293,7 @@
 // abandon answers what the duty still holds when it ends or fails.
 func (w *partitionWork) abandon() {
 	for id, p := range w.pending {
+		w.keys.end(p.submission.Request, message.Unknown(id, outcome.DutyFailed))
 		p.submission.Deliver(message.Unknown(id, outcome.DutyFailed))
 	}
 	for _, line := range w.lines {
@@ -299,6 +310,7 @@
 	Capacity  int               `json:"slots"`
 	Waiting   int               `json:"waiting"`
 	InFlight  int               `json:"exchanges_in_progress"`
+	Keys      int               `json:"request_keys"`
 }
 
 func (w *partitionWork) dump() partitionDump {
@@ -306,6 +318,6 @@
 	return partitionDump{
 		Partition: w.lease.Partition, Epoch: w.lease.Epoch,
 		LeaseFor: time.Until(w.lease.Until).Round(time.Millisecond).String(), Draining: w.draining,
-		Free: free, Capacity: capacity, Waiting: waiting, InFlight: w.inFlight,
+		Free: free, Capacity: capacity, Waiting: waiting, InFlight: w.inFlight, Keys: w.keys.table.Len(),
 	}
 }
