--- /dev/null
+++ b/decision/lease/fold.go
@@ -0,0 +1,291 @@
+package lease
+
+import (
+	"sort"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// forgetAfter is the distance in offsets after which a member that holds
+// nothing and has not renewed is forgotten; it must join again. 7 members
+// renewing each second use it up in about 20 minutes.
+const forgetAfter fleet.Offset = 10_000
+
+// Fold is the deterministic fold of one ownership stream. Log order decides.
+// After a truncation it is incomplete until a usable snapshot is read.
+type Fold struct {
+	members    map[MemberKey]*foldMember
+	latest     map[fleet.InstanceID]MemberKey
+	partitions map[fleet.PartitionID]*Ownership
+	next       fleet.Offset // offset after the last record applied
+	incomplete bool
+	oldest     fleet.Offset // oldest offset kept when the log was truncated
+	buffered   []Entry      // records read while incomplete
+	since      int          // records since the last snapshot
+}
+
+type foldMember struct {
+	address     string
+	joined      fleet.Offset
+	lastRenewal fleet.Offset
+	held        int
+}
+
+// Ownership is what the log says about one partition.
+type Ownership struct {
+	Holder   MemberKey // zero while unheld
+	Epoch    fleet.Epoch
+	Acquired fleet.Offset // offset of the claim
+}
+
+// Held reports whether a member holds the partition by the log.
+func (o Ownership) Held() bool { return o.Holder != MemberKey{} }
+
+// NewFold returns the fold of an empty stream.
+func NewFold() *Fold {
+	f := &Fold{}
+	f.clear()
+	return f
+}
+
+func (f *Fold) clear() {
+	f.members = map[MemberKey]*foldMember{}
+	f.latest = map[fleet.InstanceID]MemberKey{}
+	f.partitions = map[fleet.PartitionID]*Ownership{}
+}
+
+// Truncated tells the fold that records before oldest are gone and that it
+// missed some of them. The state is discarded.
+func (f *Fold) Truncated(oldest fleet.Offset) {
+	f.clear()
+	f.incomplete, f.oldest, f.buffered = true, oldest, nil
+}
+
+// Complete reports whether the fold knows the whole state.
+func (f *Fold) Complete() bool { return !f.incomplete }
+
+// Of returns the ownership of a partition; the zero value if never held.
+func (f *Fold) Of(p fleet.PartitionID) Ownership {
+	if o := f.partitions[p]; o != nil {
+		return *o
+	}
+	return Ownership{}
+}
+
+// Joined reports whether the key is the newest incarnation of its member.
+func (f *Fold) Joined(k MemberKey) bool {
+	return k.Incarnation != 0 && f.latest[k.ID] == k
+}
+
+// HeldBy returns the number of partitions that the member holds by the log.
+func (f *Fold) HeldBy(k MemberKey) int {
+	if m := f.members[k]; m != nil {
+		return m.held
+	}
+	return 0
+}
+
+// LastSign returns the offset of the last claim or renewal that keeps the
+// ownership alive.
+func (f *Fold) LastSign(o Ownership) fleet.Offset {
+	if m := f.members[o.Holder]; m != nil {
+		return max(o.Acquired, m.lastRenewal)
+	}
+	return o.Acquired
+}
+
+// Apply folds one record. It reports whether the record had effect; for a
+// claim, won lists the accepted claims (reusing the slice given).
+func (f *Fold) Apply(e Entry, won []PartitionClaim) (bool, []PartitionClaim) {
+	if f.incomplete {
+		f.buffer(e)
+		return false, won
+	}
+	f.next = e.Offset + 1
+	f.since++
+	r := &e.Record
+	switch r.Kind {
+	case Join:
+		return f.join(e.Offset, r), won
+	case Renew:
+		return f.renew(e.Offset, r), won
+	case Claim:
+		return f.claims(e.Offset, r, won)
+	case Release:
+		return f.release(r), won
+	case Snapshot:
+		f.since = 0
+	}
+	return false, won
+}
+
+// join accepts only growing incarnations. Leases of earlier incarnations stay
+// until they are claimed, because duties of that run may still use them.
+func (f *Fold) join(at fleet.Offset, r *Record) bool {
+	old, known := f.latest[r.Member.ID]
+	if known && old.Incarnation >= r.Member.Incarnation {
+		return false
+	}
+	f.forget(at)
+	f.latest[r.Member.ID] = r.Member
+	f.members[r.Member] = &foldMember{address: r.Address, joined: at, lastRenewal: at}
+	return true
+}
+
+// forget removes members that hold nothing and have been silent for long, and
+// replaced incarnations that hold nothing.
+func (f *Fold) forget(at fleet.Offset) {
+	for k, m := range f.members {
+		replaced := f.latest[k.ID] != k
+		if m.held > 0 || (!replaced && at-m.lastRenewal < forgetAfter) {
+			continue
+		}
+		delete(f.members, k)
+		if !replaced {
+			delete(f.latest, k.ID)
+		}
+	}
+}
+
+func (f *Fold) renew(at fleet.Offset, r *Record) bool {
+	if !f.Joined(r.Member) {
+		return false
+	}
+	f.members[r.Member].lastRenewal = at
+	return true
+}
+
+func (f *Fold) claims(at fleet.Offset, r *Record, won []PartitionClaim) (bool, []PartitionClaim) {
+	if !f.Joined(r.Member) {
+		return false, won
+	}
+	before := len(won)
+	for _, c := range r.Claims {
+		if !f.stillTrue(r.Member, c) {
+			continue
+		}
+		f.take(at, r.Member, c.Partition)
+		won = append(won, c)
+	}
+	return len(won) > before, won
+}
+
+// stillTrue rejects a claim of an old epoch, and one whose holder renewed or
+// changed after what the claimant had read. A member that claims its own
+// partition anew is not hindered by its own renewals.
+func (f *Fold) stillTrue(claimant MemberKey, c PartitionClaim) bool {
+	o := f.Of(c.Partition)
+	if c.Ends != o.Epoch {
+		return false
+	}
+	return !o.Held() || o.Holder == claimant || (c.Seen == o.Holder && c.SeenRenewal == f.LastSign(o))
+}
+
+func (f *Fold) take(at fleet.Offset, k MemberKey, p fleet.PartitionID) {
+	o := f.partitions[p]
+	if o == nil {
+		o = &Ownership{}
+		f.partitions[p] = o
+	}
+	f.countHeld(o.Holder, -1)
+	f.countHeld(k, 1)
+	o.Holder, o.Acquired = k, at
+	o.Epoch++
+}
+
+func (f *Fold) countHeld(k MemberKey, by int) {
+	if m := f.members[k]; m != nil {
+		m.held += by
+	}
+}
+
+func (f *Fold) release(r *Record) bool {
+	effect := false
+	for _, pe := range r.Released {
+		o := f.partitions[pe.Partition]
+		if o == nil || o.Holder != r.Member || o.Epoch != pe.Epoch {
+			continue
+		}
+		f.countHeld(o.Holder, -1)
+		o.Holder = MemberKey{}
+		effect = true
+	}
+	return effect
+}
+
+// FoldState is the whole state of a fold, for a snapshot record.
+type FoldState struct {
+	// At is the offset of the first record that is not part of the state.
+	At         fleet.Offset
+	Members    []MemberState
+	Partitions []PartitionState
+}
+
+// MemberState is one member of a FoldState.
+type MemberState struct {
+	Key         MemberKey
+	Address     string
+	Joined      fleet.Offset
+	LastRenewal fleet.Offset
+	Latest      bool
+}
+
+// PartitionState is one partition of a FoldState.
+type PartitionState struct {
+	Partition fleet.PartitionID
+	Ownership
+}
+
+// State returns a copy of the state, in a fixed order.
+func (f *Fold) State() FoldState {
+	s := FoldState{At: f.next}
+	for k, m := range f.members {
+		s.Members = append(s.Members, MemberState{
+			Key: k, Address: m.address, Joined: m.joined,
+			LastRenewal: m.lastRenewal, Latest: f.latest[k.ID] == k,
+		})
+	}
+	for p, o := range f.partitions {
+		s.Partitions = append(s.Partitions, PartitionState{Partition: p, Ownership: *o})
+	}
+	sort.Slice(s.Members, func(i, j int) bool {
+		a, b := s.Members[i].Key, s.Members[j].Key
+		return a.ID < b.ID || (a.ID == b.ID && a.Incarnation < b.Incarnation)
+	})
+	sort.Slice(s.Partitions, func(i, j int) bool { return s.Partitions[i].Partition < s.Partitions[j].Partition })
+	return s
+}
+
+// buffer keeps records until a snapshot is read whose missing records are all
+// buffered, then replays the records after the snapshot's state.
+func (f *Fold) buffer(e Entry) {
+	f.buffered = append(f.buffered, e)
+	s := e.Record.State
+	if e.Record.Kind != Snapshot || s == nil || s.At < f.oldest {
+		return
+	}
+	f.load(*s)
+	replay := f.buffered
+	f.incomplete, f.buffered = false, nil
+	for _, b := range replay {
+		if b.Offset >= s.At {
+			f.Apply(b, nil)
+		}
+	}
+}
+
+func (f *Fold) load(s FoldState) {
+	f.clear()
+	f.next = s.At
+	for _, m := range s.Members {
+		f.members[m.Key] = &foldMember{address: m.Address, joined: m.Joined, lastRenewal: m.LastRenewal}
+		if m.Latest {
+			f.latest[m.Key.ID] = m.Key
+		}
+	}
+	for _, p := range s.Partitions {
+		o := p.Ownership
+		f.partitions[p.Partition] = &o
+		f.countHeld(o.Holder, 1)
+	}
+}
--- /dev/null
+++ b/decision/lease/member.go
@@ -0,0 +1,361 @@
+package lease
+
+import (
+	"strconv"
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// roundBits leaves room for the rounds of one incarnation, so that the round
+// numbers of a later incarnation are greater.
+const roundBits = 20
+
+// sentKept is the number of renewals and rounds whose send times are kept. At
+// the default settings it covers 64 s, far more than the TTL.
+const sentKept = 64
+
+// Member is the state machine of one entry instance of a region. It is not
+// safe for concurrent use. Each event takes the current time, which must not
+// go backwards, and returns the actions to carry out.
+type Member struct {
+	self     MemberKey
+	address  string
+	region   fleet.Region
+	settings Settings
+	options  options
+	now      time.Time
+	out      Actions
+
+	fold     *Fold
+	logHeard time.Time               // last read that succeeded
+	signs    map[MemberKey]time.Time // when the last renewal or join was read
+	changed  map[fleet.PartitionID]time.Time
+	won      []PartitionClaim // buffer
+
+	list  listView
+	peers map[fleet.InstanceID]*peer
+	order []fleet.InstanceID // keys of peers, sorted: a fixed order of messages
+
+	own       map[fleet.PartitionID]*ownLease
+	ended     map[fleet.PartitionID]time.Time // own leases that ended, not yet released
+	releasing map[fleet.PartitionID]*releaseIntent
+	pending   map[fleet.PartitionID]*attempt
+
+	sequence   uint64
+	renewSent  sendTimes
+	round      uint64
+	roundSent  sendTimes
+	asking     bool   // promises are wanted or not yet given back
+	backTo     uint64 // rounds up to this one were given back
+	granted    time.Time // latest end of a lease that was lost
+	appendID   uint64
+	joinSent   time.Time
+	renewedAt  time.Time
+	askedAt    time.Time
+	helloAt    time.Time
+	balancedAt time.Time
+	snapshotAt time.Time
+	readySince time.Time
+	stopping   bool
+}
+
+// ownLease is a lease that the member holds. until only grows.
+type ownLease struct {
+	PartitionEpoch
+	until    time.Time
+	logUntil time.Time // end by the last claim or renewal read back
+	lapsed   bool      // only with options.promisesRevive
+}
+
+// attempt is a claim that may be in the log.
+type attempt struct {
+	id    string
+	claim PartitionClaim
+	sent  time.Time
+}
+
+// releaseIntent is a release that is due or not yet read back.
+type releaseIntent struct {
+	epoch fleet.Epoch
+	due   time.Time
+}
+
+// sendTimes keeps the send times of the last numbered messages.
+type sendTimes [sentKept]struct {
+	number uint64
+	at     time.Time
+}
+
+func (s *sendTimes) put(number uint64, at time.Time) {
+	s[number%sentKept].number, s[number%sentKept].at = number, at
+}
+
+// get returns the send time, or false when it was long ago.
+func (s *sendTimes) get(number uint64) (time.Time, bool) {
+	e := &s[number%sentKept]
+	return e.at, e.number == number && !e.at.IsZero()
+}
+
+// NewMember returns a member without leases. The incarnation must be greater
+// than that of any earlier run of the same instance, and at least 1.
+func NewMember(self fleet.Instance, incarnation uint64, s Settings) *Member {
+	return &Member{
+		self: MemberKey{ID: self.ID, Incarnation: incarnation}, address: self.PeerAddress,
+		region: self.Region, settings: s, fold: NewFold(),
+		signs:     map[MemberKey]time.Time{},
+		changed:   map[fleet.PartitionID]time.Time{},
+		peers:     map[fleet.InstanceID]*peer{},
+		own:       map[fleet.PartitionID]*ownLease{},
+		ended:     map[fleet.PartitionID]time.Time{},
+		releasing: map[fleet.PartitionID]*releaseIntent{},
+		pending:   map[fleet.PartitionID]*attempt{},
+		round:     incarnation << roundBits, backTo: incarnation << roundBits,
+	}
+}
+
+// begin starts an event: leases whose time is over end before anything else
+// is looked at, so that nothing that arrives late can extend them.
+func (m *Member) begin(now time.Time) {
+	m.out.reset()
+	m.now = now
+	m.lapse()
+}
+
+// finish ends an event: whatever the event brought, leases are extended as far
+// as the rules allow.
+func (m *Member) finish() *Actions {
+	m.extend()
+	return &m.out
+}
+
+// Records handles records that were read back. The time of the event counts as
+// the time of reading. caughtUp says that no newer record was there.
+func (m *Member) Records(now time.Time, entries []Entry) *Actions {
+	m.begin(now)
+	m.logHeard = now
+	for i := range entries {
+		m.record(entries[i])
+	}
+	m.resolvePending()
+	return m.finish()
+}
+
+// Truncated handles the loss of records that the member has not read.
+func (m *Member) Truncated(now time.Time, oldest fleet.Offset) *Actions {
+	m.begin(now)
+	m.fold.Truncated(oldest)
+	clear(m.signs)
+	clear(m.changed)
+	for p, l := range m.own {
+		m.lose(p, l, "records that were not read are gone from the log")
+	}
+	return m.finish()
+}
+
+func (m *Member) record(e Entry) {
+	wasComplete := m.fold.Complete()
+	effect, won := m.fold.Apply(e, m.won[:0])
+	m.won = won
+	if !wasComplete {
+		if m.fold.Complete() {
+			m.rebuilt()
+		}
+		return
+	}
+	r := &e.Record
+	if !effect {
+		return
+	}
+	switch r.Kind {
+	case Join:
+		m.signs[r.Member] = m.now
+		m.meet(r.Member)
+		m.forgetSigns()
+	case Renew:
+		m.signs[r.Member] = m.now
+		m.renewalRead(r)
+	case Claim:
+		for _, c := range won {
+			m.claimRead(r, c)
+		}
+	case Release:
+		for _, pe := range r.Released {
+			m.releaseRead(pe)
+		}
+	}
+}
+
+// rebuilt treats every member of a snapshot as if it had renewed just now.
+func (m *Member) rebuilt() {
+	for k := range m.fold.members {
+		m.signs[k] = m.now
+		if m.fold.Joined(k) {
+			m.meet(k)
+		}
+	}
+	for p, o := range m.fold.partitions {
+		m.changed[p] = m.now
+		if o.Holder == m.self {
+			m.ended[p] = m.now
+		}
+	}
+}
+
+func (m *Member) forgetSigns() {
+	for k := range m.signs {
+		if m.fold.members[k] == nil {
+			delete(m.signs, k)
+		}
+	}
+}
+
+// renewalRead notes the extension by rule b; extend applies it.
+func (m *Member) renewalRead(r *Record) {
+	if r.Member != m.self {
+		return
+	}
+	sent, known := m.renewSent.get(r.Sequence)
+	if !known {
+		return
+	}
+	for _, l := range m.own {
+		l.logUntil = later(l.logUntil, sent.Add(m.settings.TTL))
+	}
+}
+
+// claimRead handles an accepted claim: an own one acquires if it was read back
+// in time; another's ends the own lease at once.
+func (m *Member) claimRead(r *Record, c PartitionClaim) {
+	m.changed[c.Partition] = m.now
+	epoch := c.Ends + 1
+	if l := m.own[c.Partition]; l != nil && l.Epoch < epoch {
+		m.lose(c.Partition, l, "claimed by "+string(r.Member.ID)+" under a newer epoch")
+	}
+	delete(m.ended, c.Partition)
+	delete(m.releasing, c.Partition)
+	if r.Member != m.self {
+		return
+	}
+	until, ok := m.acquisitionCounts(r.ID, c.Partition)
+	if !ok {
+		m.releaseAt(c.Partition, epoch, m.now)
+		return
+	}
+	l := &ownLease{PartitionEpoch: PartitionEpoch{c.Partition, epoch}, until: until, logUntil: until}
+	m.own[c.Partition] = l
+	m.out.Acquired = append(m.out.Acquired, Lease{l.PartitionEpoch, until})
+}
+
+func (m *Member) releaseRead(pe PartitionEpoch) {
+	m.changed[pe.Partition] = m.now
+	if i := m.releasing[pe.Partition]; i != nil && i.epoch == pe.Epoch {
+		delete(m.releasing, pe.Partition)
+	}
+	delete(m.ended, pe.Partition)
+	if l := m.own[pe.Partition]; l != nil && l.Epoch <= pe.Epoch {
+		m.lose(pe.Partition, l, "released")
+		delete(m.ended, pe.Partition)
+	}
+}
+
+// resolvePending forgets claims that the fold has decided or that it can never
+// accept any more.
+func (m *Member) resolvePending() {
+	for p, a := range m.pending {
+		if m.fold.Complete() && !m.fold.stillTrue(m.self, a.claim) {
+			delete(m.pending, p)
+		}
+	}
+}
+
+// Appended handles the end of an append. After an error without effect the
+// claims of the record can't be in the log.
+func (m *Member) Appended(now time.Time, id string, failed, possible bool) *Actions {
+	m.begin(now)
+	if failed && !possible {
+		for p, a := range m.pending {
+			if a.id == id {
+				delete(m.pending, p)
+			}
+		}
+	}
+	return m.finish()
+}
+
+// Retake ends the own lease of a partition and claims it under a greater
+// epoch. It reports whether the member held the partition under that epoch.
+func (m *Member) Retake(now time.Time, pe PartitionEpoch) (*Actions, bool) {
+	m.begin(now)
+	l := m.own[pe.Partition]
+	held := l != nil && l.Epoch == pe.Epoch
+	if held {
+		m.lose(pe.Partition, l, "retaken under a greater epoch")
+	}
+	return m.finish(), held
+}
+
+// Stop ends every lease for a planned stop. The member releases what it holds
+// and announces nothing any more; it goes on to answer promise requests.
+func (m *Member) Stop(now time.Time) *Actions {
+	m.begin(now)
+	m.stopping = true
+	for p, l := range m.own {
+		epoch := l.Epoch
+		m.lose(p, l, "planned stop")
+		m.releaseAt(p, epoch, now.Add(m.settings.ReleaseDelay))
+	}
+	return m.finish()
+}
+
+// Released reports whether a stopping member holds nothing by the log, and no
+// claim of its own may still be accepted.
+func (m *Member) Released() bool {
+	return m.stopping && len(m.own) == 0 && len(m.pending) == 0 && m.fold.HeldBy(m.self) == 0
+}
+
+// Superseded returns the newest incarnation of this instance that has joined,
+// and whether it is newer than this one. Such a member can't join.
+func (m *Member) Superseded() (uint64, bool) {
+	latest := m.fold.latest[m.self.ID].Incarnation
+	return latest, latest > m.self.Incarnation
+}
+
+// Valid reports whether the member holds the partition at a time.
+func (m *Member) Valid(p fleet.PartitionID, now time.Time) bool {
+	l := m.own[p]
+	return l != nil && !l.lapsed && now.Before(l.until)
+}
+
+// lose ends a lease in the member's own view.
+func (m *Member) lose(p fleet.PartitionID, l *ownLease, reason string) {
+	delete(m.own, p)
+	m.ended[p] = m.now
+	m.granted = later(m.granted, l.until)
+	m.out.Lost = append(m.out.Lost, Lost{l.PartitionEpoch, reason})
+}
+
+func (m *Member) releaseAt(p fleet.PartitionID, epoch fleet.Epoch, due time.Time) {
+	m.releasing[p] = &releaseIntent{epoch: epoch, due: due}
+}
+
+// newID returns an identifier that no other record of the stream has.
+func (m *Member) newID() string {
+	m.appendID++
+	return string(m.self.ID) + "/" + strconv.FormatUint(m.self.Incarnation, 10) +
+		"/" + strconv.FormatUint(m.appendID, 10)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/decision/lease/rules.go
@@ -0,0 +1,245 @@
+package lease
+
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// lapse is the first half of rule e.
+//
+// Invariant: a lease whose time is over has ended for good. The lease value
+// goes with the answers that name its epoch, so no promise can revive it.
+func (m *Member) lapse() {
+	for p, l := range m.own {
+		if m.now.Before(l.until) || l.lapsed {
+			continue
+		}
+		if m.options.promisesRevive {
+			l.lapsed = true
+			continue
+		}
+		m.lose(p, l, "lapsed")
+	}
+}
+
+// extensionStep is the part of RenewEvery by which an extension has to exceed
+// the old end. Without it a member that is alone would publish one each tick.
+const extensionStep = 8
+
+// extend is the second half of rule e: only leases that lapse has left are
+// extended.
+//
+// Invariant: the end of a lease never moves back. A rule may therefore return
+// only a time up to which it holds whatever the member learns later.
+func (m *Member) extend() {
+	for _, l := range m.own {
+		until := m.byPromises(l)
+		if !l.lapsed {
+			until = later(until, m.byLog(l))
+		}
+		if until.Sub(l.until) < m.settings.RenewEvery/extensionStep || !until.After(m.now) {
+			continue
+		}
+		l.until, l.lapsed = until, false
+		m.out.Extended = append(m.out.Extended, Lease{l.PartitionEpoch, until})
+	}
+}
+
+// byLog is rule b. It returns the end of the lease by the renewals that were
+// read back, as long as the holder saw itself listed.
+//
+// Invariant: a claimant waits TTL plus margin from its reading of the last
+// renewal, which is later than the renewal's sending, and the fold rejects its
+// claim if a newer renewal precedes it. So by the time that a claim of another
+// member is accepted, logUntil has passed.
+func (m *Member) byLog(l *ownLease) time.Time {
+	return earlier(l.logUntil, m.listedUntil())
+}
+
+// byPromises is rule c. It returns the end of the lease by the promises of all
+// members that the holder knows.
+//
+// Invariant: a member acquires nothing while a promise of its own stands, nor
+// before TTL plus margin has passed since the holder answered it. A member
+// that is known but has not promised therefore bounds the lease by the time
+// that it became known plus TTL. While the holder sees itself listed, standing
+// promises are enough, because they end only after the holder has been off the
+// list for W. Otherwise each answer counts for TTL, and only as long as the
+// newest snapshot lists the holder.
+func (m *Member) byPromises(l *ownLease) time.Time {
+	ttl := m.settings.TTL
+	standing := m.listedUntil()
+	answered := m.now.Add(ttl)
+	for _, p := range m.peers {
+		if p.dropped {
+			continue
+		}
+		known := p.learned.Add(ttl)
+		if p.promised[l.Partition] != l.Epoch {
+			standing = earlier(standing, known)
+			answered = earlier(answered, known)
+			continue
+		}
+		answered = earlier(answered, later(known, p.answered.Add(ttl)))
+	}
+	if m.list.selfListed || m.options.ignoreOwnListing {
+		return later(standing, answered)
+	}
+	return standing
+}
+
+// listedUntil returns the time up to which the holder counts as listed.
+func (m *Member) listedUntil() time.Time {
+	if m.options.ignoreOwnListing {
+		return m.now.Add(m.settings.ListStale)
+	}
+	if m.list.selfSample.IsZero() {
+		return time.Time{}
+	}
+	return m.list.selfSample.Add(m.settings.ListStale)
+}
+
+// mayAcquire is the part of rule a that holds for all partitions. It returns
+// an empty string or the reason in words why nothing can be acquired now.
+//
+// Invariant: at the time that a claim is sent, every member that could hold
+// the partition through promises knows the claimant, has known it for TTL, and
+// has no promise of it; and every member that has forgotten the claimant did
+// so before the claimant saw itself on the list.
+func (m *Member) mayAcquire() string {
+	switch {
+	case m.stopping:
+		return "this instance is stopping"
+	case !m.fold.Complete():
+		return "the ownership log was truncated and no snapshot was read yet"
+	case !m.fold.Joined(m.self):
+		return "the own join record was not read back yet"
+	case m.now.Sub(m.logHeard) > m.settings.TTL:
+		return "the log does not answer"
+	case m.list.selfSince.IsZero() || m.now.Sub(m.list.selfSample) > m.settings.ListStale:
+		return "this instance does not see itself on a fresh list"
+	case m.now.Sub(m.list.selfSince) < m.settings.W()+m.settings.Margin:
+		return "this instance has not been on the list for W yet"
+	}
+	if p := m.outstandingPromise(); p != "" && !m.options.ignorePromises {
+		return "a promise to " + string(p) + " stands"
+	}
+	if p := m.notKnownTo(); p != "" {
+		return "instance " + string(p) + " has not known this instance for TTL yet"
+	}
+	return ""
+}
+
+// outstandingPromise returns a member that the own member has promised
+// something, or an empty string.
+func (m *Member) outstandingPromise() fleet.InstanceID {
+	for _, id := range m.order {
+		if m.promiseStands(m.peers[id]) {
+			return id
+		}
+	}
+	return ""
+}
+
+// notKnownTo returns a member that the own member has not made itself known to
+// for long enough, or an empty string.
+func (m *Member) notKnownTo() fleet.InstanceID {
+	wait := m.settings.TTL + m.settings.Margin
+	for _, id := range m.order {
+		p := m.peers[id]
+		if !p.dropped && (p.acked.IsZero() || m.now.Sub(p.acked) < wait) {
+			return id
+		}
+	}
+	return ""
+}
+
+// claimableSince is the part of rule a for one partition: the time from which
+// it may be claimed, or a reason in words why it may not.
+//
+// Invariant: a lease of another member that was extended through the log has
+// ended TTL after the sending of its last renewal, hence TTL plus margin after
+// its reading here.
+func (m *Member) claimableSince(p fleet.PartitionID, o Ownership) (time.Time, string) {
+	since := m.changed[p]
+	switch {
+	case m.own[p] != nil:
+		return since, "held by this instance"
+	case m.releasing[p] != nil:
+		return since, "its release was not read back yet"
+	case o.Holder == m.self:
+		return m.ended[p], ""
+	case o.Held() && !m.options.noClaimWait:
+		since = later(since, m.signs[o.Holder]).Add(m.settings.TTL + m.settings.Margin)
+		if m.now.Before(since) {
+			return since, "its holder " + string(o.Holder.ID) + " renewed less than TTL plus margin ago"
+		}
+	}
+	return since, ""
+}
+
+// acquisitionCounts is the last part of rule a: an accepted claim counts until
+// its send time plus TTL, if it is read back before that. An earlier attempt
+// than the last one is older than TTL.
+//
+// Invariant: other members wait TTL plus margin from their reading of the
+// claim, and a member that was dropped from the list for W can't have sent a
+// claim within the last TTL.
+func (m *Member) acquisitionCounts(id string, p fleet.PartitionID) (time.Time, bool) {
+	a := m.pending[p]
+	if a == nil || a.id != id || m.stopping {
+		return time.Time{}, false
+	}
+	until := a.sent.Add(m.settings.TTL)
+	return until, m.now.Before(until)
+}
+
+// refusal is the part of rule d that decides on one partition of a promise
+// request. It returns an empty string or the reason in words.
+//
+// Invariant: whoever has promised neither holds the partition nor has a claim
+// on its way that could still be accepted.
+func (m *Member) refusal(from *peer, pe PartitionEpoch) string {
+	o := m.fold.Of(pe.Partition)
+	switch {
+	case m.Valid(pe.Partition, m.now):
+		return "this instance holds it"
+	case o.Holder == m.self && o.Epoch >= pe.Epoch:
+		return "the log shows this instance as its holder"
+	case o.Epoch > pe.Epoch:
+		return "the log shows a newer epoch"
+	case m.pending[pe.Partition] != nil:
+		return "a claim of this instance is unresolved"
+	case m.promisedToOther(from, pe.Partition):
+		return "it is promised to another instance"
+	}
+	return ""
+}
+
+// promiseStands is the part of rule d that ends promises without a give-back.
+//
+// Invariant: when it reports false, the holder can't be valid through this
+// promise: it has seen itself off the list, or its last answer is too old.
+func (m *Member) promiseStands(p *peer) bool {
+	if m.now.Before(p.blockedUntil) {
+		return true
+	}
+	if p.given == nil {
+		return false
+	}
+	s := m.settings
+	if m.offList(p) && m.now.Sub(p.given.answered) > s.TTL+s.Margin {
+		p.given = nil
+		return false
+	}
+	return true
+}
+
+// offList reports whether a member has been off the list for more than W, by
+// fresh snapshots without a gap that list the own member.
+func (m *Member) offList(p *peer) bool {
+	return !p.offSince.IsZero() &&
+		m.now.Sub(m.list.sample) <= m.settings.ListStale &&
+		m.list.sample.Sub(p.offSince) > m.settings.W()+m.settings.Margin
+}
--- /dev/null
+++ b/decision/lease/tick.go
@@ -0,0 +1,250 @@
+package lease
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// TickEvery is the time between two ticks that the settings ask for.
+func (s Settings) TickEvery() time.Duration { return s.RenewEvery / 10 }
+
+// Tick does what is due: renewals, promise rounds, claims and releases.
+func (m *Member) Tick(now time.Time) *Actions {
+	m.begin(now)
+	m.extend() // so that nothing below acts on an outdated end
+	m.announce()
+	m.ask()
+	m.claim()
+	m.rebalance()
+	m.release()
+	m.snapshot()
+	return m.finish()
+}
+
+// announce joins, or renews all leases with one record.
+func (m *Member) announce() {
+	s := m.settings
+	switch {
+	case m.stopping:
+	case !m.fold.Joined(m.self):
+		if m.joinSent.IsZero() || m.now.Sub(m.joinSent) >= s.TTL {
+			m.joinSent = m.now
+			m.append(Record{Kind: Join, Address: m.address})
+		}
+	case m.now.Sub(m.renewedAt) >= s.RenewEvery:
+		m.renewedAt = m.now
+		m.sequence++
+		m.renewSent.put(m.sequence, m.now)
+		m.append(Record{Kind: Renew, Sequence: m.sequence})
+	}
+}
+
+func (m *Member) append(r Record) string {
+	r.ID, r.Member = m.newID(), m.self
+	m.out.Appends = append(m.out.Appends, r)
+	return r.ID
+}
+
+// claim sends one record with every partition that is due.
+func (m *Member) claim() {
+	if m.mayAcquire() != "" {
+		m.readySince = time.Time{}
+		return
+	}
+	if m.readySince.IsZero() {
+		m.readySince = m.now
+	}
+	share, candidates := m.share()
+	budget := share - len(m.own) - len(m.pending)
+	var claims []PartitionClaim
+	for _, p := range m.list.partitions {
+		o := m.fold.Of(p)
+		since, reason := m.claimableSince(p, o)
+		if reason != "" || m.attempted(p) {
+			continue
+		}
+		if !m.dueToClaim(p, o, since, candidates, budget) {
+			continue
+		}
+		budget--
+		claims = append(claims, PartitionClaim{p, o.Epoch, o.Holder, m.fold.LastSign(o)})
+	}
+	if len(claims) == 0 {
+		return
+	}
+	id := m.append(Record{Kind: Claim, Claims: claims})
+	for _, c := range claims {
+		m.pending[c.Partition] = &attempt{id: id, claim: c, sent: m.now}
+	}
+}
+
+// attempted reports whether a claim was sent within the last TTL. An older one
+// can't count any more and is repeated.
+func (m *Member) attempted(p fleet.PartitionID) bool {
+	a := m.pending[p]
+	return a != nil && m.now.Sub(a.sent) <= m.settings.TTL
+}
+
+// dueToClaim staggers the claims of the members by their rank, so that they do
+// not all claim every partition. A member at its fair share waits for TTL
+// after everyone else's turn. An own lease that ended is revived at once.
+func (m *Member) dueToClaim(p fleet.PartitionID, o Ownership, since time.Time, candidates []MemberKey, budget int) bool {
+	if o.Holder == m.self {
+		return true
+	}
+	s := m.settings
+	since = later(since, m.readySince)
+	if budget <= 0 {
+		return m.now.Sub(since) >= s.TTL+time.Duration(len(candidates))*s.ClaimStagger
+	}
+	waited := m.now.Sub(since)
+	if waited < 0 {
+		return false
+	}
+	return waited >= time.Duration(m.rank(p, candidates))*s.ClaimStagger
+}
+
+// share returns the fair share of the partitions, rounded up, and the members
+// below it (the own member included). Members count while they are listed, not
+// leaving, and renew.
+func (m *Member) share() (int, []MemberKey) {
+	alive := make([]MemberKey, 0, len(m.order)+1)
+	if !m.list.selfLeaving {
+		alive = append(alive, m.self)
+	}
+	for _, id := range m.order {
+		p := m.peers[id]
+		if p.listed && !p.leaving && m.renews(p.key) {
+			alive = append(alive, p.key)
+		}
+	}
+	if len(alive) == 0 {
+		return 0, nil
+	}
+	share := (len(m.list.partitions) + len(alive) - 1) / len(alive)
+	if m.list.selfLeaving {
+		share = 0
+	}
+	below := alive[:0]
+	for _, k := range alive {
+		if k == m.self || m.fold.HeldBy(k) < share {
+			below = append(below, k)
+		}
+	}
+	return share, below
+}
+
+func (m *Member) renews(k MemberKey) bool {
+	return m.fold.Joined(k) && m.now.Sub(m.signs[k]) <= m.settings.TTL+m.settings.Margin
+}
+
+// rank returns the number of candidates before the own member in the
+// rendezvous order of the partition.
+func (m *Member) rank(p fleet.PartitionID, candidates []MemberKey) int {
+	own, before := weight(p, m.self.ID), 0
+	for _, k := range candidates {
+		if k != m.self && weight(p, k.ID) > own {
+			before++
+		}
+	}
+	return before
+}
+
+func weight(p fleet.PartitionID, id fleet.InstanceID) uint64 {
+	return xxhash.Sum64String(string(p) + "\x00" + string(id))
+}
+
+// rebalance gives up a few partitions above the fair share when a member that
+// has been there for long enough to claim them is below its share.
+func (m *Member) rebalance() {
+	s := m.settings
+	if m.stopping || m.asking || m.now.Sub(m.balancedAt) < s.RebalanceEvery || m.mayAcquire() != "" {
+		return
+	}
+	m.balancedAt = m.now
+	share, below := m.share()
+	excess := min(len(m.own)-share, s.RebalanceBatch)
+	if excess <= 0 || !m.hasTaker(below) {
+		return
+	}
+	for _, p := range m.leastPreferred()[:excess] {
+		l := m.own[p]
+		m.lose(p, l, "released for balance")
+		m.releaseAt(p, l.Epoch, m.now.Add(s.ReleaseDelay))
+	}
+}
+
+// hasTaker reports whether another member below its share has been listed for
+// long enough to have met the conditions of rule a.
+func (m *Member) hasTaker(below []MemberKey) bool {
+	for _, k := range below {
+		p := m.peers[k.ID]
+		if p == nil || p.listedSince.IsZero() {
+			continue
+		}
+		if m.now.Sub(p.listedSince) > m.settings.W()+2*m.settings.TTL {
+			return true
+		}
+	}
+	return false
+}
+
+// leastPreferred returns the own partitions, those first whose rendezvous
+// weight for the own member is smallest.
+func (m *Member) leastPreferred() []fleet.PartitionID {
+	list := make([]fleet.PartitionID, 0, len(m.own))
+	for p := range m.own {
+		list = append(list, p)
+	}
+	sort.Slice(list, func(i, j int) bool { return weight(list[i], m.self.ID) < weight(list[j], m.self.ID) })
+	return list
+}
+
+// release appends what is due in one record, and again after TTL until it is
+// read back. A lease that ended and was not revived within TTL is released, so
+// that others need not wait for this member's renewals to stop.
+func (m *Member) release() {
+	s := m.settings
+	for p, at := range m.ended {
+		o := m.fold.Of(p)
+		if o.Holder != m.self || m.own[p] != nil {
+			delete(m.ended, p)
+			continue
+		}
+		if m.releasing[p] == nil && m.now.Sub(at) >= s.TTL && !m.attempted(p) {
+			m.releaseAt(p, o.Epoch, m.now)
+		}
+	}
+	var due []PartitionEpoch
+	for p, i := range m.releasing {
+		if !m.now.Before(i.due) {
+			due = append(due, PartitionEpoch{p, i.epoch})
+			i.due = m.now.Add(s.TTL)
+		}
+	}
+	if len(due) > 0 {
+		sort.Slice(due, func(i, j int) bool { return due[i].Partition < due[j].Partition })
+		m.append(Record{Kind: Release, Released: due})
+	}
+}
+
+// snapshot writes the state of the fold before the log's retention drops the
+// records that it comes from. The first joined member that is listed does so.
+func (m *Member) snapshot() {
+	s := m.settings
+	if m.stopping || !m.fold.Joined(m.self) || m.fold.since < s.SnapshotEvery || m.now.Sub(m.snapshotAt) < s.TTL {
+		return
+	}
+	for _, id := range m.order {
+		if p := m.peers[id]; id < m.self.ID && p.listed && m.renews(p.key) {
+			return
+		}
+	}
+	m.snapshotAt = m.now
+	state := m.fold.State()
+	m.append(Record{Kind: Snapshot, State: &state})
+}
