--- /dev/null
+++ b/decision/lease/fold_test.go
@@ -0,0 +1,119 @@
+package lease
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+var (
+	keyA = MemberKey{"a", 1}
+	keyB = MemberKey{"b", 1}
+)
+
+func join(k MemberKey) Record  { return Record{Kind: Join, Member: k} }
+func renew(k MemberKey) Record { return Record{Kind: Renew, Member: k} }
+
+func claim(k MemberKey, ends fleet.Epoch, seen MemberKey, at fleet.Offset) Record {
+	return Record{Kind: Claim, Member: k, Claims: []PartitionClaim{{"dc/r", ends, seen, at}}}
+}
+
+func release(k MemberKey, epoch fleet.Epoch) Record {
+	return Record{Kind: Release, Member: k, Released: []PartitionEpoch{{"dc/r", epoch}}}
+}
+
+// Guards against a fold that accepts a claim which the log contradicts.
+func TestFoldDecidesClaims(t *testing.T) {
+	a2 := MemberKey{"a", 2}
+	none := MemberKey{}
+	cases := []struct {
+		name    string
+		records []Record
+		want    string // holder, incarnation and epoch at the end
+	}{
+		{"claim of an unheld partition", []Record{join(keyA), claim(keyA, 0, none, 0)}, "a/1@1"},
+		{"claim without a join", []Record{claim(keyA, 0, none, 0)}, "/0@0"},
+		{"first of two claims wins", []Record{join(keyA), join(keyB), claim(keyB, 0, none, 0), claim(keyA, 0, none, 0)}, "b/1@1"},
+		{"claim after the last sign seen", []Record{join(keyA), join(keyB), claim(keyA, 0, none, 0), renew(keyA), claim(keyB, 1, keyA, 3)}, "b/1@2"},
+		{"newer renewal precedes the claim", []Record{join(keyA), join(keyB), claim(keyA, 0, none, 0), renew(keyA), renew(keyA), claim(keyB, 1, keyA, 3)}, "a/1@1"},
+		{"renewal after the claim", []Record{join(keyA), join(keyB), claim(keyA, 0, none, 0), claim(keyB, 1, keyA, 2), renew(keyA)}, "b/1@2"},
+		{"claim of an old epoch", []Record{join(keyA), join(keyB), claim(keyA, 0, none, 0), claim(keyB, 0, none, 0)}, "a/1@1"},
+		{"claim names another holder", []Record{join(keyA), join(keyB), claim(keyA, 0, none, 0), claim(keyB, 1, keyB, 2)}, "a/1@1"},
+		{"own claim passes own renewals", []Record{join(keyA), claim(keyA, 0, none, 0), renew(keyA), claim(keyA, 1, keyA, 1)}, "a/1@2"},
+		{"release frees and keeps the epoch", []Record{join(keyA), join(keyB), claim(keyA, 0, none, 0), release(keyA, 1), claim(keyB, 1, none, 0)}, "b/1@2"},
+		{"release of an old epoch", []Record{join(keyA), claim(keyA, 0, none, 0), release(keyA, 0)}, "a/1@1"},
+		{"release by another member", []Record{join(keyA), join(keyB), claim(keyA, 0, none, 0), release(keyB, 1)}, "a/1@1"},
+		{"claim of an earlier incarnation", []Record{join(keyA), join(a2), claim(keyA, 0, none, 0)}, "/0@0"},
+		{"join keeps the earlier run's lease", []Record{join(keyA), claim(keyA, 0, none, 0), join(a2)}, "a/1@1"},
+		{"renewal of a later run extends nothing", []Record{join(keyA), join(keyB), claim(keyA, 0, none, 0), join(a2), renew(a2), claim(keyB, 1, keyA, 2)}, "b/1@2"},
+		{"an earlier run cannot join again", []Record{join(a2), join(keyA), claim(keyA, 0, none, 0)}, "/0@0"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := NewFold()
+			for i, r := range c.records {
+				f.Apply(Entry{fleet.Offset(i), r}, nil)
+			}
+			o := f.Of("dc/r")
+			if got := fmt.Sprintf("%s/%d@%d", o.Holder.ID, o.Holder.Incarnation, o.Epoch); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a fold that starts from a snapshot and differs from one that
+// has read everything, wherever the log was truncated.
+func TestFoldFromSnapshot(t *testing.T) {
+	w := newWorld(3, 4, 6)
+	w.settings.SnapshotEvery = 40
+	for _, n := range w.nodes {
+		n.member.settings.SnapshotEvery = 40
+	}
+	w.runTo(settled)
+	w.kill(w.nodes[1])
+	w.runTo(2 * settled)
+	full := NewFold()
+	for _, e := range w.log {
+		full.Apply(e, nil)
+	}
+	want, _ := json.Marshal(full.State())
+	complete := 0
+	for start := range w.log {
+		f := NewFold()
+		f.Truncated(fleet.Offset(start))
+		for _, e := range w.log[start:] {
+			f.Apply(e, nil)
+		}
+		if !f.Complete() {
+			continue
+		}
+		complete++
+		if got, _ := json.Marshal(f.State()); string(got) != string(want) {
+			t.Fatalf("from offset %d: got %s, want %s", start, got, want)
+		}
+	}
+	if complete < len(w.log)/2 {
+		t.Errorf("only %d of %d starts found a snapshot", complete, len(w.log))
+	}
+}
+
+// Guards against a member that loses its place when the log is truncated.
+func TestMemberRecoversFromTruncation(t *testing.T) {
+	w := newWorld(3, 4, 6)
+	for _, n := range w.nodes {
+		n.member.settings.SnapshotEvery = 40
+	}
+	w.runTo(settled)
+	n := w.nodes[2]
+	w.carryOut(n, n.member.Truncated(w.local(n), fleet.Offset(len(w.log))))
+	if n.member.mayAcquire() == "" || len(n.member.own) > 0 {
+		t.Error("a member without the whole fold must hold and acquire nothing")
+	}
+	w.runTo(3 * settled)
+	if !n.member.fold.Complete() || w.validShare() != 1 || w.violation != "" {
+		t.Errorf("complete %v, share held %v, violation %q", n.member.fold.Complete(), w.validShare(), w.violation)
+	}
+}
--- a/decision/lease/member.go
+++ b/decision/lease/member.go
@@ -46,8 +46,8 @@
 	renewSent  sendTimes
 	round      uint64
 	roundSent  sendTimes
-	asking     bool   // promises are wanted or not yet given back
-	backTo     uint64 // rounds up to this one were given back
+	asking     bool      // promises are wanted or not yet given back
+	backTo     uint64    // rounds up to this one were given back
 	granted    time.Time // latest end of a lease that was lost
 	appendID   uint64
 	joinSent   time.Time
--- /dev/null
+++ b/decision/lease/promise_test.go
@@ -0,0 +1,163 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// promiseCase is a member b that is asked by a for the partition under epoch 1.
+type promiseCase struct {
+	m     *Member
+	now   time.Time
+	round uint64
+}
+
+func (c *promiseCase) ask(from MemberKey) bool {
+	c.round++
+	a := c.m.PromiseRequested(c.now, PromiseRequest{from, c.round, []PartitionEpoch{{"dc/r", 1}}})
+	return len(a.Promises) == 1 && len(a.Promises[0].Message.Partitions) == 1
+}
+
+func (c *promiseCase) pass(d time.Duration) { c.now = c.now.Add(d) }
+
+// show feeds snapshots for a while; each lists b and the given members.
+func (c *promiseCase) show(d time.Duration, ids ...fleet.InstanceID) {
+	list := []fleet.Instance{{ID: "b", Region: testRegion}}
+	for _, id := range ids {
+		list = append(list, fleet.Instance{ID: id, Region: testRegion})
+	}
+	for range d / time.Second {
+		c.pass(time.Second)
+		c.m.Listed(c.now, List{SampledAt: c.now, Instances: list, Partitions: []fleet.PartitionID{"dc/r"}})
+	}
+}
+
+func (c *promiseCase) read(records ...Record) {
+	var entries []Entry
+	for _, r := range records {
+		entries = append(entries, Entry{c.m.fold.next + fleet.Offset(len(entries)), r})
+	}
+	c.m.Records(c.now, entries)
+}
+
+// Guards against a promise given in a state in which it could be broken, and
+// against one that ends while its holder may still rely on it.
+func TestPromiseRules(t *testing.T) {
+	aHolds := []Record{join(keyA), join(keyB), claim(keyA, 0, MemberKey{}, 0)}
+	bHolds := []Record{join(keyA), join(keyB), claim(keyB, 0, MemberKey{}, 0)}
+	keyC := MemberKey{"c", 1}
+	s := DefaultSettings()
+	cases := []struct {
+		name     string
+		setUp    func(c *promiseCase)
+		promised bool // the answer to a
+		stands   bool // a promise to a stands afterwards
+	}{
+		{"nothing speaks against it", func(c *promiseCase) { c.read(aHolds...) }, true, true},
+		{"a claim is unresolved", func(c *promiseCase) {
+			c.read(aHolds...)
+			c.m.pending["dc/r"] = &attempt{id: "x", claim: PartitionClaim{"dc/r", 1, keyA, 2}, sent: c.now}
+		}, false, false},
+		{"a claim is resolved by a newer renewal", func(c *promiseCase) {
+			c.read(aHolds...)
+			c.m.pending["dc/r"] = &attempt{id: "x", claim: PartitionClaim{"dc/r", 1, keyA, 2}, sent: c.now}
+			c.read(renew(keyA))
+		}, true, true},
+		{"a claim that failed without effect", func(c *promiseCase) {
+			c.read(aHolds...)
+			c.m.pending["dc/r"] = &attempt{id: "x", claim: PartitionClaim{"dc/r", 1, keyA, 2}, sent: c.now}
+			c.m.Appended(c.now, "x", true, false)
+		}, true, true},
+		{"a claim that failed and is possible", func(c *promiseCase) {
+			c.read(aHolds...)
+			c.m.pending["dc/r"] = &attempt{id: "x", claim: PartitionClaim{"dc/r", 1, keyA, 2}, sent: c.now}
+			c.m.Appended(c.now, "x", true, true)
+		}, false, false},
+		{"the log shows the own member as holder", func(c *promiseCase) { c.read(bHolds...) }, false, false},
+		{"the log shows a newer epoch", func(c *promiseCase) {
+			c.read(append(aHolds, join(keyC), claim(keyC, 1, keyA, 2))...)
+		}, false, false},
+		{"promised to another", func(c *promiseCase) { c.ask(keyC) }, false, false},
+		{"given back by another", func(c *promiseCase) {
+			c.ask(keyC)
+			c.m.GivenBack(c.now, GiveBack{keyC, c.round})
+		}, true, true},
+		{"an old give-back of another", func(c *promiseCase) {
+			c.ask(keyC)
+			c.ask(keyC)
+			c.m.GivenBack(c.now, GiveBack{keyC, c.round - 1})
+		}, false, false},
+		{"the round was given back before it arrived", func(c *promiseCase) {
+			c.m.GivenBack(c.now, GiveBack{keyA, c.round + 1})
+		}, false, false},
+		{"an outdated run asks", func(c *promiseCase) { c.ask(MemberKey{"a", 2}) }, false, true},
+		{"off the list for W", func(c *promiseCase) {
+			c.read(aHolds...)
+			c.show(20*time.Second, "a")
+			c.show(s.W()+2*time.Second, "c")
+		}, false, false},
+		{"off the list for less than W", func(c *promiseCase) {
+			c.show(20*time.Second, "a")
+			c.show(s.W()-2*time.Second, "c")
+		}, true, true},
+		{"an earlier promise stands off the list for W, answered within TTL", func(c *promiseCase) {
+			c.show(20*time.Second, "a")
+			c.show(s.W(), "c")
+			c.ask(keyA)
+			c.show(2*time.Second, "c")
+		}, false, true},
+		{"an earlier promise ends off the list for W", func(c *promiseCase) {
+			c.read(aHolds...)
+			c.ask(keyA)
+			c.show(20*time.Second, "c")
+		}, false, false},
+		{"an earlier promise stands whatever the log shows", func(c *promiseCase) {
+			c.ask(keyA)
+			c.pass(time.Hour)
+			c.read(append(aHolds, renew(keyA))...)
+		}, true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := &promiseCase{m: NewMember(fleet.Instance{ID: "b", Region: testRegion}, 1, s), now: epochStart}
+			c.setUp(p)
+			promised := p.ask(keyA)
+			peer := p.m.peers["a"]
+			if stands := peer != nil && p.m.promiseStands(peer); promised != c.promised || stands != c.stands {
+				t.Errorf("promised %v, stands %v; want %v, %v", promised, stands, c.promised, c.stands)
+			}
+		})
+	}
+}
+
+// Guards against a holder that counts answers to rounds that it has given
+// back, or that tells the others before it has forgotten their answers.
+func TestGiveBackForgetsFirst(t *testing.T) {
+	w := newWorld(5, 3, 3)
+	w.runTo(settled)
+	n := w.nodes[0]
+	w.during(&w.logDown, 20*time.Second)
+	w.runTo(settled + 15*time.Second)
+	if !n.member.asking || w.validShare() != 1 {
+		t.Fatalf("asking %v, share held %v; want leases held by promises", n.member.asking, w.validShare())
+	}
+	round := n.member.round
+	w.runTo(settled + 40*time.Second)
+	if n.member.asking {
+		t.Fatal("promises were not given back after the outage")
+	}
+	for p := range n.member.own {
+		late := Promise{w.nodes[1].member.self, round, []PartitionEpoch{n.member.own[p].PartitionEpoch}}
+		n.member.Promised(w.local(n), late)
+	}
+	for id, p := range n.member.peers {
+		if len(p.promised) > 0 || p.owesBack {
+			t.Errorf("peer %s: promised %v, give-back unconfirmed %v", id, p.promised, p.owesBack)
+		}
+		if w.nodes[1].member.promiseStands(w.nodes[1].member.peers["m0"]) {
+			t.Error("a promise stands after the give-back")
+		}
+	}
+}
--- a/decision/lease/rules.go
+++ b/decision/lease/rules.go
@@ -34,7 +34,10 @@
 // only a time up to which it holds whatever the member learns later.
 func (m *Member) extend() {
 	for _, l := range m.own {
-		until := m.byPromises(l)
+		until := time.Time{}
+		if m.asking {
+			until = m.byPromises(l)
+		}
 		if !l.lapsed {
 			until = later(until, m.byLog(l))
 		}
@@ -83,10 +86,12 @@
 		}
 		answered = earlier(answered, later(known, p.answered.Add(ttl)))
 	}
-	if m.list.selfListed || m.options.ignoreOwnListing {
-		return later(standing, answered)
+	if !m.list.selfListed && !m.options.ignoreOwnListing {
+		return standing
 	}
-	return standing
+	// Only half a TTL is granted at once, so that the promises can be given
+	// back soon after the list is fresh again.
+	return later(standing, earlier(answered, m.now.Add(ttl/2)))
 }
 
 // listedUntil returns the time up to which the holder counts as listed.
@@ -163,23 +168,22 @@
 // its reading here.
 func (m *Member) claimableSince(p fleet.PartitionID, o Ownership) (time.Time, string) {
 	since := m.changed[p]
-	if m.own[p] != nil {
-		return since, "held by this instance"
-	}
-	if to := m.promisedAway(p); to != "" && !m.options.ignorePromises {
-		return since, "it is promised to " + string(to)
-	}
 	switch {
+	case m.own[p] != nil:
+		return since, "held by this instance"
 	case m.releasing[p] != nil:
 		return since, "its release was not read back yet"
 	case o.Holder == m.self:
-		return m.ended[p], ""
+		since = m.ended[p]
 	case o.Held() && !m.options.noClaimWait:
 		since = later(since, m.signs[o.Holder]).Add(m.settings.TTL + m.settings.Margin)
 		if m.now.Before(since) {
-			return since, "its holder " + string(o.Holder.ID) + " renewed less than TTL plus margin ago"
+			return since, "its holder renewed less than TTL plus margin ago"
 		}
 	}
+	if to := m.promisedAway(p); to != "" && !m.options.ignorePromises {
+		return since, "it is promised to " + string(to)
+	}
 	return since, ""
 }
 
--- a/decision/lease/tick.go
+++ b/decision/lease/tick.go
@@ -58,20 +58,21 @@
 	if m.readySince.IsZero() {
 		m.readySince = m.now
 	}
-	share, candidates := m.share()
-	budget := share - len(m.own) - len(m.pending)
 	var claims []PartitionClaim
+	share, candidates := -1, []MemberKey(nil)
 	for _, p := range m.list.partitions {
 		o := m.fold.Of(p)
 		since, reason := m.claimableSince(p, o)
 		if reason != "" || m.attempted(p) {
 			continue
 		}
-		if !m.dueToClaim(p, o, since, candidates, budget) {
-			continue
+		if share < 0 {
+			share, candidates = m.share()
+		}
+		budget := share - len(m.own) - len(m.pending) - len(claims)
+		if m.dueToClaim(p, o, since, candidates, budget) {
+			claims = append(claims, PartitionClaim{p, o.Epoch, o.Holder, m.fold.LastSign(o)})
 		}
-		budget--
-		claims = append(claims, PartitionClaim{p, o.Epoch, o.Holder, m.fold.LastSign(o)})
 	}
 	if len(claims) == 0 {
 		return
