--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -57,11 +57,14 @@
 	metrics     *Metrics
 
 	Configurations *message.ConfigurationRing
-	configuration  atomic.Pointer[message.ConfigurationInForce]
-	stopping       atomic.Bool
-	sequence       atomic.Uint64
-	incarnation    string
-	server         *http.Server
+	// Wanted asks the configuration duty for the version in force; set before
+	// the tree serves.
+	Wanted        *supervise.Ring[message.ConfigurationWanted]
+	configuration atomic.Pointer[message.ConfigurationInForce]
+	stopping      atomic.Bool
+	sequence      atomic.Uint64
+	incarnation   string
+	server        *http.Server
 }
 
 // New adds the callers supervisor below root. register adds further routes,
@@ -103,6 +106,7 @@
 // follow publishes the newest configuration to the decoding goroutines, which
 // read it without a lock.
 func (s *Supervisor) follow(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	_ = s.Wanted.Put(ctx, message.ConfigurationWanted{Ring: s.Configurations})
 	for {
 		select {
 		case <-ctx.Done():
--- a/entry/operations/operations.go
+++ b/entry/operations/operations.go
@@ -46,10 +46,13 @@
 	Configurations *message.ConfigurationRing
 	Holdings       *message.HoldingsRing
 	Snapshots      *message.SnapshotRing
-	explain        *supervise.Ring[message.ExplainQuery] // of the history duty
-	explainers     []*supervise.Ring[message.ExplainQuery]
-	statuses       *supervise.Ring[*supervise.Ring[Status]]
-	drained        *supervise.Ring[struct{}]
+	// Wanted asks the configuration duty for the version in force; set before
+	// the tree serves.
+	Wanted     *supervise.Ring[message.ConfigurationWanted]
+	explain    *supervise.Ring[message.ExplainQuery] // of the history duty
+	explainers []*supervise.Ring[message.ExplainQuery]
+	statuses   *supervise.Ring[*supervise.Ring[Status]]
+	drained    *supervise.Ring[struct{}]
 }
 
 // NewEvents returns the ring that takes explanations; it exists before the
--- a/entry/operations/status.go
+++ b/entry/operations/status.go
@@ -36,6 +36,7 @@
 	d := &statusDuty{status: Status{
 		Instance: s.settings.Instance, Region: s.settings.Region, DataCentre: s.settings.DataCentre,
 	}}
+	_ = s.Wanted.Put(ctx, message.ConfigurationWanted{Ring: s.Configurations})
 	for {
 		select {
 		case <-ctx.Done():
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -86,7 +86,7 @@
 type pair struct {
 	network     *memoryListener
 	transitions chan *supervise.Ring[message.Submission] // nil when the link went down
-	submissions *supervise.Ring[message.Submission] // of b
+	submissions *supervise.Ring[message.Submission]      // of b
 	a           *Supervisor
 }
 
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -56,9 +56,12 @@
 	Partitions     *supervise.Ring[message.PartitionChange]
 	Links          *supervise.Ring[message.LinkChange]
 	Hints          *supervise.Ring[message.PeerHints]
-	answers        *supervise.Ring[message.Answer]
-	ownHints       *supervise.Ring[[]message.LoadHint]
-	events         *supervise.Ring[message.Event]
+	// Wanted asks the configuration duty for the version in force; set before
+	// the tree serves.
+	Wanted   *supervise.Ring[message.ConfigurationWanted]
+	answers  *supervise.Ring[message.Answer]
+	ownHints *supervise.Ring[[]message.LoadHint]
+	events   *supervise.Ring[message.Event]
 }
 
 // New returns the routing duty; Start puts it below a supervisor. ownHints
@@ -133,6 +136,7 @@
 		announced: map[fleet.PartitionID]message.HolderView{},
 		inFlight:  map[fleet.RequestID]*flight{},
 	}
+	_ = d.Wanted.Put(ctx, message.ConfigurationWanted{Ring: d.Configurations})
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	ticker := time.NewTicker(hintInterval)
--- a/entry/scheduling/scheduling.go
+++ b/entry/scheduling/scheduling.go
@@ -34,6 +34,10 @@
 
 	Explains *supervise.Ring[message.ExplainQuery]
 
+	// Wanted asks the configuration duty for the version in force; set before
+	// the tree serves.
+	Wanted *supervise.Ring[message.ConfigurationWanted]
+
 	changes    *supervise.Ring[message.PartitionChange]
 	relinquish *supervise.Ring[message.Relinquish]
 	events     *supervise.Ring[message.Event]
@@ -74,6 +78,7 @@
 func (s *Supervisor) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 	m := &manager{Supervisor: s, open: map[fleet.PartitionID]*partitionDuty{}}
 	defer m.closeAll(ctx)
+	_ = s.Wanted.Put(ctx, message.ConfigurationWanted{Ring: s.Configurations})
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -143,6 +143,7 @@
 	rings.Subscribers = []*message.ConfigurationRing{
 		route.Configurations, sched.Configurations, front.Configurations, ops.Configurations,
 	}
+	route.Wanted, sched.Wanted, front.Wanted, ops.Wanted = rings.Wanted, rings.Wanted, rings.Wanted, rings.Wanted
 	rings.Appends = appends.Appends()
 	rings.Asks = links.ConfigurationAsks
 	duty := configuration.New(configuration.DefaultSettings(s.Instance.ID), *rings)
