--- a/decision/configuration/fold_test.go
+++ b/decision/configuration/fold_test.go
@@ -150,3 +150,20 @@
 		t.Error("a snapshot up to the gap's end did not close the gap")
 	}
 }
+
+// BenchmarkPublish folds publications with the memory of verdicts full, one in
+// four of them accepted.
+func BenchmarkPublish(b *testing.B) {
+	f, value := NewFold(), &Configuration{}
+	ids := make([]string, 4096)
+	for i := range ids {
+		ids[i] = fmt.Sprint("publication-", i)
+	}
+	for i := 0; b.Loop(); i++ {
+		replaces := f.State.Version
+		if i%4 > 0 {
+			replaces--
+		}
+		f, _ = f.Publish(Publication{ID: ids[i%len(ids)], Replaces: replaces, Value: value}, Position{Offset: fleet.Offset(i)})
+	}
+}
--- a/records/configuration/configuration_test.go
+++ b/records/configuration/configuration_test.go
@@ -1,9 +1,11 @@
 package configuration
 
 import (
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -114,3 +116,41 @@
 	}
 	return n
 }
+
+// BenchmarkDecode reads a configuration of the target size: 180 teams, 60
+// services with 4 operations each, 12 data centres and 40 kinds.
+func BenchmarkDecode(b *testing.B) {
+	c := &configuration.Configuration{Limits: configuration.DefaultLimits}
+	for i := range 5 {
+		c.AllRegions = append(c.AllRegions, configuration.Region{
+			Name: fleet.Region(fmt.Sprint("region-", i)), DataCentres: []fleet.DataCentre{fleet.DataCentre(fmt.Sprint("dc-", i))},
+		})
+	}
+	for i := range 60 {
+		s := configuration.Service{Name: fleet.Service(fmt.Sprint("service-", i))}
+		for j := range 4 {
+			s.Operations = append(s.Operations, configuration.Operation{
+				Name: fleet.Operation(fmt.Sprint("operation-", j)), Deadline: time.Second, ExpectedRunTime: time.Millisecond,
+			})
+		}
+		c.Services = append(c.Services, s)
+	}
+	for i := range 180 {
+		c.Teams = append(c.Teams, configuration.Team{Name: fleet.Team(fmt.Sprint("team-", i)), Share: 1.0 / 180, MaxJobs: 100})
+	}
+	for i := range 40 {
+		c.Kinds = append(c.Kinds, configuration.BatchKind{
+			Name: fmt.Sprint("kind-", i), ExpectedRunTime: time.Hour, Resources: fleet.Resources{Slots: 1},
+		})
+	}
+	text, err := Encode(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := Decode("bench.toml", text); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(text)), "bytes")
+}
