Watch the usage of every data centre of the region

A holder may hold partitions in other data centres of its region; without their reports its slots stay unknown until the longest deadline has passed.

--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -48,6 +48,8 @@
 	Streams   []Stream
 	Snapshots []*message.SnapshotRing
 	Usage     []UsageSubscription
+	// UsageRegion is nil when only the data centres of Usage are watched.
+	UsageRegion *UsageRegion
 }
 
 // Platform holds the rings of the duties before and while they run.
@@ -69,6 +71,11 @@
 
 // Start adds every duty to the tree.
 func (p *Platform) Start(tree *supervise.Tree) {
+	if p.settings.UsageRegion != nil {
+		region := newRegionDuty(p, tree)
+		p.settings.Snapshots = append(p.settings.Snapshots, region.snapshots)
+		tree.Start(region.duty())
+	}
 	for _, duty := range p.duties() {
 		tree.Start(duty)
 	}
--- /dev/null
+++ b/entry/platform/region.go
@@ -0,0 +1,92 @@
+package platform
+
+import (
+	"context"
+
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// UsageRegion asks for the usage reports of every data centre of a region. The
+// data centres are those of the backend servers on the instance list.
+type UsageRegion struct {
+	Region fleet.Region
+	// Rings need a place for each data centre of the region.
+	Rings []*message.UsageRing
+}
+
+// regionDuty starts and stops the usage watchers of a region.
+type regionDuty struct {
+	tree      *supervise.Tree
+	platform  *Platform
+	region    UsageRegion
+	snapshots *message.SnapshotRing
+}
+
+func newRegionDuty(p *Platform, tree *supervise.Tree) *regionDuty {
+	return &regionDuty{
+		tree: tree, platform: p, region: *p.settings.UsageRegion,
+		snapshots: supervise.NewRing[message.ListSnapshot]("usage-region.snapshots", 1, supervise.DropOldest),
+	}
+}
+
+func (d *regionDuty) duty() supervise.Duty {
+	return supervise.Duty{Name: "usage-region", Rings: []supervise.Measured{d.snapshots}, Run: d.run}
+}
+
+func (d *regionDuty) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	watchers := map[fleet.DataCentre][]supervise.Running{}
+	defer func() {
+		for _, running := range watchers {
+			cancelAll(running)
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case s := <-d.snapshots.Items():
+			d.reconcile(watchers, s)
+		case r := <-dumps:
+			list := make([]fleet.DataCentre, 0, len(watchers))
+			for dataCentre := range watchers {
+				list = append(list, dataCentre)
+			}
+			r.Answer(list)
+		}
+	}
+}
+
+func (d *regionDuty) reconcile(watchers map[fleet.DataCentre][]supervise.Running, s message.ListSnapshot) {
+	listed := map[fleet.DataCentre]bool{}
+	for _, b := range s.BackendServers {
+		if b.Region == d.region.Region {
+			listed[b.DataCentre] = true
+		}
+	}
+	for dataCentre := range listed {
+		if watchers[dataCentre] != nil {
+			continue
+		}
+		var subscriptions []UsageSubscription
+		for _, ring := range d.region.Rings {
+			subscriptions = append(subscriptions, UsageSubscription{DataCentre: dataCentre, Ring: ring})
+		}
+		for _, duty := range usageDuties(d.platform.settings.Workers, dataCentre, subscriptions) {
+			watchers[dataCentre] = append(watchers[dataCentre], d.tree.Start(duty))
+		}
+	}
+	for dataCentre, running := range watchers {
+		if !listed[dataCentre] {
+			cancelAll(running)
+			delete(watchers, dataCentre)
+		}
+	}
+}
+
+func cancelAll(running []supervise.Running) {
+	for _, r := range running {
+		r.Cancel()
+	}
+}
--- a/entry/scheduling/scheduling.go
+++ b/entry/scheduling/scheduling.go
@@ -18,6 +18,9 @@
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
+// usageCapacity has a place for each data centre of a region.
+const usageCapacity = 16
+
 // announceInterval is how long a restarted routing duty may miss a partition.
 const announceInterval = time.Second
 
@@ -52,7 +55,7 @@
 	s := &Supervisor{
 		tree: root.Child("scheduling", supervise.DefaultIntensity), lines: lines,
 		Snapshots:      supervise.NewRing[message.ListSnapshot]("scheduling.snapshots", 1, supervise.DropOldest),
-		Usage:          supervise.NewRing[message.UsageReports]("scheduling.usage", 4, supervise.DropOldest),
+		Usage:          supervise.NewRing[message.UsageReports]("scheduling.usage", usageCapacity, supervise.DropOldest),
 		Holdings:       supervise.NewRing[message.Holdings]("scheduling.holdings", 1, supervise.DropOldest),
 		Configurations: supervise.NewRing[message.ConfigurationInForce]("scheduling.configurations", 1, supervise.DropOldest),
 		Explains:       supervise.NewRing[message.ExplainQuery]("scheduling.explains", explainCapacity, supervise.Refuse),
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -70,8 +70,8 @@
 		Streams: []platform.Stream{{
 			Name: streamConfiguration, Folds: []*supervise.Ring[message.LogRecords]{rings.Log}, Rewinds: rings.Rewinds,
 		}},
-		Snapshots: []*message.SnapshotRing{owner.Snapshots, route.Snapshots, sched.Snapshots, links.Snapshots, ops.Snapshots},
-		Usage:     []platform.UsageSubscription{{DataCentre: s.Instance.DataCentre, Ring: sched.Usage}},
+		Snapshots:   []*message.SnapshotRing{owner.Snapshots, route.Snapshots, sched.Snapshots, links.Snapshots, ops.Snapshots},
+		UsageRegion: &platform.UsageRegion{Region: s.Instance.Region, Rings: []*message.UsageRing{sched.Usage}},
 	})
 }
 
