--- a/demo/demo.go
+++ b/demo/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -112,7 +113,7 @@
 		if err != nil {
 			return err
 		}
-		if b.end == endRefused && runs > 0 {
+		if strings.HasPrefix(b.end, endRefused) && runs > 0 {
 			report.RefusedThatRan++
 		}
 		if b.end == endAnswered && runs == 0 {
--- a/demo/report.go
+++ b/demo/report.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"slices"
+	"strconv"
+	"strings"
 )
 
 // Print writes the short table.
@@ -18,8 +21,8 @@
 	}{
 		{"sent", sent},
 		{"answered", r.Load.Ends[endAnswered]},
-		{"refused as not run", r.Load.Ends[endRefused]},
-		{"outcome unknown", r.Load.Ends[endUnknown]},
+		{"refused as not run", r.ended(endRefused)},
+		{"outcome unknown", r.ended(endUnknown)},
 		{"failed at the backend server", r.Load.Ends[endFailed]},
 		{"wrong answers", r.Load.Ends[endWrong]},
 		{"refused but run", r.RefusedThatRan},
@@ -42,6 +45,24 @@
 	}
 }
 
+// ended sums the requests with an end, with the reasons behind the sum.
+func (r Report) ended(end string) string {
+	total := 0
+	var reasons []string
+	for name, n := range r.Load.Ends {
+		if reason, found := strings.CutPrefix(name, end+reasonMark); found {
+			total += n
+			reasons = append(reasons, fmt.Sprintf("%s %d", reason, n))
+		}
+	}
+	slices.Sort(reasons)
+	total += r.Load.Ends[end]
+	if len(reasons) == 0 {
+		return strconv.Itoa(total)
+	}
+	return fmt.Sprintf("%d (%s)", total, strings.Join(reasons, ", "))
+}
+
 // Broken lists the promises that did not hold.
 func (r Report) Broken() []string {
 	var broken []string
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -25,6 +25,9 @@
 	endFailed   = "failed at the backend server"
 )
 
+// reasonMark stands between the end and the reason of it.
+const reasonMark = ": "
+
 // kind is one kind of request of the mix.
 type kind struct {
 	operation  fleet.Operation
@@ -121,9 +124,9 @@
 	case err == nil:
 		return endAnswered
 	case errors.As(err, &refused):
-		return endRefused
+		return endRefused + reasonMark + string(refused.Reason)
 	case errors.As(err, &unknown):
-		return endUnknown
+		return endUnknown + reasonMark + string(unknown.Reason)
 	default:
 		return endUnknown
 	}
