configuration: hold publications back without copying them

Ruled out: appending in place; two folds that grew from one would overwrite each other's tail, and the fold is a value. Change: a linked list, shared by folds that grew from the same one.

--- a/decision/configuration/fold.go
+++ b/decision/configuration/fold.go
@@ -3,7 +3,8 @@
 import "lacewingfork.example/lacewingfork/fleet"
 
 // pendingLimit bounds the publications held back while entries are missing.
-// Dropping the oldest one only asks for a newer snapshot.
+// When it is reached all of them are dropped, which only asks for a newer
+// snapshot.
 const pendingLimit = 4096
 
 // Fold is the state of the stream as far as an instance has read it. When
@@ -16,19 +17,30 @@
 	MissingUntil fleet.Offset
 	// SinceSnapshot counts publications folded since the newest snapshot.
 	SinceSnapshot int
-	pending       []pendingPublication
+	pending       *held
 }
 
-type pendingPublication struct {
+// held is a publication that is held back. Folds that grew from the same one
+// share the earlier ones.
+type held struct {
 	publication Publication
 	at          Position
+	earlier     *held
+	count       int // with the earlier ones
+}
+
+func (h *held) len() int {
+	if h == nil {
+		return 0
+	}
+	return h.count
 }
 
 // NewFold returns the fold before the first entry.
 func NewFold() Fold { return Fold{State: Empty()} }
 
 // Waiting counts the publications held back.
-func (f Fold) Waiting() int { return len(f.pending) }
+func (f Fold) Waiting() int { return f.pending.len() }
 
 // Truncated says that entries before offset first are gone from the log.
 func (f Fold) Truncated(first fleet.Offset) Fold {
@@ -55,10 +67,10 @@
 }
 
 func (f Fold) hold(p Publication, at Position) Fold {
-	if len(f.pending) == pendingLimit {
-		f.MissingUntil = f.pending[0].at.Offset + 1
+	if f.pending.len() == pendingLimit {
+		f.MissingUntil, f.pending = f.pending.at.Offset+1, nil
 	}
-	f.pending = appendBounded(f.pending, pendingPublication{p, at}, pendingLimit)
+	f.pending = &held{publication: p, at: at, earlier: f.pending, count: f.pending.len() + 1}
 	return f
 }
 
@@ -93,10 +105,13 @@
 
 // replay folds what was held back, now that nothing before it is missing.
 func (f Fold) replay() Fold {
-	pending := f.pending
+	list := make([]*held, f.pending.len())
+	for h := f.pending; h != nil; h = h.earlier {
+		list[h.count-1] = h
+	}
 	f.Missing, f.MissingUntil, f.pending = false, 0, nil
-	for _, held := range pending {
-		f, _ = f.Publish(held.publication, held.at)
+	for _, h := range list {
+		f, _ = f.Publish(h.publication, h.at)
 	}
 	return f
 }
