--- a/decision/lease/member.go
+++ b/decision/lease/member.go
@@ -31,6 +31,7 @@
 	logHeard time.Time               // last read that succeeded
 	signs    map[MemberKey]time.Time // when the last renewal or join was read
 	changed  map[fleet.PartitionID]time.Time
+	changes  uint64           // changes of ownership by the log
 	won      []PartitionClaim // buffer
 
 	list  listView
@@ -145,6 +146,7 @@
 func (m *Member) Truncated(now time.Time, oldest fleet.Offset) *Actions {
 	m.begin(now)
 	m.fold.Truncated(oldest)
+	m.changes++
 	clear(m.signs)
 	clear(m.changed)
 	for p, l := range m.own {
@@ -188,6 +190,7 @@
 
 // rebuilt treats every member of a snapshot as if it had renewed just now.
 func (m *Member) rebuilt() {
+	m.changes++
 	for k := range m.fold.members {
 		m.signs[k] = m.now
 		if m.fold.Joined(k) {
@@ -228,6 +231,7 @@
 // in time; another's ends the own lease at once.
 func (m *Member) claimRead(r *Record, c PartitionClaim) {
 	m.changed[c.Partition] = m.now
+	m.changes++
 	epoch := c.Ends + 1
 	if l := m.own[c.Partition]; l != nil && l.Epoch < epoch {
 		m.lose(c.Partition, l, "claimed by "+string(r.Member.ID)+" under a newer epoch")
@@ -249,6 +253,7 @@
 
 func (m *Member) releaseRead(pe PartitionEpoch) {
 	m.changed[pe.Partition] = m.now
+	m.changes++
 	if i := m.releasing[pe.Partition]; i != nil && i.epoch == pe.Epoch {
 		delete(m.releasing, pe.Partition)
 	}
--- a/decision/lease/state.go
+++ b/decision/lease/state.go
@@ -28,6 +28,9 @@
 	}
 }
 
+// Changes counts the changes of ownership by the log.
+func (m *Member) Changes() uint64 { return m.changes }
+
 // PartitionReport explains one partition for the state dump.
 type PartitionReport struct {
 	Partition fleet.PartitionID
--- /dev/null
+++ b/records/ownership/ownership.go
@@ -0,0 +1,161 @@
+// Package ownership is the codec of the records of the streams
+// `ownership.<region>`. It has pure functions and no state; the ownership duty
+// encodes and decodes with it.
+package ownership
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/lease"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// ErrInvalid means that the data is not an ownership record.
+var ErrInvalid = errors.New("invalid ownership record")
+
+// Stream returns the name of a region's ownership stream.
+func Stream(region fleet.Region) string { return "ownership." + string(region) }
+
+var kindNames = [...]struct {
+	kind lease.Kind
+	name string
+}{
+	{lease.Join, "join"},
+	{lease.Renew, "renew"},
+	{lease.Claim, "claim"},
+	{lease.Release, "release"},
+	{lease.Snapshot, "snapshot"},
+}
+
+type member struct {
+	ID          fleet.InstanceID `json:"member,omitempty"`
+	Incarnation uint64           `json:"incarnation,omitempty"`
+}
+
+type record struct {
+	Kind string `json:"kind"`
+	member
+	Address  string      `json:"address,omitempty"`
+	Sequence uint64      `json:"sequence,omitempty"`
+	Claims   []claim     `json:"claims,omitempty"`
+	Released []partition `json:"released,omitempty"`
+	State    *state      `json:"state,omitempty"`
+}
+
+type claim struct {
+	Partition fleet.PartitionID `json:"partition"`
+	Ends      fleet.Epoch       `json:"ends_epoch"`
+	Seen      member            `json:"seen_holder"`
+	Renewal   fleet.Offset      `json:"seen_renewal"`
+}
+
+type partition struct {
+	Partition fleet.PartitionID `json:"partition"`
+	Epoch     fleet.Epoch       `json:"epoch"`
+}
+
+type state struct {
+	At         fleet.Offset     `json:"at"`
+	Members    []memberState    `json:"members"`
+	Partitions []partitionState `json:"partitions"`
+}
+
+type memberState struct {
+	member
+	Address     string       `json:"address,omitempty"`
+	Joined      fleet.Offset `json:"joined"`
+	LastRenewal fleet.Offset `json:"last_renewal"`
+	Latest      bool         `json:"latest"`
+}
+
+type partitionState struct {
+	partition
+	Holder   member       `json:"holder"`
+	Acquired fleet.Offset `json:"acquired"`
+}
+
+// Encode returns the record's data. The record's ID is not part of it: the
+// entry of the log record carries it.
+func Encode(r lease.Record) ([]byte, error) {
+	out := record{member: member(r.Member), Address: r.Address, Sequence: r.Sequence}
+	for _, k := range kindNames {
+		if k.kind == r.Kind {
+			out.Kind = k.name
+		}
+	}
+	for _, c := range r.Claims {
+		out.Claims = append(out.Claims, claim{c.Partition, c.Ends, member(c.Seen), c.SeenRenewal})
+	}
+	for _, pe := range r.Released {
+		out.Released = append(out.Released, partition(pe))
+	}
+	if r.State != nil {
+		out.State = encodeState(*r.State)
+	}
+	return json.Marshal(out)
+}
+
+// Decode is the inverse of Encode; the record's ID is the entry's. It returns
+// ErrInvalid for other data.
+func Decode(id string, data []byte) (lease.Record, error) {
+	var in record
+	if err := json.Unmarshal(data, &in); err != nil {
+		return lease.Record{}, errors.Wrap(ErrInvalid, err.Error())
+	}
+	out := lease.Record{ID: id, Member: lease.MemberKey(in.member), Address: in.Address, Sequence: in.Sequence}
+	for _, k := range kindNames {
+		if k.name == in.Kind {
+			out.Kind = k.kind
+		}
+	}
+	if out.Kind == 0 {
+		return lease.Record{}, errors.Wrapf(ErrInvalid, "kind %q is unknown", in.Kind)
+	}
+	if in.ID == "" || in.Incarnation == 0 {
+		return lease.Record{}, errors.Wrap(ErrInvalid, "member or incarnation is missing")
+	}
+	for _, c := range in.Claims {
+		out.Claims = append(out.Claims, lease.PartitionClaim{
+			Partition: c.Partition, Ends: c.Ends, Seen: lease.MemberKey(c.Seen), SeenRenewal: c.Renewal,
+		})
+	}
+	for _, pe := range in.Released {
+		out.Released = append(out.Released, lease.PartitionEpoch(pe))
+	}
+	if in.State != nil {
+		out.State = decodeState(*in.State)
+	}
+	return out, nil
+}
+
+func encodeState(s lease.FoldState) *state {
+	out := &state{At: s.At}
+	for _, m := range s.Members {
+		out.Members = append(out.Members, memberState{member(m.Key), m.Address, m.Joined, m.LastRenewal, m.Latest})
+	}
+	for _, p := range s.Partitions {
+		out.Partitions = append(out.Partitions, partitionState{
+			partition{p.Partition, p.Epoch}, member(p.Holder), p.Acquired,
+		})
+	}
+	return out
+}
+
+func decodeState(s state) *lease.FoldState {
+	out := &lease.FoldState{At: s.At}
+	for _, m := range s.Members {
+		out.Members = append(out.Members, lease.MemberState{
+			Key: lease.MemberKey(m.member), Address: m.Address,
+			Joined: m.Joined, LastRenewal: m.LastRenewal, Latest: m.Latest,
+		})
+	}
+	for _, p := range s.Partitions {
+		out.Partitions = append(out.Partitions, lease.PartitionState{
+			Partition: p.partition.Partition,
+			Ownership: lease.Ownership{Holder: lease.MemberKey(p.Holder), Epoch: p.Epoch, Acquired: p.Acquired},
+		})
+	}
+	return out
+}
