Hold partitions under leases

Replaces the rendezvous assignment, under which two instances with different lists could both hold a partition, by the lease duty, and carries its promises over the links. A planned stop releases the partitions in the log first.

--- a/entry/listeners.go
+++ b/entry/listeners.go
@@ -45,3 +45,17 @@
 		}
 	}
 }
+
+// advertised returns the address that other instances dial.
+func advertised(s settings.Listen, l *Listeners) string {
+	bound := l.Peers.Addr().String()
+	if s.AdvertisePeers == "" {
+		return bound
+	}
+	host, port, err := net.SplitHostPort(s.AdvertisePeers)
+	if err != nil || port != "0" {
+		return s.AdvertisePeers
+	}
+	_, boundPort, _ := net.SplitHostPort(bound)
+	return net.JoinHostPort(host, boundPort)
+}
--- a/entry/peers/acceptor.go
+++ b/entry/peers/acceptor.go
@@ -83,9 +83,13 @@
 			Version: body.ConfigurationRequest.Version, Offset: fleet.Offset(body.ConfigurationRequest.Offset),
 			Reply: replies.offers,
 		})
-	case *peerpb.Frame_Heartbeat, *peerpb.Frame_Hello:
-	default:
-		receivers.Control(peer, frame)
+	case *peerpb.Frame_PromiseRequest:
+		r := message.PromiseRequest{Peer: peer, PromiseRequest: decodePromiseRequest(body.PromiseRequest)}
+		_ = receivers.PromiseRequests.Put(ctx, r)
+	case *peerpb.Frame_Promise:
+		_ = receivers.Promises.Put(ctx, message.Promise{Peer: peer, Promise: decodePromise(body.Promise)})
+	case *peerpb.Frame_GiveBack:
+		_ = receivers.GiveBacks.Put(ctx, message.GiveBack{Peer: peer, GiveBack: decodeGiveBack(body.GiveBack)})
 	}
 }
 
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -48,10 +48,10 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Control is a control message for one peer, or for all when To is empty.
-type Control struct {
-	To    fleet.InstanceID
-	Frame *peerpb.Frame
+// control is a control message for one peer, or for all when to is empty.
+type control struct {
+	to    fleet.InstanceID
+	frame *peerpb.Frame
 }
 
 // Receivers take what other instances send.
@@ -62,9 +62,10 @@
 	// configuration duty.
 	ConfigurationRequests *supervise.Ring[message.ConfigurationRequest]
 	ConfigurationOffers   *message.ConfigurationOfferRing
-	// Control takes promises, promise requests, give-backs and configuration
-	// messages. It must not block.
-	Control func(from fleet.InstanceID, frame *peerpb.Frame)
+	// PromiseRequests, Promises and GiveBacks belong to the ownership duty.
+	PromiseRequests *supervise.Ring[message.PromiseRequest]
+	Promises        *supervise.Ring[message.Promise]
+	GiveBacks       *supervise.Ring[message.GiveBack]
 }
 
 // Supervisor runs the listener, the manager and the links.
@@ -77,7 +78,10 @@
 
 	Snapshots *message.SnapshotRing
 	OwnHints  *supervise.Ring[[]message.LoadHint]
-	Controls  *supervise.Ring[Control]
+	// PromiseRequests, Promises and GiveBacks go to the peer that they name.
+	PromiseRequests *supervise.Ring[message.PromiseRequest]
+	Promises        *supervise.Ring[message.Promise]
+	GiveBacks       *supervise.Ring[message.GiveBack]
 	// ConfigurationAsks goes to every peer.
 	ConfigurationAsks *supervise.Ring[message.ConfigurationRequest]
 }
@@ -93,12 +97,14 @@
 		listener: listener, receivers: receivers, links: links,
 		Snapshots:         supervise.NewRing[message.ListSnapshot]("peers.snapshots", 1, supervise.DropOldest),
 		OwnHints:          ownHints,
-		Controls:          supervise.NewRing[Control]("peers.controls", controlCapacity, supervise.DropOldest),
+		PromiseRequests:   supervise.NewRing[message.PromiseRequest]("peers.promise-requests", controlCapacity, supervise.DropOldest),
+		Promises:          supervise.NewRing[message.Promise]("peers.promises", controlCapacity, supervise.DropOldest),
+		GiveBacks:         supervise.NewRing[message.GiveBack]("peers.give-backs", controlCapacity, supervise.DropOldest),
 		ConfigurationAsks: supervise.NewRing[message.ConfigurationRequest]("peers.configuration-asks", 1, supervise.DropOldest),
 	}
 	s.tree.Start(supervise.Duty{Name: "listener", Run: s.listen})
 	s.tree.Start(supervise.Duty{
-		Name: "manager", Rings: []supervise.Measured{s.Snapshots, s.OwnHints, s.Controls, s.ConfigurationAsks}, Run: s.manage,
+		Name: "manager", Rings: []supervise.Measured{s.Snapshots, s.OwnHints, s.ConfigurationAsks, s.PromiseRequests, s.Promises, s.GiveBacks}, Run: s.manage,
 	})
 	return s
 }
@@ -132,11 +138,15 @@
 		case snapshot := <-s.Snapshots.Items():
 			s.reconcile(links, snapshot.Instances)
 		case hints := <-s.OwnHints.Items():
-			send(ctx, links, Control{Frame: encodeHints(hints)})
+			send(ctx, links, control{frame: encodeHints(hints)})
 		case ask := <-s.ConfigurationAsks.Items():
-			send(ctx, links, Control{Frame: encodeConfigurationRequest(ask)})
-		case c := <-s.Controls.Items():
-			send(ctx, links, c)
+			send(ctx, links, control{frame: encodeConfigurationRequest(ask)})
+		case r := <-s.PromiseRequests.Items():
+			send(ctx, links, control{r.Peer, encodePromiseRequest(r.PromiseRequest)})
+		case p := <-s.Promises.Items():
+			send(ctx, links, control{p.Peer, encodePromise(p.Promise)})
+		case g := <-s.GiveBacks.Items():
+			send(ctx, links, control{g.Peer, encodeGiveBack(g.GiveBack)})
 		case r := <-dumps:
 			peers := map[fleet.InstanceID]string{}
 			for id, l := range links {
@@ -172,10 +182,10 @@
 	}
 }
 
-func send(ctx context.Context, links map[fleet.InstanceID]managedLink, c Control) {
+func send(ctx context.Context, links map[fleet.InstanceID]managedLink, c control) {
 	for id, l := range links {
-		if c.To == "" || c.To == id {
-			_ = l.link.controls.Put(ctx, c.Frame)
+		if c.to == "" || c.to == id {
+			_ = l.link.controls.Put(ctx, c.frame)
 		}
 	}
 }
--- a/entry/peers/peers_test.go
+++ b/entry/peers/peers_test.go
@@ -12,7 +12,6 @@
 	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
-	"lacewingfork.example/lacewingfork/peerpb"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
@@ -109,7 +108,6 @@
 	New(treeB, Settings{Instance: "b", Region: "accra"}, p.network, Receivers{
 		Submissions: p.submissions,
 		Hints:       supervise.NewRing[message.PeerHints]("hints", 16, supervise.DropOldest),
-		Control:     func(fleet.InstanceID, *peerpb.Frame) {},
 	}, changes, hints())
 	go func() { _ = treeA.Serve(ctx) }()
 	go func() { _ = treeB.Serve(ctx) }()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -8,7 +8,9 @@
 	"github.com/charmbracelet/log"
 
 	"lacewingfork.example/lacewingfork/entry/callers"
+	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/entry/operations"
+	"lacewingfork.example/lacewingfork/entry/ownership"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
@@ -16,6 +18,9 @@
 	// balancerNotice is how long the instance serves new requests after it
 	// stopped being ready, until the balancer has noticed.
 	balancerNotice = time.Second
+	// releaseTimeout bounds the wait for the release records; without them
+	// the leases end by themselves.
+	releaseTimeout = 3 * time.Second
 	// drainPoll paces the check whether the partition duties have ended.
 	drainPoll = 50 * time.Millisecond
 )
@@ -26,23 +31,43 @@
 	tree       *supervise.Tree
 	callers    *callers.Supervisor
 	operations *operations.Supervisor
+	releases   *supervise.Ring[message.ReleaseAll]
 	log        *log.Logger
 }
 
-func newStopper(tree *supervise.Tree, c *callers.Supervisor, o *operations.Supervisor, logger *log.Logger) *stopper {
-	return &stopper{tree: tree, callers: c, operations: o, log: logger}
+func newStopper(
+	tree *supervise.Tree, c *callers.Supervisor, o *operations.Supervisor, owner *ownership.Rings, logger *log.Logger,
+) *stopper {
+	return &stopper{tree: tree, callers: c, operations: o, releases: owner.Releases, log: logger}
 }
 
 // gracefully returns once nothing is in progress or the context ends.
 func (s *stopper) gracefully(ctx context.Context) {
 	s.operations.SetDraining()
 	s.pause(ctx, balancerNotice)
+	s.releasePartitions(ctx)
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.log.Error("requests were cut off", "event", "stop_cut_requests", "error", err)
 	}
 	s.awaitPartitions(ctx)
 }
 
+// releasePartitions gives the partitions up in the log, so that others claim
+// them at once; new requests are forwarded meanwhile.
+func (s *stopper) releasePartitions(ctx context.Context) {
+	reply := supervise.NewRing[message.AllReleased]("stop.released", 1, supervise.Refuse)
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout+time.Second)
+	defer cancel()
+	if s.releases.Put(ctx, message.ReleaseAll{Within: releaseTimeout, Reply: reply}) != nil {
+		return
+	}
+	select {
+	case released := <-reply.Items():
+		s.log.Info("partitions released", "event", "stop_released", "complete", released.Complete)
+	case <-ctx.Done():
+	}
+}
+
 // awaitPartitions waits until no partition duty runs any more, so that
 // requests forwarded by other instances are answered too.
 func (s *stopper) awaitPartitions(ctx context.Context) {
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -5,6 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"lacewingfork.example/lacewingfork/decision/lease"
 	"lacewingfork.example/lacewingfork/entry/callers"
 	"lacewingfork.example/lacewingfork/entry/configuration"
 	"lacewingfork.example/lacewingfork/entry/dispatch"
@@ -16,8 +17,8 @@
 	"lacewingfork.example/lacewingfork/entry/routing"
 	"lacewingfork.example/lacewingfork/entry/scheduling"
 	"lacewingfork.example/lacewingfork/fleet"
-	"lacewingfork.example/lacewingfork/peerpb"
 	"lacewingfork.example/lacewingfork/platformapi"
+	ownershiprecords "lacewingfork.example/lacewingfork/records/ownership"
 	"lacewingfork.example/lacewingfork/settings"
 	"lacewingfork.example/lacewingfork/supervise"
 )
@@ -30,7 +31,7 @@
 // own.
 var providers = fx.Options(
 	fx.Provide(
-		newOwnHints, newClients, newConfigurationRings, newOwnership,
+		newOwnHints, newClients, newConfigurationRings, newOwnershipRings,
 		newRouting, newPeers, newPlatform, dispatch.New, newScheduling, newCallers, newOperations, newStopper,
 	),
 	fx.Invoke(startOwnership, startConfiguration, startRouting, startPlatform),
@@ -62,14 +63,18 @@
 }
 
 func newPlatform(
-	clients platformClients, s settings.Settings, rings *configuration.Rings, owner *ownership.Duty,
+	clients platformClients, s settings.Settings, rings *configuration.Rings, owner *ownership.Rings,
 	route *routing.Duty, sched *scheduling.Supervisor, links *peers.Supervisor, ops *operations.Supervisor,
 ) *platform.Platform {
 	return platform.New(platform.Settings{
 		Log: clients.log, List: clients.list, Workers: clients.workers,
-		Streams: []platform.Stream{{
-			Name: streamConfiguration, Folds: []*supervise.Ring[message.LogRecords]{rings.Log}, Rewinds: rings.Rewinds,
-		}},
+		Streams: []platform.Stream{
+			{Name: streamConfiguration, Folds: []*supervise.Ring[message.LogRecords]{rings.Log}, Rewinds: rings.Rewinds},
+			{
+				Name: ownershiprecords.Stream(s.Instance.Region), Folds: []*supervise.Ring[message.LogRecords]{owner.Log},
+				Rewinds: owner.Rewinds,
+			},
+		},
 		Snapshots:   []*message.SnapshotRing{owner.Snapshots, route.Snapshots, sched.Snapshots, links.Snapshots, ops.Snapshots},
 		UsageRegion: &platform.UsageRegion{Region: s.Instance.Region, Rings: []*message.UsageRing{sched.Usage}},
 	})
@@ -83,8 +88,12 @@
 	return &rings
 }
 
-func newOwnership(s settings.Settings) *ownership.Duty {
-	return ownership.New(s.Instance.ID, s.Instance.Region)
+// newOwnershipRings returns the rings of the lease duty; those that lead to
+// other duties are set when it is started.
+func newOwnershipRings() *ownership.Rings {
+	rings := ownership.NewRings()
+	rings.Rewinds = supervise.NewRing[message.Rewind]("ownership.rewinds", 1, supervise.DropOldest)
+	return &rings
 }
 
 func newRouting(s settings.Settings, hints ownHintsRing, events *supervise.Ring[message.Event]) *routing.Duty {
@@ -94,19 +103,19 @@
 
 func newPeers(
 	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, hints ownHintsRing,
-	rings *configuration.Rings,
+	rings *configuration.Rings, owner *ownership.Rings,
 ) *peers.Supervisor {
 	place := peers.Settings{Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre}
 	receivers := peers.Receivers{
 		Submissions: route.Submissions, Hints: route.Hints,
 		ConfigurationRequests: rings.Requests, ConfigurationOffers: rings.Offers,
-		Control: func(fleet.InstanceID, *peerpb.Frame) {},
+		PromiseRequests: owner.Requests, Promises: owner.Promises, GiveBacks: owner.GiveBacks,
 	}
 	return peers.New(tree, place, l.Peers, receivers, route.Links, hints)
 }
 
 func newScheduling(
-	tree *supervise.Tree, lines *dispatch.Supervisor, route *routing.Duty, owner *ownership.Duty,
+	tree *supervise.Tree, lines *dispatch.Supervisor, route *routing.Duty, owner *ownership.Rings,
 	events *supervise.Ring[message.Event],
 ) *scheduling.Supervisor {
 	return scheduling.New(tree, lines, route.Partitions, owner.Relinquish, events)
@@ -129,10 +138,29 @@
 }
 
 func startOwnership(
-	tree *supervise.Tree, owner *ownership.Duty, route *routing.Duty, sched *scheduling.Supervisor, ops *operations.Supervisor,
+	tree *supervise.Tree, s settings.Settings, l *Listeners, owner *ownership.Rings, p *platform.Platform, links *peers.Supervisor,
+	route *routing.Duty, sched *scheduling.Supervisor, ops *operations.Supervisor,
 ) {
 	owner.Subscribers = []*message.HoldingsRing{route.Holdings, sched.Holdings, ops.Holdings}
-	owner.Start(tree.Child("ownership", supervise.DefaultIntensity))
+	owner.Appends, owner.Events = p.Appends(), ops.Events
+	owner.SendRequests, owner.SendPromises, owner.SendGiveBacks = links.PromiseRequests, links.Promises, links.GiveBacks
+	duty := ownership.NewLeaseDuty(ownership.Settings{
+		Instance: fleet.Instance{
+			ID: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre,
+			PeerAddress: advertised(s.Listen, l),
+		},
+		Lease: leaseSettings(s.Lease),
+	}, *owner)
+	tree.Child("ownership", supervise.DefaultIntensity).Start(duty)
+}
+
+// leaseSettings keeps the proportions of the defaults for times that no
+// setting names.
+func leaseSettings(s settings.Lease) lease.Settings {
+	l := lease.DefaultSettings()
+	l.TTL, l.ListLag, l.ListStale, l.Margin = s.TTL, s.ListLag, s.ListAge, s.Margin
+	l.RenewEvery = s.TTL / 4
+	return l
 }
 
 func startConfiguration(
