--- a/demo/demo.go
+++ b/demo/demo.go
@@ -66,7 +66,11 @@
 
 func (c *cluster) scenario(ctx context.Context, out io.Writer) (Report, error) {
 	var report Report
-	t, err := newTraffic(c.callersAddresses(), loadRate*int(loadDuration.Seconds()))
+	b := newBalancer()
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go b.watch(watchCtx, c.instances)
+	t, err := newTraffic(b, c.callersAddresses(), loadRate*int(loadDuration.Seconds()))
 	if err != nil {
 		return report, err
 	}
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -61,33 +61,20 @@
 	bookings chan booking
 }
 
-func newTraffic(addresses []string, requests int) (*traffic, error) {
+func newTraffic(b *balancer, addresses []string, requests int) (*traffic, error) {
 	if err := loopback(addresses); err != nil {
 		return nil, err
 	}
-	transport := &simulated{base: &http.Transport{MaxIdleConnsPerHost: 256}}
-	client, err := caller.New(caller.Settings{Addresses: addresses, Team: "cutting", Transport: transport})
+	client, err := caller.New(caller.Settings{Addresses: addresses, Team: "cutting", Transport: b})
 	if err != nil {
 		return nil, err
 	}
 	return &traffic{client: client, bookings: make(chan booking, requests)}, nil
 }
 
-// simulated adds the run time that the stand-in's backend servers take from a
-// header.
-type simulated struct{ base http.RoundTripper }
-
+// runMillisKey is the context key of the run time that a request asks for.
 type runMillisKey struct{}
 
-// RoundTrip implements http.RoundTripper.
-func (s *simulated) RoundTrip(r *http.Request) (*http.Response, error) {
-	if millis, ok := r.Context().Value(runMillisKey{}).(int); ok {
-		r = r.Clone(r.Context())
-		r.Header.Set("Lacewingfork-Simulated-Run-Ms", fmt.Sprint(millis))
-	}
-	return s.base.RoundTrip(r)
-}
-
 func (t *traffic) run(ctx context.Context, rate int, duration time.Duration) load.Result {
 	return load.Run(ctx, load.Plan{Rate: rate, Duration: duration, Workers: 256, Do: t.send})
 }
