Add machine and connection faults to the stand-in

Cause: instances that fail and open connections that go silent for good are among the failures at any moment, and the stand-in had neither for the platform's own connections nor a machine that is down. Change: backend mode down, silence of the open platform connections, ended tasks of removed machines (they counted as a second resume before), and tests for these; the truncated and rewind tests of the log reader are stricter, and the writer's model reaches two entries above a flush. Ruled out: silencing the control call's own connection, whose answer would be lost.

--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -125,9 +125,9 @@
 
 func (f *fixture) expect(next fleet.Offset, want string) fleet.Offset {
 	f.Helper()
-	got, _, next := f.delivered(next)
-	if got != want {
-		f.Errorf("delivered %q, want %q", got, want)
+	got, truncated, next := f.delivered(next)
+	if got != want || truncated {
+		f.Errorf("delivered %q (truncated %t), want %q", got, truncated, want)
 	}
 	return next
 }
@@ -226,6 +226,25 @@
 	})
 }
 
+// Guards against a read that ended just before a rewind and is delivered as if
+// it came from the new offset.
+func TestRewindDropsFinishedRead(t *testing.T) {
+	fold := supervise.NewRing[message.LogRecords]("fold", 1, supervise.Refuse)
+	stream := Stream{Name: "s", From: 5, Folds: []*supervise.Ring[message.LogRecords]{fold}}
+	r := newReader(stream, newCallRing[readQuestion, platformapi.Batch]("calls"), nil)
+	r.retry = time.NewTimer(time.Hour)
+	defer r.endCall()
+	r.ask(t.Context())
+	r.rewind(2)
+	late := result[platformapi.Batch]{answer: platformapi.Batch{Next: 6, End: 6, Records: []platformapi.Record{{Offset: 5, Data: []byte(`[{"id":"x"}]`)}}}}
+	if err := r.take(t.Context(), late); err != nil || r.next != 2 {
+		t.Errorf("next %d, %v", r.next, err)
+	}
+	if depth := fold.Stats().Depth; depth != 0 {
+		t.Errorf("%d batches were delivered", depth)
+	}
+}
+
 // Guards against a call duty whose failure leaves the writer waiting or hides
 // that the append may have taken effect.
 func TestCallDutyPanics(t *testing.T) {
--- a/entry/platform/writer_test.go
+++ b/entry/platform/writer_test.go
@@ -16,6 +16,9 @@
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
+// modelSizes make two entries exceed a flush often and one by itself sometimes.
+var modelSizes = []int{1, 1, 1000, 1000, 100_000, 100_000, 100_000, 100_000, records.MaxDataBytes, records.MaxDataBytes + 1}
+
 // writerModel drives a writer without goroutines, on a clock of its own.
 type writerModel struct {
 	*rapid.T
@@ -42,7 +45,7 @@
 
 func (m *writerModel) add(t *rapid.T) {
 	stream := rapid.IntRange(0, 1).Draw(t, "stream")
-	size := rapid.SampledFrom([]int{1, 1000, 50_000, records.MaxDataBytes, records.MaxDataBytes + 1}).Draw(t, "size")
+	size := rapid.SampledFrom(modelSizes).Draw(t, "size")
 	m.added++
 	id := fmt.Sprint(m.added)
 	ring := supervise.NewRing[message.AppendResult](id, 1, supervise.Wait)
--- a/platformapi/contract_test.go
+++ b/platformapi/contract_test.go
@@ -158,6 +158,34 @@
 	})
 }
 
+// Guards against calls that go on using idle connections after one of them went
+// silent: the second call would wait for its timeout as well.
+func TestFreshConnectionAfterTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startContract(t)
+		polls := make(chan error, 3)
+		for range cap(polls) {
+			go func() {
+				_, err := c.log.Read(t.Context(), "a", 0, time.Second)
+				polls <- err
+			}()
+		}
+		for range cap(polls) {
+			if err := <-polls; err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.faults.SilenceConnections()
+		if _, err := c.log.Append(t.Context(), "a", []byte("x")); !errors.Is(err, platformapi.ErrUnavailable) {
+			t.Errorf("a silent connection answered: %v", err)
+		}
+		sent := time.Now()
+		if _, err := c.log.Append(t.Context(), "a", []byte("y")); err != nil || time.Since(sent) != 0 {
+			t.Errorf("after %v: %v", time.Since(sent), err)
+		}
+	})
+}
+
 // Guards against a list that shows the present, or whose age is too small for
 // what it shows.
 func TestInstanceListContract(t *testing.T) {
--- a/standin/conn.go
+++ b/standin/conn.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 )
 
@@ -16,27 +18,55 @@
 	peak   int
 	over   int
 	silent bool
+	down   bool
 }
 
 func newTrackedListener(l net.Listener, limit int) *trackedListener {
 	return &trackedListener{Listener: l, limit: limit, open: map[*trackedConn]struct{}{}}
 }
 
-// Accept counts the connection until it is closed.
+// Accept counts the connection until it is closed. A server that is down closes
+// it at once.
 func (l *trackedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tracked := l.track(conn); tracked != nil {
+			return tracked, nil
+		}
+		_ = conn.Close()
 	}
-	tracked := &trackedConn{Conn: conn, listener: l}
+}
+
+func (l *trackedListener) track(conn net.Conn) *trackedConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.down {
+		return nil
+	}
+	tracked := &trackedConn{Conn: conn, listener: l}
 	l.open[tracked] = struct{}{}
 	l.peak = max(l.peak, len(l.open))
 	if len(l.open) > l.limit {
 		l.over++
 	}
-	return tracked, nil
+	return tracked
+}
+
+// setDown closes every connection and refuses new ones while it is down.
+func (l *trackedListener) setDown(down bool) {
+	l.mu.Lock()
+	l.down = down
+	open := slices.Collect(maps.Keys(l.open))
+	l.mu.Unlock()
+	if !down {
+		return
+	}
+	for _, conn := range open {
+		_ = conn.Close()
+	}
 }
 
 func (l *trackedListener) setSilent(silent bool) {
@@ -45,11 +75,12 @@
 	l.silent = silent
 }
 
-func (l *trackedListener) silenceOpen() {
+// silenceOpen makes all open connections but one silent for good.
+func (l *trackedListener) silenceOpen(but net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for conn := range l.open {
-		conn.silenced = true
+		conn.silenced = conn != but
 	}
 }
 
--- a/standin/control.go
+++ b/standin/control.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"net"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -37,6 +38,7 @@
 	r.HandleFunc("/control/faults", s.serveFaults).Methods(get)
 	r.HandleFunc("/control/faults/log", s.serveLogFaults).Methods(put)
 	r.HandleFunc("/control/faults/list", s.serveListFaults).Methods(put)
+	r.HandleFunc("/control/faults/connections", s.serveSilence).Methods(http.MethodPost)
 	r.HandleFunc("/control/faults/backend-servers/{id}", s.serveBackendFaults).Methods(put)
 	r.HandleFunc("/control/instances", s.servePutInstance).Methods(put)
 	r.HandleFunc("/control/instances/{id}/leaving", s.serveInstanceLeaving).Methods(put)
@@ -71,6 +73,10 @@
 	return s.machines.setFaults(id, f)
 }
 
+// SilenceConnections makes every open connection to the platform silent for
+// good; new ones work.
+func (s *StandIn) SilenceConnections() { s.listener.silenceOpen(nil) }
+
 // PutInstance registers an entry instance, or changes it.
 func (s *StandIn) PutInstance(i fleet.Instance) { s.registry.putInstance(i) }
 
@@ -135,6 +141,13 @@
 	}
 }
 
+// serveSilence spares the connection that the call came on.
+func (s *StandIn) serveSilence(w http.ResponseWriter, r *http.Request) {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	s.listener.silenceOpen(conn)
+	writeJSON(w, struct{}{})
+}
+
 func (s *StandIn) serveBackendFaults(w http.ResponseWriter, r *http.Request) {
 	var f BackendFaults
 	if !readJSON(w, r, &f) {
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -50,11 +50,14 @@
 	BackendCrossed BackendMode = "crossed"
 	// BackendSlow multiplies run times by Factor.
 	BackendSlow BackendMode = "slow"
+	// BackendDown closes every connection, ends every task and leaves calls to
+	// the worker unanswered.
+	BackendDown BackendMode = "down"
 )
 
 func (m BackendMode) known() bool {
 	switch m {
-	case BackendHealthy, BackendFails, BackendSilent, BackendHalf, BackendCrossed, BackendSlow:
+	case BackendHealthy, BackendFails, BackendSilent, BackendHalf, BackendCrossed, BackendSlow, BackendDown:
 		return true
 	default:
 		return false
--- a/standin/log.go
+++ b/standin/log.go
@@ -70,6 +70,7 @@
 		}
 	}
 	s.oldest += fleet.Offset(drop)
+	clear(s.records[:drop]) // frees the data while the array lives on
 	s.records = s.records[drop:]
 }
 
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
 )
 
 // leavingGrace is the time after which a leaving backend server may receive no
@@ -98,6 +99,9 @@
 func (m *machines) remove(id fleet.BackendServerID) bool {
 	m.mu.Lock()
 	server, ok := m.servers[id]
+	if ok {
+		m.endTasks(server, "machine removed")
+	}
 	delete(m.servers, id)
 	m.mu.Unlock()
 	if ok {
@@ -136,12 +140,25 @@
 	f.SilenceOpen = false
 	server.faults = f
 	server.listener.setSilent(f.Mode == BackendSilent)
+	server.listener.setDown(f.Mode == BackendDown)
+	if f.Mode == BackendDown {
+		m.endTasks(server, "machine is down")
+	}
 	if silence {
-		server.listener.silenceOpen()
+		server.listener.silenceOpen(nil)
 	}
 	return true
 }
 
+func (m *machines) endTasks(s *machine, cause string) {
+	m.settle(s, time.Now())
+	for _, t := range s.tasks {
+		if t.running() {
+			t.end(platformapi.TaskStopped, cause)
+		}
+	}
+}
+
 func (m *machines) currentFaults() map[fleet.BackendServerID]BackendFaults {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -36,6 +37,7 @@
 	registry *registry
 	machines *machines
 	address  string
+	listener *trackedListener
 	server   *http.Server
 	stop     context.CancelFunc
 	running  sync.WaitGroup
@@ -55,8 +57,12 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	s.address = listener.Addr().String()
+	s.listener = newTrackedListener(listener, math.MaxInt)
 	s.server = newHTTPServer(s.router())
-	s.serve(s.server, listener)
+	s.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	s.serve(s.server, s.listener)
 	if err := s.addConfigured(); err != nil {
 		s.Close()
 		return nil, err
@@ -78,6 +84,9 @@
 	return nil
 }
 
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
 func newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -31,7 +32,9 @@
 func withStandIn(t *testing.T, run func(*fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		network := NewPipeNetwork()
-		s, err := Start(DefaultSettings(), network.Listen)
+		settings := DefaultSettings()
+		settings.Interference = []Interference{{Class: "watch", Percent: 50}}
+		s, err := Start(settings, network.Listen)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -92,6 +95,7 @@
 		{`{"mode":"silent"}`, 5 * time.Second, 0, "", "", true},
 		{`{"mode":"half"}`, time.Second, 200, "r1", "", true},
 		{`{"mode":"crossed"}`, time.Second, 200, "other-", "other-", false},
+		{`{"mode":"down"}`, 0, 0, "", "", true},
 		{`{"mode":"slow","factor":3}`, 3 * time.Second, 200, "r1", sum, false},
 	} {
 		t.Run(c.fault, func(t *testing.T) {
@@ -107,8 +111,12 @@
 				if took := time.Since(began); took != c.took {
 					t.Errorf("took %v, want %v", took, c.took)
 				}
-				if runs := f.Runs("r1", ""); runs.Request != 1 {
-					t.Errorf("request ran %d times, want 1", runs.Request)
+				want := 1
+				if strings.Contains(c.fault, "down") {
+					want = 0
+				}
+				if runs := f.Runs("r1", ""); runs.Request != want {
+					t.Errorf("request ran %d times, want %d", runs.Request, want)
 				}
 			})
 		})
@@ -257,3 +265,28 @@
 		t.Errorf("%+v, %v", s, err)
 	}
 }
+
+// Guards against interference that does not follow the tasks on a backend
+// server, and against a machine's end that leaves its tasks running.
+func TestTasksOfAMachine(t *testing.T) {
+	withStandIn(t, func(f *fixture) {
+		start := platformapi.StartTask{
+			Task: "t", Attempt: 1, Partition: "p", Epoch: 1, Class: "watch", RunMillis: 60_000, LeaseMillis: 60_000,
+		}
+		if err := f.machines.startTask(firstServer, start); err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range []time.Duration{1500 * time.Millisecond, time.Second} {
+			began := time.Now()
+			if _, _, _, err := f.run(map[string]string{HeaderRunMillis: "1000"}); err != nil || time.Since(began) != want {
+				t.Errorf("took %v, want %v: %v", time.Since(began), want, err)
+			}
+			f.control(http.MethodPut, "faults/backend-servers/"+firstServer, `{"mode":"down"}`)
+			f.control(http.MethodPut, "faults/backend-servers/"+firstServer, `{}`)
+		}
+		start.Attempt = 2
+		if err := f.machines.startTask("accra-1-rack-1-server-2", start); err != nil || f.Violations() != (Violations{}) {
+			t.Errorf("%+v, %v", f.Violations(), err)
+		}
+	})
+}
