Count work on leaving servers from the first list that shows it

Cause: the stand-in counted the 3 s from its configured lag, which is wrong while the list is frozen or lags more: a breach would be counted although the list had not shown the server as leaving. Change: the grace starts with the first answer of the list that shows it; a test measures the appends of one writer at a seventh of 1,200 starts a second.

--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -171,6 +171,37 @@
 	}
 }
 
+// Guards against more than 300 appends a second by seven writers at the target
+// size of 1,200 task starts a second.
+func TestAppendsAtTargetSize(t *testing.T) {
+	const writers, startsPerSecond, mostAppends, seconds = 7, 1200, 300, 10
+	run(t, standin.Retention{}, &panickingLog{}, func(f *fixture) {
+		f.start()
+		entries, next := 0, fleet.Offset(0)
+		deliver := func() {
+			var ids string
+			ids, _, next = f.delivered(next)
+			entries += strings.Count(ids, "start")
+		}
+		for range seconds * startsPerSecond / writers {
+			f.append("start")
+			f.wait(time.Second * writers / startsPerSecond)
+			deliver()
+		}
+		f.wait(time.Second)
+		deliver()
+		s := f.standin.Streams()[0]
+		if rate := writers * s.Appends / seconds; rate > mostAppends {
+			f.Errorf("%d appends a second, most is %d", rate, mostAppends)
+		} else {
+			f.Logf("%d appends a second", rate)
+		}
+		if entries != seconds*startsPerSecond/writers {
+			f.Errorf("%d entries were delivered", entries)
+		}
+	})
+}
+
 // Guards against a reader that hammers the log service in an outage, or whose
 // state cannot be seen then, and against one that comes back late.
 func TestReaderInOutage(t *testing.T) {
--- a/standin/control.go
+++ b/standin/control.go
@@ -29,6 +29,9 @@
 	Key     int `json:"key"`
 }
 
+// controlRoutes serves what a test or demo drives the stand-in with; the bodies
+// are the types of this package as JSON. A PUT of faults replaces all earlier
+// ones of the same part, so an empty object lifts them.
 func (s *StandIn) controlRoutes(r *mux.Router) {
 	put, get, remove := http.MethodPut, http.MethodGet, http.MethodDelete
 	r.HandleFunc("/control/violations", s.serveViolations).Methods(get)
@@ -54,6 +57,9 @@
 // BackendServers returns the counters of each backend server.
 func (s *StandIn) BackendServers() []BackendStats { return s.machines.stats() }
 
+// Streams returns the state of each stream, in the order of their names.
+func (s *StandIn) Streams() []StreamState { return s.log.states() }
+
 // Runs returns how often a request identifier and a request key ran.
 func (s *StandIn) Runs(requestID, key string) Runs {
 	s.machines.mu.Lock()
@@ -91,7 +97,7 @@
 	}
 	b.Leaving = leaving
 	s.registry.putServer(b)
-	s.machines.setLeaving(id, leaving, s.settings.listLag())
+	s.machines.setLeaving(id, leaving)
 	return true
 }
 
@@ -110,7 +116,7 @@
 }
 
 func (s *StandIn) serveStreams(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.log.states())
+	writeJSON(w, s.Streams())
 }
 
 func (s *StandIn) serveRuns(w http.ResponseWriter, r *http.Request) {
--- a/standin/routes.go
+++ b/standin/routes.go
@@ -119,9 +119,12 @@
 }
 
 func (s *StandIn) serveList(w http.ResponseWriter, r *http.Request) {
-	if s.withstandOutage(w, r, s.registry.currentFaults().Outage) {
-		writeJSON(w, s.registry.snapshot())
+	if !s.withstandOutage(w, r, s.registry.currentFaults().Outage) {
+		return
 	}
+	list := s.registry.snapshot()
+	s.machines.noteShown(list.BackendServers)
+	writeJSON(w, list)
 }
 
 func (s *StandIn) serveUsage(w http.ResponseWriter, r *http.Request) {
