--- a/entry/platform/watcher.go
+++ b/entry/platform/watcher.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// listEvery leaves three tries within the age at which a snapshot counts
+	// listEvery gives several tries within the age at which a snapshot counts
 	// as stale (2 s).
 	listEvery = 500 * time.Millisecond
 	// usageEvery follows the reports, which are about a second apart.
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -42,7 +42,6 @@
 	id         fleet.BackendServerID
 	dataCentre fleet.DataCentre
 	capacity   fleet.Resources
-	maxConns   int
 	leaving    bool
 	// noWorkFrom is when the server may receive no new work any more; zero
 	// until an answer of the list has shown it as leaving.
@@ -88,7 +87,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.servers[b.ID] = &machine{
-		id: b.ID, dataCentre: b.DataCentre, capacity: b.Capacity, maxConns: b.Connections,
+		id: b.ID, dataCentre: b.DataCentre, capacity: b.Capacity,
 		listener: listener, close: closeServer,
 		stats:     BackendStats{ID: b.ID, Address: b.Address},
 		latencies: map[fleet.Service]latency{}, epochs: map[fleet.PartitionID]fleet.Epoch{},
