--- a/standin/machines.go
+++ b/standin/machines.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
 )
 
 // leavingGrace is the time after which a leaving backend server may receive no
@@ -41,14 +42,13 @@
 	id         fleet.BackendServerID
 	dataCentre fleet.DataCentre
 	capacity   fleet.Resources
-	maxConns   int
-	// leavingFrom is when the server may receive no new work any more; zero
-	// while it is not leaving.
-	leavingFrom time.Time
-	leaving     bool
-	faults      BackendFaults
-	listener    *trackedListener
-	close       func()
+	leaving    bool
+	// noWorkFrom is when the server may receive no new work any more; zero
+	// until an answer of the list has shown it as leaving.
+	noWorkFrom time.Time
+	faults     BackendFaults
+	listener   *trackedListener
+	close      func()
 
 	requestSlots int
 	stats        BackendStats
@@ -87,7 +87,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.servers[b.ID] = &machine{
-		id: b.ID, dataCentre: b.DataCentre, capacity: b.Capacity, maxConns: b.Connections,
+		id: b.ID, dataCentre: b.DataCentre, capacity: b.Capacity,
 		listener: listener, close: closeServer,
 		stats:     BackendStats{ID: b.ID, Address: b.Address},
 		latencies: map[fleet.Service]latency{}, epochs: map[fleet.PartitionID]fleet.Epoch{},
@@ -98,6 +98,9 @@
 func (m *machines) remove(id fleet.BackendServerID) bool {
 	m.mu.Lock()
 	server, ok := m.servers[id]
+	if ok {
+		m.endTasks(server, "machine removed")
+	}
 	delete(m.servers, id)
 	m.mu.Unlock()
 	if ok {
@@ -115,13 +118,25 @@
 	}
 }
 
-// setLeaving marks a backend server; listLag is when the list shows it.
-func (m *machines) setLeaving(id fleet.BackendServerID, leaving bool, listLag time.Duration) {
+func (m *machines) setLeaving(id fleet.BackendServerID, leaving bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if server := m.servers[id]; server != nil {
 		server.leaving = leaving
-		server.leavingFrom = time.Now().Add(listLag + leavingGrace)
+		server.noWorkFrom = time.Time{}
+	}
+}
+
+// noteShown starts the grace of each leaving backend server that the list shows
+// for the first time.
+func (m *machines) noteShown(list []fleet.BackendServer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, b := range list {
+		server := m.servers[b.ID]
+		if b.Leaving && server != nil && server.leaving && server.noWorkFrom.IsZero() {
+			server.noWorkFrom = time.Now().Add(leavingGrace)
+		}
 	}
 }
 
@@ -136,12 +151,25 @@
 	f.SilenceOpen = false
 	server.faults = f
 	server.listener.setSilent(f.Mode == BackendSilent)
+	server.listener.setDown(f.Mode == BackendDown)
+	if f.Mode == BackendDown {
+		m.endTasks(server, "machine is down")
+	}
 	if silence {
-		server.listener.silenceOpen()
+		server.listener.silenceOpen(nil)
 	}
 	return true
 }
 
+func (m *machines) endTasks(s *machine, cause string) {
+	m.settle(s, time.Now())
+	for _, t := range s.tasks {
+		if t.running() {
+			t.end(platformapi.TaskStopped, cause)
+		}
+	}
+}
+
 func (m *machines) currentFaults() map[fleet.BackendServerID]BackendFaults {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -198,7 +226,7 @@
 	if used > s.capacity.Slots {
 		m.violations.SlotsOverCapacity++
 	}
-	if s.leaving && now.After(s.leavingFrom) {
+	if !s.noWorkFrom.IsZero() && now.After(s.noWorkFrom) {
 		m.violations.WorkOnLeaving++
 	}
 }
