--- a/decision/lease/fold.go
+++ b/decision/lease/fold.go
@@ -29,6 +29,7 @@
 	joined      fleet.Offset
 	lastRenewal fleet.Offset
 	held        int
+	stopping    bool
 }
 
 // Ownership is what the log says about one partition.
@@ -94,6 +95,12 @@
 	return o.Acquired
 }
 
+// Stopping reports whether the member has said that it claims nothing any more.
+func (f *Fold) Stopping(k MemberKey) bool {
+	m := f.members[k]
+	return m != nil && m.stopping
+}
+
 // Apply folds one record. It reports whether the record had effect; for a
 // claim, won lists the accepted claims (reusing the slice given).
 func (f *Fold) Apply(e Entry, won []PartitionClaim) (bool, []PartitionClaim) {
@@ -201,6 +208,9 @@
 
 func (f *Fold) release(r *Record) bool {
 	effect := false
+	if m := f.members[r.Member]; m != nil && r.Stopping {
+		m.stopping = true
+	}
 	for _, pe := range r.Released {
 		o := f.partitions[pe.Partition]
 		if o == nil || o.Holder != r.Member || o.Epoch != pe.Epoch {
@@ -228,6 +238,7 @@
 	Joined      fleet.Offset
 	LastRenewal fleet.Offset
 	Latest      bool
+	Stopping    bool
 }
 
 // PartitionState is one partition of a FoldState.
@@ -242,7 +253,7 @@
 	for k, m := range f.members {
 		s.Members = append(s.Members, MemberState{
 			Key: k, Address: m.address, Joined: m.joined,
-			LastRenewal: m.lastRenewal, Latest: f.latest[k.ID] == k,
+			LastRenewal: m.lastRenewal, Latest: f.latest[k.ID] == k, Stopping: m.stopping,
 		})
 	}
 	for p, o := range f.partitions {
@@ -278,7 +289,9 @@
 	f.clear()
 	f.next = s.At
 	for _, m := range s.Members {
-		f.members[m.Key] = &foldMember{address: m.Address, joined: m.Joined, lastRenewal: m.LastRenewal}
+		f.members[m.Key] = &foldMember{
+			address: m.Address, joined: m.Joined, lastRenewal: m.LastRenewal, stopping: m.Stopping,
+		}
 		if m.Latest {
 			f.latest[m.Key.ID] = m.Key
 		}
--- a/decision/lease/lease.go
+++ b/decision/lease/lease.go
@@ -113,6 +113,8 @@
 	Claims []PartitionClaim
 	// Released are the leases given up (Release).
 	Released []PartitionEpoch
+	// Stopping says that the member claims nothing any more (Release).
+	Stopping bool
 	// State is set for Snapshot.
 	State *FoldState
 }
--- a/decision/lease/member.go
+++ b/decision/lease/member.go
@@ -59,6 +59,7 @@
 	snapshotAt time.Time
 	readySince time.Time
 	stopping   bool
+	farewell   bool // the first release of a planned stop was sent
 }
 
 // ownLease is a lease that the member holds. until only grows.
@@ -251,7 +252,12 @@
 	m.out.Acquired = append(m.out.Acquired, Lease{l.PartitionEpoch, until})
 }
 
+// releaseRead handles a released lease; the fold has passed over those of
+// another epoch.
 func (m *Member) releaseRead(pe PartitionEpoch) {
+	if o := m.fold.Of(pe.Partition); o.Held() || o.Epoch != pe.Epoch {
+		return
+	}
 	m.changed[pe.Partition] = m.now
 	m.changes++
 	if i := m.releasing[pe.Partition]; i != nil && i.epoch == pe.Epoch {
--- a/decision/lease/tick.go
+++ b/decision/lease/tick.go
@@ -140,7 +140,7 @@
 }
 
 func (m *Member) renews(k MemberKey) bool {
-	return m.fold.Joined(k) && m.now.Sub(m.signs[k]) <= m.settings.TTL+m.settings.Margin
+	return m.fold.Joined(k) && !m.fold.Stopping(k) && m.now.Sub(m.signs[k]) <= m.settings.TTL+m.settings.Margin
 }
 
 // rank returns the number of candidates before the own member in the
@@ -227,9 +227,10 @@
 			i.due = m.now.Add(s.TTL)
 		}
 	}
-	if len(due) > 0 {
+	if len(due) > 0 || (m.stopping && !m.farewell) {
+		m.farewell = m.stopping
 		sort.Slice(due, func(i, j int) bool { return due[i].Partition < due[j].Partition })
-		m.append(Record{Kind: Release, Released: due})
+		m.append(Record{Kind: Release, Released: due, Stopping: m.stopping})
 	}
 }
 
