--- a/entry/ownership/duty.go
+++ b/entry/ownership/duty.go
@@ -1,3 +1,9 @@
+// Package ownership owns the partition leases of this instance: the fold of the
+// stream `ownership.<region>`, the promises given and received, and the
+// validity of each lease. The root supervisor starts it below
+// `entry/ownership`. When the duty fails it starts again from the log under a
+// greater incarnation; the leases of the failed run count as lapsed, and this
+// instance or another claims their partitions after TTL plus margin.
 package ownership
 
 import (
--- a/records/ownership/ownership.go
+++ b/records/ownership/ownership.go
@@ -41,6 +41,7 @@
 	Sequence uint64      `json:"sequence,omitempty"`
 	Claims   []claim     `json:"claims,omitempty"`
 	Released []partition `json:"released,omitempty"`
+	Stopping bool        `json:"stopping,omitempty"`
 	State    *state      `json:"state,omitempty"`
 }
 
@@ -68,6 +69,7 @@
 	Joined      fleet.Offset `json:"joined"`
 	LastRenewal fleet.Offset `json:"last_renewal"`
 	Latest      bool         `json:"latest"`
+	Stopping    bool         `json:"stopping,omitempty"`
 }
 
 type partitionState struct {
@@ -79,7 +81,7 @@
 // Encode returns the record's data. The record's ID is not part of it: the
 // entry of the log record carries it.
 func Encode(r lease.Record) ([]byte, error) {
-	out := record{member: member(r.Member), Address: r.Address, Sequence: r.Sequence}
+	out := record{member: member(r.Member), Address: r.Address, Sequence: r.Sequence, Stopping: r.Stopping}
 	for _, k := range kindNames {
 		if k.kind == r.Kind {
 			out.Kind = k.name
@@ -104,7 +106,9 @@
 	if err := json.Unmarshal(data, &in); err != nil {
 		return lease.Record{}, errors.Wrap(ErrInvalid, err.Error())
 	}
-	out := lease.Record{ID: id, Member: lease.MemberKey(in.member), Address: in.Address, Sequence: in.Sequence}
+	out := lease.Record{
+		ID: id, Member: lease.MemberKey(in.member), Address: in.Address, Sequence: in.Sequence, Stopping: in.Stopping,
+	}
 	for _, k := range kindNames {
 		if k.name == in.Kind {
 			out.Kind = k.kind
@@ -133,7 +137,7 @@
 func encodeState(s lease.FoldState) *state {
 	out := &state{At: s.At}
 	for _, m := range s.Members {
-		out.Members = append(out.Members, memberState{member(m.Key), m.Address, m.Joined, m.LastRenewal, m.Latest})
+		out.Members = append(out.Members, memberState{member(m.Key), m.Address, m.Joined, m.LastRenewal, m.Latest, m.Stopping})
 	}
 	for _, p := range s.Partitions {
 		out.Partitions = append(out.Partitions, partitionState{
@@ -148,7 +152,7 @@
 	for _, m := range s.Members {
 		out.Members = append(out.Members, lease.MemberState{
 			Key: lease.MemberKey(m.member), Address: m.Address,
-			Joined: m.Joined, LastRenewal: m.LastRenewal, Latest: m.Latest,
+			Joined: m.Joined, LastRenewal: m.LastRenewal, Latest: m.Latest, Stopping: m.Stopping,
 		})
 	}
 	for _, p := range s.Partitions {
