--- a/entry/scheduling/scheduling.go
+++ b/entry/scheduling/scheduling.go
@@ -18,6 +18,9 @@
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
+// usageCapacity has a place for each data centre of a region.
+const usageCapacity = 16
+
 // announceInterval is how long a restarted routing duty may miss a partition.
 const announceInterval = time.Second
 
@@ -34,6 +37,10 @@
 
 	Explains *supervise.Ring[message.ExplainQuery]
 
+	// Wanted asks the configuration duty for the version in force; set before
+	// the tree serves.
+	Wanted *supervise.Ring[message.ConfigurationWanted]
+
 	changes    *supervise.Ring[message.PartitionChange]
 	relinquish *supervise.Ring[message.Relinquish]
 	events     *supervise.Ring[message.Event]
@@ -48,7 +55,7 @@
 	s := &Supervisor{
 		tree: root.Child("scheduling", supervise.DefaultIntensity), lines: lines,
 		Snapshots:      supervise.NewRing[message.ListSnapshot]("scheduling.snapshots", 1, supervise.DropOldest),
-		Usage:          supervise.NewRing[message.UsageReports]("scheduling.usage", 4, supervise.DropOldest),
+		Usage:          supervise.NewRing[message.UsageReports]("scheduling.usage", usageCapacity, supervise.DropOldest),
 		Holdings:       supervise.NewRing[message.Holdings]("scheduling.holdings", 1, supervise.DropOldest),
 		Configurations: supervise.NewRing[message.ConfigurationInForce]("scheduling.configurations", 1, supervise.DropOldest),
 		Explains:       supervise.NewRing[message.ExplainQuery]("scheduling.explains", explainCapacity, supervise.Refuse),
@@ -74,6 +81,7 @@
 func (s *Supervisor) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 	m := &manager{Supervisor: s, open: map[fleet.PartitionID]*partitionDuty{}}
 	defer m.closeAll(ctx)
+	_ = s.Wanted.Put(ctx, message.ConfigurationWanted{Ring: s.Configurations})
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
--- a/records/configuration/configuration_test.go
+++ b/records/configuration/configuration_test.go
@@ -1,9 +1,11 @@
 package configuration
 
 import (
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -81,3 +83,74 @@
 		t.Errorf("invalid text: %+v, %v; want a publication with one finding", entry.Publication, err)
 	}
 }
+
+// Guards against a text that ends the process or that changes when it is
+// printed again.
+func FuzzDecode(f *testing.F) {
+	f.Add("[limits]\nlong_share = 0.5\n[[team]]\nname = 'a'\nshare = 1\n")
+	f.Add("[[service]]\nname = 'a'\noperation = [{name = 'b', class = 'urgent', deadline = '1s', expected_run_time = '1ms'}]\n")
+	f.Add("[[region]]\nname = 'a'\ndata_centres = ['b']\n[[kind]]\nname = 'k'\nexpected_run_time = '2h'\n")
+	f.Add("limits = [1]\n[[service]]\nregions = {a.b = 1}\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := Decode("fuzz.toml", []byte(text))
+		if err != nil {
+			return
+		}
+		printed, err := Encode(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Decode("printed.toml", printed)
+		if err != nil || !reflect.DeepEqual(normal(again), normal(c)) {
+			t.Fatalf("%+v became %+v, %v", c, again, err)
+		}
+	})
+}
+
+// normal makes an empty list of regions equal to a missing one.
+func normal(c *configuration.Configuration) configuration.Configuration {
+	n := *c
+	n.Services = append([]configuration.Service(nil), c.Services...)
+	for i := range n.Services {
+		n.Services[i].Regions = append([]fleet.Region(nil), n.Services[i].Regions...)
+	}
+	return n
+}
+
+// BenchmarkDecode reads a configuration of the target size: 180 teams, 60
+// services with 4 operations each, 12 data centres and 40 kinds.
+func BenchmarkDecode(b *testing.B) {
+	c := &configuration.Configuration{Limits: configuration.DefaultLimits}
+	for i := range 5 {
+		c.AllRegions = append(c.AllRegions, configuration.Region{
+			Name: fleet.Region(fmt.Sprint("region-", i)), DataCentres: []fleet.DataCentre{fleet.DataCentre(fmt.Sprint("dc-", i))},
+		})
+	}
+	for i := range 60 {
+		s := configuration.Service{Name: fleet.Service(fmt.Sprint("service-", i))}
+		for j := range 4 {
+			s.Operations = append(s.Operations, configuration.Operation{
+				Name: fleet.Operation(fmt.Sprint("operation-", j)), Deadline: time.Second, ExpectedRunTime: time.Millisecond,
+			})
+		}
+		c.Services = append(c.Services, s)
+	}
+	for i := range 180 {
+		c.Teams = append(c.Teams, configuration.Team{Name: fleet.Team(fmt.Sprint("team-", i)), Share: 1.0 / 180, MaxJobs: 100})
+	}
+	for i := range 40 {
+		c.Kinds = append(c.Kinds, configuration.BatchKind{
+			Name: fmt.Sprint("kind-", i), ExpectedRunTime: time.Hour, Resources: fleet.Resources{Slots: 1},
+		})
+	}
+	text, err := Encode(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := Decode("bench.toml", text); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(text)), "bytes")
+}
