Add interference estimates and relief

Without estimates, latency-critical work is placed beside batch tasks that slow it down, and reports that lag and scatter would lead to evictions in waves.

interference splits the slowdown among kinds of tasks by online regression from samples that show one state of tasks and throttling, throttles first, and evicts only when what throttled tasks are still expected to cause explains the slowdown.

--- a/decision/partition/measure_test.go
+++ b/decision/partition/measure_test.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -283,6 +284,51 @@
 	}
 }
 
+// Guards the target on evictions: at most a tenth of those of a policy without
+// hysteresis, under noisy reports in waves beside a pair that interferes. Two
+// of three tasks slow the service down by 40% each; every 20 s all service
+// times double for 5 s whatever runs.
+func TestTargetEvictionsUnderNoise(t *testing.T) {
+	for _, d := range deployments {
+		run := func(eager bool) (evictions int, slowdown float64) {
+			l := &lacewing{configuration: measured, eager: eager}
+			w := newWorld(d, l)
+			samples := 0.0
+			l.latency = func(server int) map[fleet.Service]time.Duration {
+				factor := 1.0
+				for id, j := range l.tasks {
+					if j.server == server && j.id%3 > 0 && !l.throttled[id] {
+						factor += 0.4
+					}
+				}
+				slowdown, samples = slowdown+factor-1, samples+1
+				if w.now%(20*time.Second) < 5*time.Second {
+					factor *= 2
+				}
+				noisy := factor * math.Exp(0.3*w.random.NormFloat64())
+				return map[fleet.Service]time.Duration{"planner": time.Duration(noisy * float64(shortMedian))}
+			}
+			w.arrivals(constant(d, 0.05, meanOfHeavyTail(shortMedian)), func() *job { return urgentJob(w, time.Second) })
+			for range d.servers {
+				j := &job{task: true, run: time.Hour, work: Work{}}
+				w.at(warmUp, func() {
+					j.work.Operation = fleet.Operation([]string{"still", "weave", "weave"}[len(w.jobs)%3])
+					w.submit(j)
+				})
+			}
+			w.runUntil(5 * time.Minute)
+			return len(l.evictions), slowdown / samples
+		}
+		evictions, slowdown := run(false)
+		eager, eagerSlowdown := run(true)
+		t.Logf("%s: %d evictions in 5 minutes at a mean slowdown of %.3f (without hysteresis %d at %.3f)",
+			d.name, evictions, slowdown, eager, eagerSlowdown)
+		if 10*evictions > eager {
+			t.Errorf("%s: %d evictions, want at most a tenth of %d", d.name, evictions, eager)
+		}
+	}
+}
+
 // feed keeps a backlog of 40 batch tasks, offered each 100 ms.
 func feed(w *world) {
 	newTask := func() *job {
--- a/decision/partition/requests.go
+++ b/decision/partition/requests.go
@@ -35,7 +35,10 @@
 	if s.servers.Capacity() == 0 {
 		return s.refuse(now, w.ID, outcome.NoCapacity, retryAfterNoServer, out)
 	}
-	r := request{work: w, estimate: operation, arrived: now, server: placement.NoServer, team: s.queue.Team(w.Team)}
+	r := request{
+		work: w, estimate: operation, arrived: now, server: placement.NoServer, team: s.queue.Team(w.Team),
+		service: s.relief.estimates.Service(w.Service),
+	}
 	kind := kindOf(&r)
 	if w.Class < fleet.Batch {
 		s.servers.Need(now, operation.Mean(), kind == admission.Long)
@@ -98,11 +101,9 @@
 }
 
 // Tick refuses waiting requests whose time has passed, starts attempts that
-// are due and carries on with relief. It is due at NextTick.
-func (s *State) Tick(now time.Time, out []Action) []Action {
-	out = s.drain(now, out)
-	return s.relieve(now, out)
-}
+// are due. It is due at NextTick. Relief goes on with usage reports only,
+// because only they show whether it is needed.
+func (s *State) Tick(now time.Time, out []Action) []Action { return s.drain(now, out) }
 
 // drain starts waiting requests while there is room.
 func (s *State) drain(now time.Time, out []Action) []Action {
@@ -141,9 +142,10 @@
 
 // choose returns the backend server for a request, or NoServer.
 func (s *State) choose(now time.Time, r *request, kind admission.Kind) placement.Index {
-	ask := placement.Request{Service: r.work.Service, Long: kind == admission.Long, Avoid: r.server}
+	ask := placement.Request{Long: kind == admission.Long, Avoid: r.server}
+	s.relief.costOf = r.service
 	r.long = ask.Long
-	return s.servers.Choose(now, ask, gate{s}, cost{s}, &s.weighed)
+	return s.servers.Choose(now, ask, gate{s}, cost{&s.relief}, &s.weighed)
 }
 
 // run places a request on a backend server.
--- a/decision/partition/sim_test.go
+++ b/decision/partition/sim_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"lacewingfork.example/lacewingfork/decision/configuration"
@@ -46,7 +47,7 @@
 	part     int // partition
 	attempts int
 	// bad is set when the job ended with a failure of its server.
-	refused, answered, bad, admitted bool
+	refused, answered, bad, admitted, stopped bool
 }
 
 // scheduler is a policy under measurement. It calls world.start.
@@ -72,15 +73,13 @@
 	jobs    []*job
 	busy    []int
 	failing func(server int) bool
-	// slowdown multiplies run times by what runs beside the job.
-	slowdown func(j *job) float64
-	starts   int
+	starts  int
 }
 
 func newWorld(d deployment, p scheduler) *world {
 	w := &world{
 		deployment: d, policy: p, random: rand.New(rand.NewPCG(20261204, 1)), busy: make([]int, d.servers),
-		failing: func(int) bool { return false }, slowdown: func(*job) float64 { return 1 },
+		failing: func(int) bool { return false },
 	}
 	if l, ok := p.(*lacewing); ok {
 		l.begin(w)
@@ -151,11 +150,14 @@
 	}
 	j.server, j.started = server, w.now
 	j.attempts++
-	run, result := time.Duration(float64(j.run)*w.slowdown(j)), Succeeded
+	run, result := j.run, Succeeded
 	if w.failing(server) && !j.task {
 		run, result = 5*time.Millisecond, Failed
 	}
 	w.at(w.now+run, func() {
+		if j.stopped {
+			return
+		}
 		w.busy[server]--
 		j.ended, j.bad = w.now, result == Failed
 		w.policy.ended(w, j, result)
@@ -238,6 +240,9 @@
 	out           []Action
 	evictions     []time.Duration
 	throttled     map[fleet.TaskID]bool
+	// eager evicts a task on every report that shows a slowdown, instead of
+	// the policy's relief.
+	eager bool
 	// latency is what usage reports show of service times, by server.
 	latency func(server int) map[fleet.Service]time.Duration
 }
@@ -275,14 +280,47 @@
 				})
 			}
 		}
+		slices.SortFunc(u.Tasks, func(a, b RunningTask) int { return strings.Compare(string(a.Task), string(b.Task)) })
 		if l.latency != nil {
 			u.Latencies = l.latency(i)
 		}
-		w.at(w.now+reportLag, func() { l.apply(w, i%w.racks, l.parts[i%w.racks].Report(w.clock(), u, l.out[:0])) })
+		w.at(w.now+reportLag, func() {
+			if l.eager {
+				l.evictEagerly(w, i, u)
+				u.Latencies = nil
+			}
+			l.apply(w, i%w.racks, l.parts[i%w.racks].Report(w.clock(), u, l.out[:0]))
+		})
 	}
 	w.at(w.now+time.Second, func() { l.report(w) })
 }
 
+func (l *lacewing) evictEagerly(w *world, server int, u Usage) {
+	if u.Latencies["planner"] < shortMedian*3/2 {
+		return
+	}
+	for _, task := range u.Tasks {
+		if j := l.tasks[task.Task]; j != nil && j.server == server {
+			l.apply(w, j.part, []Action{{Kind: EvictTask, Task: task.Task}})
+			return
+		}
+	}
+}
+
+// evict stops a task and offers what is left of it again.
+func (l *lacewing) evict(w *world, id fleet.TaskID) {
+	j := l.tasks[id]
+	if j == nil {
+		return
+	}
+	l.evictions = append(l.evictions, w.now)
+	delete(l.tasks, id)
+	j.stopped = true
+	w.busy[j.server]--
+	l.apply(w, j.part, l.parts[j.part].TaskEnded(w.clock(), id, nil))
+	w.at(w.now+time.Second, func() { w.submit(&job{task: true, run: j.run, work: j.work}) })
+}
+
 var oneSlot = fleet.Resources{Slots: 1, MilliCPU: 8000, MemoryMiB: 30_000}
 
 func (l *lacewing) submit(w *world, j *job) {
@@ -370,7 +408,7 @@
 		case UnthrottleTask:
 			delete(l.throttled, a.Task)
 		case EvictTask:
-			l.evictions = append(l.evictions, w.now)
+			w.at(w.now, func() { l.evict(w, a.Task) })
 		}
 	}
 	l.out = out[:0]
--- a/decision/partition/state.go
+++ b/decision/partition/state.go
@@ -7,6 +7,7 @@
 	"lacewingfork.example/lacewingfork/decision/breaker"
 	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/decision/estimate"
+	"lacewingfork.example/lacewingfork/decision/interference"
 	"lacewingfork.example/lacewingfork/decision/placement"
 	"lacewingfork.example/lacewingfork/decision/requestkey"
 	"lacewingfork.example/lacewingfork/decision/retry"
@@ -21,6 +22,7 @@
 	servers   *placement.Table
 	breakers  breaker.Breaker
 	budget    retry.Budget
+	relief    relief
 	keys      *requestkey.Table
 	// requests holds the requests that wait, run or will be tried again;
 	// unused lists its free entries.
@@ -54,6 +56,7 @@
 	phase    phase
 	handle   admission.Handle
 	team     admission.TeamIndex
+	service  interference.ServiceIndex
 	arrived  time.Time
 	// server and long describe the running attempt. Between attempts server is
 	// the one to avoid.
@@ -75,6 +78,7 @@
 		queue:   admission.New(MaxWaiting),
 		servers: placement.New(MaxDeadline),
 		byID:    make(map[fleet.RequestID]int32),
+		relief:  relief{estimates: interference.NewEstimator()},
 	}
 	s.setConfiguration(c)
 	s.SetServers(now, servers, nil)
@@ -89,6 +93,7 @@
 			s.sampled = append(s.sampled, time.Time{})
 		}
 		s.sampled[i] = time.Time{}
+		s.relief.reset(i)
 	})
 	present := 0
 	for i := range placement.Index(s.servers.Len()) {
@@ -161,7 +166,7 @@
 
 // NextTick returns when Tick is due next; the zero time means never.
 func (s *State) NextTick() time.Time {
-	next := s.nextRelief()
+	var next time.Time
 	earlier := func(at time.Time, ok bool) {
 		if ok && (next.IsZero() || at.Before(next)) {
 			next = at
--- a/decision/partition/tasks.go
+++ b/decision/partition/tasks.go
@@ -52,7 +52,7 @@
 	s.ended.add(task, now)
 	for i := s.servers.FindTask(task, 0); i != placement.NoServer; i = s.servers.FindTask(task, i+1) {
 		if ended, ok := s.servers.RemoveTask(i, task); ok {
-			s.taskGone(now, i, ended)
+			s.taskGone(i, ended)
 		}
 	}
 	return s.drain(now, out)
@@ -72,11 +72,13 @@
 
 func (s *State) addTask(i placement.Index, task placement.Task) {
 	s.servers.AddTask(i, task)
+	s.relief.recount(s.servers, i)
 	s.queue.Hold(admission.TeamIndex(task.Team), task.Resources.Slots)
 }
 
 // taskGone takes that a task no longer has room on a server.
-func (s *State) taskGone(_ time.Time, _ placement.Index, task placement.Task) {
+func (s *State) taskGone(i placement.Index, task placement.Task) {
+	s.relief.recount(s.servers, i)
 	s.queue.Hold(admission.TeamIndex(task.Team), -task.Resources.Slots)
 }
 
@@ -87,11 +89,13 @@
 	if i == placement.NoServer || !u.SampledAt.After(s.sampled[i]) {
 		return out
 	}
+	before := s.sampled[i]
 	s.sampled[i] = u.SampledAt
 	s.servers.Report(i, u.SampledAt, u.RequestSlots)
 	s.reportTasks(now, i, u)
-	out = s.drain(now, out)
-	return s.relieve(now, out)
+	s.learnSlowdown(i, before, u)
+	out = s.relieve(now, i, out)
+	return s.drain(now, out)
 }
 
 // reportTasks takes room for tasks that weren't known and frees that of tasks
@@ -120,7 +124,7 @@
 		}
 		return false
 	}
-	s.servers.ForgetTasks(i, u.SampledAt, isShown, func(task placement.Task) { s.taskGone(now, i, task) })
+	s.servers.ForgetTasks(i, u.SampledAt, isShown, func(task placement.Task) { s.taskGone(i, task) })
 }
 
 // endedLength bounds the ended tasks that are remembered. Reports lag by 5 s
--- a/decision/placement/choose.go
+++ b/decision/placement/choose.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"time"
-
-	"lacewingfork.example/lacewingfork/fleet"
-)
+import "time"
 
 const (
 	// longWeight is how much a slot held by long work counts on top of its
@@ -23,16 +19,15 @@
 	Allowed(now time.Time, i Index, slots int) int
 }
 
-// Cost returns the expected slowdown of a service on a backend server through
+// Cost returns the expected slowdown of the request on a backend server through
 // what runs there, as a part of its run time: 0.5 is half as long again.
 type Cost interface {
-	Cost(service fleet.Service, i Index) float64
+	Cost(i Index) float64
 }
 
 // Request is what the choice needs to know of a request.
 type Request struct {
-	Service fleet.Service
-	Long    bool
+	Long bool
 	// Avoid is a server on which an earlier attempt failed, or NoServer.
 	Avoid Index
 }
@@ -100,7 +95,7 @@
 			w.Excluded[cause]++
 			continue
 		}
-		w.add(Scored{Index(i), v.score(r.Long) + cost.Cost(r.Service, Index(i))})
+		w.add(Scored{Index(i), v.score(r.Long) + cost.Cost(Index(i))})
 	}
 	if w.Count == 0 {
 		return NoServer
--- a/decision/placement/held.go
+++ b/decision/placement/held.go
@@ -24,6 +24,9 @@
 
 // Expire frees slots that were held for the longest time.
 func (t *Table) Expire(now time.Time) {
+	if t.held == 0 {
+		return
+	}
 	for i := range t.servers {
 		held, expired := t.servers[i].held, 0
 		for expired < len(held) && now.Sub(held[expired]) >= t.holdFor {
@@ -39,6 +42,7 @@
 	}
 	v := &t.servers[i]
 	v.held = slices.Delete(v.held, 0, oldest)
+	t.held -= oldest
 	t.take(i, -oldest)
 }
 
--- a/decision/placement/placement.go
+++ b/decision/placement/placement.go
@@ -48,6 +48,8 @@
 	// holdFor bounds how long a slot stays held without a report.
 	holdFor time.Duration
 	limits  Limits
+	// held is the number of held slots of all servers.
+	held int
 	// long is the number of slots that long requests hold in all.
 	long int
 	// capacity is the number of slots of servers that aren't leaving.
@@ -111,6 +113,7 @@
 		v.info, v.listed = info, true
 		for range info.Capacity.Slots {
 			v.held = append(v.held, now)
+			t.held++
 		}
 		fresh(i)
 	}
@@ -250,6 +253,7 @@
 	}
 	if !released {
 		v.held = append(v.held, now)
+		t.held++
 		return
 	}
 	t.take(i, -1)
--- a/decision/placement/placement_test.go
+++ b/decision/placement/placement_test.go
@@ -13,7 +13,7 @@
 type open struct{}
 
 func (open) Allowed(_ time.Time, _ Index, slots int) int { return slots }
-func (open) Cost(fleet.Service, Index) float64           { return 0 }
+func (open) Cost(Index) float64                          { return 0 }
 
 func servers(n int) (list []fleet.BackendServer) {
 	for i := range n {
--- a/decision/placement/tasks.go
+++ b/decision/placement/tasks.go
@@ -28,6 +28,9 @@
 	// Progress is the work that an eviction without a checkpoint would lose.
 	Progress time.Duration
 	PlacedAt time.Time
+	// Throttled and EvictedAt are the state of relief.
+	Throttled bool
+	EvictedAt time.Time
 	// Reported is set once a usage report showed the task.
 	Reported bool
 }
@@ -167,7 +170,7 @@
 }
 
 // Tasks returns the tasks on a backend server. The slice is valid until the
-// next change.
+// next change; Throttled and EvictedAt may be set in it.
 func (t *Table) Tasks(i Index) []Task { return t.servers[i].tasks }
 
 // ReportTask takes that a usage report showed a task. It reports whether the
