Keep the next tick in the future

NextTick could return a time that had passed: a server whose pause had ended stayed due for its probe while the waiting work couldn't use it, so the duty would have called Tick without pause.

Only changes after the last time that waiting work was considered count now. The property test checks that no tick is due at once after a Tick.

--- a/decision/breaker/breaker.go
+++ b/decision/breaker/breaker.go
@@ -64,6 +64,8 @@
 	// present is the number of servers that aren't leaving.
 	present int
 	out     int
+	// slowUntil is when the newest slow start ends.
+	slowUntil time.Time
 }
 
 // SetCount sets the number of indexes and of servers that aren't leaving.
@@ -164,12 +166,16 @@
 		return
 	}
 	*e = entry{state: closed, since: now, pause: min(2*e.pause, longestPause), slow: true}
+	b.slowUntil = now.Add(SlowStart)
 	b.out--
 }
 
-// NextChange returns when the next server can be probed or gets back a slot;
-// ok is false when none waits for that.
+// NextChange returns the next time after now at which a server can be probed or
+// gets back a slot; ok is false when there is none.
 func (b *Breaker) NextChange(now time.Time) (next time.Time, ok bool) {
+	if b.out == 0 && now.After(b.slowUntil) {
+		return next, false
+	}
 	for i := range b.entries {
 		e := &b.entries[i]
 		var at time.Time
@@ -181,7 +187,7 @@
 		default:
 			continue
 		}
-		if !ok || at.Before(next) {
+		if at.After(now) && (!ok || at.Before(next)) {
 			next, ok = at, true
 		}
 	}
--- a/decision/partition/completion.go
+++ b/decision/partition/completion.go
@@ -14,7 +14,6 @@
 // Complete takes the end of a placement. Late, repeated and unknown ones are
 // ignored; the slots that they may stand for stay as they are counted.
 func (s *State) Complete(now time.Time, c Completion, out []Action) []Action {
-	s.lastSeen = now
 	place, known := s.byID[c.ID]
 	if !known {
 		return out
--- a/decision/partition/model_test.go
+++ b/decision/partition/model_test.go
@@ -198,6 +198,9 @@
 		}
 	}
 	m.take(m.s.Tick(m.now, nil))
+	if next := m.s.NextTick(); !next.IsZero() && !next.After(m.now) {
+		m.t.Fatalf("the next tick is due at %v, which isn't after %v: the duty would spin", next, m.now)
+	}
 }
 
 func (m *model) submit() {
--- a/decision/partition/requests.go
+++ b/decision/partition/requests.go
@@ -20,7 +20,6 @@
 // Submit decides on a new request. A request whose ID is already known is
 // ignored: the ending of the first one is the ending of both.
 func (s *State) Submit(now time.Time, w Work, out []Action) []Action {
-	s.lastSeen = now
 	if _, known := s.byID[w.ID]; known {
 		return out
 	}
@@ -82,7 +81,6 @@
 // Cancel withdraws a request that waits. A running one runs to its end and
 // isn't tried again.
 func (s *State) Cancel(now time.Time, id fleet.RequestID, out []Action) []Action {
-	s.lastSeen = now
 	place, known := s.byID[id]
 	if !known {
 		return out
@@ -107,7 +105,7 @@
 
 // drain starts waiting requests while there is room.
 func (s *State) drain(now time.Time, out []Action) []Action {
-	s.lastSeen = now
+	s.drained = now
 	s.servers.Expire(now)
 	for h, ok := s.queue.Expired(now); ok; h, ok = s.queue.Expired(now) {
 		out = s.end(now, s.queue.Remove(h).Owner, outcome.DeadlineExceeded, 0, out)
--- /dev/null
+++ b/decision/partition/scenario_test.go
@@ -0,0 +1,138 @@
+package partition
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// openState returns a partition of servers of one slot each, all free, with a
+// filled retry budget.
+func openState(t *testing.T, servers int) (*State, []fleet.BackendServer) {
+	t.Helper()
+	var list []fleet.BackendServer
+	for i := range servers {
+		list = append(list, fleet.BackendServer{ID: fleet.BackendServerID(fmt.Sprint("b", i)), Capacity: fleet.Resources{Slots: 1}})
+	}
+	s := New(start, list, testConfiguration)
+	for _, b := range list {
+		s.Report(start.Add(1), Usage{Server: b.ID, SampledAt: start.Add(1)}, nil)
+	}
+	for i := range 100 {
+		id := fleet.RequestID(fmt.Sprint("earlier", i))
+		run := only(t, s.Submit(start, short(id), nil), Run)
+		only(t, s.Complete(start, ended(run, Succeeded), nil), Deliver)
+	}
+	return s, list
+}
+
+func short(id fleet.RequestID) Work {
+	return Work{ID: id, Service: "planner", Operation: "short", Idempotent: true, Deadline: start.Add(10 * time.Second)}
+}
+
+func ended(run Action, result Result) Completion {
+	return Completion{
+		ID: run.ID, Server: run.Server, Attempt: run.Attempt, Result: result, Duration: 50 * time.Millisecond, SlotReleased: true,
+	}
+}
+
+func only(t *testing.T, out []Action, kind ActionKind) Action {
+	t.Helper()
+	if len(out) != 1 || out[0].Kind != kind {
+		t.Fatalf("actions %+v, want one of kind %d", out, kind)
+	}
+	return out[0]
+}
+
+// Guards against a repeated completion of an earlier attempt ending a later one
+// on the same server, and against a second attempt on the server that failed.
+func TestRepeatedCompletionOfAnEarlierAttempt(t *testing.T) {
+	s, _ := openState(t, 2)
+	first := only(t, s.Submit(start, short("r"), nil), Run)
+	now := start
+	next := first
+	for range 2 {
+		before := next
+		if out := s.Complete(now, ended(before, Lost), nil); len(out) > 0 {
+			t.Fatalf("%+v right after a lost attempt", out)
+		}
+		now = s.NextTick()
+		next = only(t, s.Tick(now, nil), Run)
+		if next.Server == before.Server {
+			t.Fatalf("attempt %d is on the server of the one before", next.Attempt)
+		}
+	}
+	if next.Server != first.Server {
+		t.Fatalf("third attempt on %s, want %s", next.Server, first.Server)
+	}
+	if out := s.Complete(now, ended(first, Succeeded), nil); len(out) > 0 {
+		t.Errorf("a repeated completion of attempt 1 led to %+v", out)
+	}
+	only(t, s.Complete(now, ended(next, Succeeded), nil), Deliver)
+}
+
+// Guards against a cancelled request that still gets its next attempt, and
+// against calling it not run when an attempt may have run.
+func TestCancelBetweenAttempts(t *testing.T) {
+	for result, want := range map[Result]ActionKind{NotWritten: Refuse, Lost: GiveUp, Failed: Deliver} {
+		s, _ := openState(t, 2)
+		run := only(t, s.Submit(start, short("r"), nil), Run)
+		s.Complete(start, ended(run, result), nil)
+		only(t, s.Cancel(start, "r", nil), want)
+		if next := s.NextTick(); !next.IsZero() {
+			t.Errorf("result %d: a tick is due at %v after the cancellation", result, next)
+		}
+	}
+}
+
+// Guards against explanations that miss what was weighed or why a request was
+// refused, and against a history that grows.
+func TestExplain(t *testing.T) {
+	s, list := openState(t, 3)
+	list[2].Leaving = true
+	s.SetServers(start, list, nil)
+	run := only(t, s.Submit(start, short("r"), nil), Run)
+	got := s.Explain("r")
+	if len(got) != 1 || got[0].Server != run.Server || len(got[0].Candidates) != 2 || got[0].Excluded["leaving"] != 1 {
+		t.Errorf("explanation of a placement: %+v", got)
+	}
+	late := short("late")
+	late.Deadline = start
+	s.Submit(start, late, nil)
+	if got := s.Explain("late"); len(got) != 1 || got[0].Verdict != VerdictRefuse || got[0].Reason != outcome.DeadlineExceeded {
+		t.Errorf("explanation of a refusal: %+v", got)
+	}
+	for range 2 * historyLength {
+		s.Submit(start, late, nil)
+	}
+	if n := len(s.Explain("")); n != historyLength {
+		t.Errorf("%d decisions are remembered, want %d", n, historyLength)
+	}
+}
+
+// Guards against relief that stops at throttling when throttling doesn't help,
+// and against more evictions than the cap.
+func TestEvictionWhenThrottlingDoesNotHelp(t *testing.T) {
+	d := deployments[0]
+	l := &lacewing{configuration: measured}
+	w := newWorld(d, l)
+	l.latency = func(server int) map[fleet.Service]time.Duration {
+		mean := shortMedian
+		for _, j := range l.tasks {
+			if j.server == server {
+				mean += 2 * shortMedian
+			}
+		}
+		return map[fleet.Service]time.Duration{"planner": mean}
+	}
+	for range d.servers {
+		w.at(warmUp, func() { w.submit(&job{task: true, run: time.Hour, work: Work{Operation: "weave"}}) })
+	}
+	w.runUntil(3 * time.Minute)
+	if n := len(l.evictions); n == 0 || n > 3*d.racks*measured.Limits.EvictionsPerMinute {
+		t.Errorf("%d evictions in 3 minutes in %d partitions", n, d.racks)
+	}
+}
--- a/decision/partition/state.go
+++ b/decision/partition/state.go
@@ -35,10 +35,10 @@
 	ended    endedTasks
 	// sampled is the time of the newest report of each server.
 	sampled []time.Time
-	// lastSeen is the time of the newest event.
-	lastSeen time.Time
-	history  history
-	weighed  placement.Weighed
+	// drained is when waiting work was last considered.
+	drained time.Time
+	history history
+	weighed placement.Weighed
 }
 
 type phase uint8
@@ -178,7 +178,7 @@
 	}
 	if s.queue.Len()+len(s.retrying) > 0 {
 		earlier(s.servers.NextExpiry())
-		earlier(s.breakers.NextChange(s.lastSeen))
+		earlier(s.breakers.NextChange(s.drained))
 	}
 	return next
 }
--- a/decision/placement/held.go
+++ b/decision/placement/held.go
@@ -48,6 +48,9 @@
 
 // NextExpiry returns when Expire frees the next held slot.
 func (t *Table) NextExpiry() (next time.Time, ok bool) {
+	if t.held == 0 {
+		return next, false
+	}
 	for i := range t.servers {
 		if held := t.servers[i].held; len(held) > 0 && t.servers[i].listed {
 			if at := held[0].Add(t.holdFor); !ok || at.Before(next) {
