--- a/decision/placement/held.go
+++ b/decision/placement/held.go
@@ -24,6 +24,9 @@
 
 // Expire frees slots that were held for the longest time.
 func (t *Table) Expire(now time.Time) {
+	if t.held == 0 {
+		return
+	}
 	for i := range t.servers {
 		held, expired := t.servers[i].held, 0
 		for expired < len(held) && now.Sub(held[expired]) >= t.holdFor {
@@ -39,11 +42,15 @@
 	}
 	v := &t.servers[i]
 	v.held = slices.Delete(v.held, 0, oldest)
+	t.held -= oldest
 	t.take(i, -oldest)
 }
 
 // NextExpiry returns when Expire frees the next held slot.
 func (t *Table) NextExpiry() (next time.Time, ok bool) {
+	if t.held == 0 {
+		return next, false
+	}
 	for i := range t.servers {
 		if held := t.servers[i].held; len(held) > 0 && t.servers[i].listed {
 			if at := held[0].Add(t.holdFor); !ok || at.Before(next) {
