--- /dev/null
+++ b/decision/task/append.go
@@ -0,0 +1,128 @@
+package task
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+const (
+	// maxAppendPause bounds the time between repeats of an append during an
+	// outage of the log.
+	maxAppendPause = 10 * time.Second
+	// refusedPause is the wait after the log writer's ring was full.
+	refusedPause = 200 * time.Millisecond
+	// probePause is how often one task is offered while the log is silent, so
+	// that the end of an outage shows even if no record is pending.
+	probePause = 5 * time.Second
+)
+
+type pendingAppend struct {
+	record  Record
+	firstAt time.Time
+	sentAt  time.Time
+	pause   time.Duration
+}
+
+// logSilence tells an outage of the log.
+type logSilence struct {
+	since   time.Time // zero while the log answers
+	probeAt time.Time
+	readAt  time.Time // newest record or empty answer that was read
+}
+
+// recordID identifies a record when it is read back. Two appends of one record
+// have the same ID.
+func recordID(r Record) string {
+	switch r.Kind {
+	case JobSubmitted:
+		return "job:" + string(r.Job.ID)
+	case Held:
+		return fmt.Sprintf("held:%s:%d", r.Partition, r.Epoch)
+	case Cancelled:
+		return "cancel:" + string(r.Task.Job)
+	case SetAside:
+		return "set-aside:" + string(r.Task.Job)
+	case SnapshotPart:
+		return fmt.Sprintf("snapshot:%s:%d", r.Part.Snapshot, r.Part.Index)
+	case Started:
+		return fmt.Sprintf("start:%s:%d:%d:%s", r.Task.ID(), r.Attempt, r.Epoch, r.Server)
+	default:
+		return fmt.Sprintf("end:%s:%d:%d", r.Task.ID(), r.Attempt, r.Epoch)
+	}
+}
+
+func (l *Ledger) append(now time.Time, r Record) {
+	id := recordID(r)
+	if l.pending[id] != nil {
+		return
+	}
+	p := &pendingAppend{record: r, firstAt: now, pause: l.settings.ReadBack}
+	l.pending[id] = p
+	l.send(now, id, p)
+}
+
+func (l *Ledger) send(now time.Time, id string, p *pendingAppend) {
+	p.sentAt = now
+	l.out.Appends = append(l.out.Appends, Append{ID: id, Record: p.record})
+	l.timers.add(now.Add(p.pause), func(now time.Time) { l.repeat(now, id, p) })
+}
+
+func (l *Ledger) repeat(now time.Time, id string, p *pendingAppend) {
+	if l.pending[id] != p {
+		return
+	}
+	if l.silent.readAt.Before(p.sentAt) && l.silent.since.IsZero() {
+		l.silent.since, l.silent.probeAt = now, now.Add(probePause)
+		l.event(Event{Kind: EventLogSilent, Detail: id})
+	}
+	if p.record.Kind == Started && now.Sub(p.firstAt) >= l.settings.StartPatience {
+		l.giveUpStart(id, p.record)
+		return
+	}
+	p.pause = min(2*p.pause, maxAppendPause)
+	l.send(now, id, p)
+}
+
+// AppendRefused tells that the log writer's ring was full.
+func (l *Ledger) AppendRefused(now time.Time, id string) {
+	p := l.pending[id]
+	if p == nil {
+		return
+	}
+	l.timers.add(now.Add(refusedPause), func(now time.Time) {
+		if l.pending[id] == p {
+			p.sentAt = now
+			l.out.Appends = append(l.out.Appends, Append{ID: id, Record: p.record})
+		}
+	})
+}
+
+// logAnswered notes that the log returned something.
+func (l *Ledger) logAnswered(now time.Time) {
+	l.silent.readAt = now
+	if !l.silent.since.IsZero() {
+		l.event(Event{Kind: EventLogAnswers, Detail: now.Sub(l.silent.since).String()})
+		l.silent = logSilence{readAt: now}
+	}
+}
+
+// Abandon stops the repeats of a job's submission or cancellation that nobody
+// waits for any more. It may still take effect.
+func (l *Ledger) Abandon(id fleet.JobID) {
+	delete(l.pending, recordID(Record{Kind: JobSubmitted, Job: &Job{ID: id}}))
+	delete(l.pending, recordID(Record{Kind: Cancelled, Task: Ref{Job: id}}))
+}
+
+// Submit appends a job. It is accepted once Read returns Accepted for it.
+func (l *Ledger) Submit(now time.Time, j Job) {
+	l.append(now, Record{Kind: JobSubmitted, Job: &j})
+}
+
+// Cancel appends the cancellation of a job.
+func (l *Ledger) Cancel(now time.Time, id fleet.JobID, reason string) {
+	l.append(now, Record{Kind: Cancelled, Task: Ref{Job: id}, Reason: reason})
+}
+
+func (l *Ledger) event(e Event) { l.out.Events = append(l.out.Events, e) }
--- /dev/null
+++ b/decision/task/call.go
@@ -0,0 +1,162 @@
+package task
+
+import (
+	"time"
+)
+
+// need queues a call for the run's phase.
+func (l *Ledger) need(now time.Time, u *run) {
+	if u.queued || u.call != 0 || now.Before(u.callFrom) || l.servers[u.server.id] != u.server || u.server.runs[u.ref] != u {
+		return
+	}
+	switch u.phase {
+	case starting, evicting, stopping:
+		u.queued = true
+		u.server.queue = append(u.server.queue, u)
+		l.pump(now, u.server)
+	}
+}
+
+// needAt queues a call at a later time.
+func (l *Ledger) needAt(at time.Time, u *run) {
+	u.callFrom = at
+	l.timers.add(at, func(now time.Time) { l.need(now, u) })
+}
+
+// pump issues queued calls within the bounds. No call is made once the lease
+// of the partition has lapsed, or one that gives a worker a lease while the
+// worker's leases are left to lapse.
+func (l *Ledger) pump(now time.Time, s *server) {
+	if !now.Before(s.holding.until) {
+		return // the renewal loop pumps again
+	}
+	for len(s.queue) > 0 && len(s.inFlight) < l.settings.CallsPerServer && l.calls < l.settings.MaxCalls {
+		u := s.queue[0]
+		s.queue = s.queue[1:]
+		u.queued = false
+		if u.phase == starting && s.abandoned {
+			continue // ends as not started when the leases have lapsed
+		}
+		if c, ok := l.callFor(now, u); ok {
+			u.call = c.ID
+			s.inFlight[c.ID] = true
+			l.calls++
+			l.out.Calls = append(l.out.Calls, c)
+		}
+	}
+}
+
+func (l *Ledger) newCall(now time.Time, s *server, k CallKind) Call {
+	l.nextCall++
+	c := Call{
+		ID: l.nextCall, Kind: k, Server: s.id, Partition: s.holding.partition, Epoch: s.holding.epoch,
+		NotAfter: now.Add(l.settings.CallTimeout),
+	}
+	if s.holding.until.Before(c.NotAfter) {
+		c.NotAfter = s.holding.until
+	}
+	return c
+}
+
+func (l *Ledger) callFor(now time.Time, u *run) (Call, bool) {
+	kinds := map[phase]CallKind{starting: StartCall, evicting: CheckpointCall, stopping: StopCall}
+	kind, ok := kinds[u.phase]
+	if !ok {
+		return Call{}, false
+	}
+	c := l.newCall(now, u.server, kind)
+	c.Task, c.Attempt = u.ref, u.attempt
+	if kind == StartCall {
+		j, t := l.fold.find(u.ref)
+		c.Lease, c.WorkKind, c.Resources = l.settings.Lease, j.spec.Kind, j.spec.Resources
+		c.RunTime, c.Parameters, c.Checkpoint = j.spec.RunTime, j.spec.Parameters, t.checkpoint()
+		u.server.lastLease = now
+	}
+	return c, true
+}
+
+// CallDone takes the end of a call.
+func (l *Ledger) CallDone(now time.Time, r CallResult) {
+	s := l.servers[r.Call.Server]
+	if s == nil || s.holding.epoch != r.Call.Epoch || s.holding.partition != r.Call.Partition {
+		return
+	}
+	if r.Outcome == CallDone {
+		s.contact(now)
+	}
+	if r.Call.Kind == RenewCall {
+		s.renewDone(now, r)
+		return
+	}
+	if !s.inFlight[r.Call.ID] {
+		return // a throttle call, or the stop of a stray task
+	}
+	u := s.runs[r.Call.Task]
+	if u != nil && u.call == r.Call.ID {
+		u.call = 0
+		if u.phase != settled {
+			l.takeResult(now, u, r)
+		}
+	}
+	l.callEnded(now, s, r.Call.ID)
+}
+
+func (l *Ledger) callEnded(now time.Time, s *server, id uint64) {
+	full := l.calls >= l.settings.MaxCalls
+	delete(s.inFlight, id)
+	l.calls--
+	l.pump(now, s)
+	if full {
+		for _, other := range l.servers {
+			l.pump(now, other)
+		}
+	}
+}
+
+func (l *Ledger) takeResult(now time.Time, u *run, r CallResult) {
+	switch {
+	case r.Call.Kind == StartCall:
+		l.startDone(now, u, r)
+	case r.Outcome == CallDone && r.Call.Kind == StopCall && l.settleSeen(now, u, r.Seen):
+	case r.Outcome == CallDone && r.Call.Kind == CheckpointCall && l.settleSeen(now, u, r.Seen):
+	case r.Outcome == CallRefused && u.phase == evicting:
+		u.refusals++
+		if u.refusals >= maxCheckpointRefusals {
+			u.phase = confirmed
+			return
+		}
+		l.needAt(now.Add(callPause), u)
+	default:
+		l.needAt(now.Add(callPause), u)
+	}
+}
+
+// startDone takes the end of a start call. When it may have taken effect
+// without an answer, the attempt is stopped before the next one may begin.
+func (l *Ledger) startDone(now time.Time, u *run, r CallResult) {
+	if u.phase != starting { // stopped meanwhile
+		if r.Outcome == CallNotSent {
+			l.settle(now, u, Record{Kind: Ended, End: NotStarted, Reason: u.reason})
+			return
+		}
+		l.need(now, u)
+		return
+	}
+	switch r.Outcome {
+	case CallDone:
+		u.phase, u.confirmedAt = confirmed, now
+		l.event(Event{Kind: EventStarted, Task: u.ref, Server: u.server.id, Attempt: u.attempt})
+		if u.evictNext {
+			u.evictNext = false
+			l.evict(now, u)
+		}
+	case CallRefused:
+		u.phase, u.ifGone, u.reason = stopping, Failed, r.Reason
+		l.need(now, u)
+	case CallUnknown:
+		u.phase, u.ifGone, u.reason = stopping, NotStarted, r.Reason
+		l.need(now, u)
+	default:
+		l.needAt(now.Add(callPause), u)
+	}
+}
--- /dev/null
+++ b/decision/task/ledger.go
@@ -0,0 +1,261 @@
+package task
+
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Settings are the planner's times and bounds.
+type Settings struct {
+	Instance fleet.InstanceID
+	Region   fleet.Region
+	// Lease is how long a worker runs a task without a renewal. It is longer
+	// than the 10 s that the takeover of a partition may take, so that running
+	// tasks survive a takeover.
+	Lease time.Duration
+	// RenewEvery is the interval between renewals of a worker's leases.
+	RenewEvery time.Duration
+	// CallTimeout bounds a worker call.
+	CallTimeout time.Duration
+	// Margin allows for drift between this clock and the workers' clocks.
+	Margin time.Duration
+	// HandOver is how long a task waits for each partition in its order before
+	// the next one may take it too.
+	HandOver time.Duration
+	// ReadBack is how long a record may take to be read back before the log
+	// counts as silent. No task starts while it does.
+	ReadBack time.Duration
+	// TooLarge is how long a job has to be too large for every listed backend
+	// server, so that a rack that is missing from the list for a moment
+	// doesn't set a job aside.
+	TooLarge time.Duration
+	// MaxCalls bounds the calls in progress; the runner's ring has as many
+	// places. CallsPerServer bounds those to one worker, so that one that
+	// doesn't answer holds only a few runners.
+	MaxCalls       int
+	CallsPerServer int
+	// StartPatience is how long a start may take to be read back before its
+	// room is given up. It is long, so that tasks start while the log is slow.
+	StartPatience time.Duration
+	// OffersPerPartition bounds the offers without an answer and the starts
+	// that are not read back.
+	OffersPerPartition int
+	// SnapshotRecords is the smallest number of records between snapshots and
+	// SnapshotAge the longest time between them.
+	SnapshotRecords int
+	SnapshotAge     time.Duration
+}
+
+// DefaultSettings returns the settings of an instance.
+func DefaultSettings(instance fleet.InstanceID, region fleet.Region) Settings {
+	return Settings{
+		Instance: instance, Region: region,
+		Lease: 15 * time.Second, RenewEvery: 3 * time.Second,
+		CallTimeout: 3 * time.Second, Margin: time.Second,
+		HandOver: 2 * time.Second, ReadBack: 2 * time.Second,
+		TooLarge: 30 * time.Second, StartPatience: 20 * time.Second,
+		MaxCalls: 1024, CallsPerServer: 2, OffersPerPartition: 64,
+		SnapshotRecords: 50_000, SnapshotAge: 5 * time.Minute,
+	}
+}
+
+// Ledger plans for one entry instance. It is not safe for concurrent use.
+// After each input the owner calls Step, which returns what has to be done,
+// and calls Step again no later than NextStep.
+type Ledger struct {
+	settings Settings
+	fold     *Fold
+	out      Actions
+	timers   timers
+
+	rebuild rebuild
+	pending map[string]*pendingAppend
+	parts   []Append // snapshot parts that wait for the one before
+	silent  logSilence
+
+	holdings   map[fleet.PartitionID]*holding
+	proposals  map[Ref]*proposal
+	servers    map[fleet.BackendServerID]*server // of the held partitions
+	listed     []fleet.BackendServer             // the region's
+	eligible   map[fleet.Resources][]fleet.PartitionID
+	shares     map[fleet.Team]float64
+	queues     map[fleet.JobID]*jobQueue
+	teamQueues map[fleet.Team][]*jobQueue
+	offered    map[fleet.Team]int // slots of proposals, by team
+
+	calls        int
+	nextCall     uint64
+	sinceSnap    int
+	snapAt       time.Time
+	snapDue      bool
+	tooLargeFrom map[fleet.JobID]time.Time
+}
+
+// holding is a partition that this instance holds.
+type holding struct {
+	partition fleet.PartitionID
+	epoch     fleet.Epoch
+	until     time.Time
+	takenAt   time.Time
+	// ready is set once the Held record was read back: from then on the fold
+	// holds every start of former epochs that will ever be accepted.
+	ready    bool
+	offers   int // proposals
+	declined []declined
+	// scanAt is when to look for a task again after a look that found none.
+	scanAt time.Time
+}
+
+type declined struct {
+	resources fleet.Resources
+	until     time.Time
+}
+
+// NewLedger returns a planner that knows nothing yet.
+func NewLedger(now time.Time, s Settings) *Ledger {
+	l := &Ledger{
+		settings: s, fold: NewFold(), snapAt: now,
+		pending:  map[string]*pendingAppend{},
+		holdings: map[fleet.PartitionID]*holding{}, proposals: map[Ref]*proposal{},
+		servers:  map[fleet.BackendServerID]*server{},
+		eligible: map[fleet.Resources][]fleet.PartitionID{},
+		shares:   map[fleet.Team]float64{},
+		queues:   map[fleet.JobID]*jobQueue{}, teamQueues: map[fleet.Team][]*jobQueue{},
+		offered:      map[fleet.Team]int{},
+		tooLargeFrom: map[fleet.JobID]time.Time{},
+		// Results of calls of a former life of the duty must not match.
+		nextCall: uint64(now.UnixNano()),
+	}
+	l.timers.add(now.Add(time.Second), l.checkTooLarge)
+	return l
+}
+
+// Fold returns the state that the records give. It must not be kept or changed.
+func (l *Ledger) Fold() *Fold { return l.fold }
+
+// Ready reports whether the state is complete: rebuilt and caught up once.
+func (l *Ledger) Ready() bool { return l.rebuild.done && l.rebuild.caughtUp }
+
+// LogSilent reports whether the log has stopped to return what was appended.
+func (l *Ledger) LogSilent() bool { return l.silent.since != (time.Time{}) }
+
+// Step fires what is due and returns what has to be done.
+func (l *Ledger) Step(now time.Time) Actions {
+	l.timers.fire(now)
+	if l.Ready() {
+		l.offerTasks(now)
+		l.checkSnapshot(now)
+	}
+	out := l.out
+	l.out = Actions{}
+	return out
+}
+
+// NextStep returns when Step is due next; the zero time means never.
+func (l *Ledger) NextStep() time.Time { return l.timers.due() }
+
+// SetTeams takes the teams' shares, from 0 to 1.
+func (l *Ledger) SetTeams(shares map[fleet.Team]float64) { l.shares = shares }
+
+// SetHoldings takes the partitions that this instance holds.
+func (l *Ledger) SetHoldings(now time.Time, own []Holding) {
+	kept := map[fleet.PartitionID]bool{}
+	for _, h := range own {
+		kept[h.Partition] = true
+		known := l.holdings[h.Partition]
+		if known != nil && known.epoch == h.Epoch {
+			known.until = h.Until
+			continue
+		}
+		if known != nil {
+			l.drop(known)
+		}
+		l.take(now, h)
+	}
+	for id, h := range l.holdings {
+		if !kept[id] {
+			l.drop(h)
+		}
+	}
+}
+
+// Holding is a partition that this instance holds until its lease ends.
+type Holding struct {
+	Partition fleet.PartitionID
+	Epoch     fleet.Epoch
+	Until     time.Time
+}
+
+func (l *Ledger) take(now time.Time, from Holding) {
+	h := &holding{
+		partition: from.Partition, epoch: from.Epoch, until: from.Until, takenAt: now,
+	}
+	l.holdings[h.partition] = h
+	l.announce(now, h)
+}
+
+// announce appends the Held record, or goes on at once when the fold has it: a
+// duty that was restarted holds its partitions under the same epoch.
+func (l *Ledger) announce(now time.Time, h *holding) {
+	if !l.Ready() || l.holdings[h.partition] != h {
+		return
+	}
+	if l.fold.Epoch(h.partition) == h.epoch {
+		l.openHolding(now, h)
+		return
+	}
+	l.append(now, Record{Kind: Held, Partition: h.partition, Epoch: h.epoch})
+}
+
+// Epoch returns the newest epoch of a partition in the records.
+func (f *Fold) Epoch(p fleet.PartitionID) fleet.Epoch {
+	n, ok := f.partitions.numbers[p]
+	if !ok {
+		return 0
+	}
+	return f.epochs[n]
+}
+
+// drop forgets a partition that is no longer held. Its tasks go on; the next
+// holder adopts them.
+func (l *Ledger) drop(h *holding) {
+	for _, p := range l.proposals {
+		if p.holding == h {
+			l.withdraw(p)
+		}
+	}
+	for id, s := range l.servers {
+		if s.holding == h {
+			l.calls -= len(s.inFlight)
+			delete(l.servers, id)
+		}
+	}
+	for id, p := range l.pending {
+		if p.record.Partition == h.partition && p.record.Epoch == h.epoch {
+			delete(l.pending, id)
+		}
+	}
+	delete(l.holdings, h.partition)
+}
+
+// SetServers takes the region's backend servers from the instance list.
+func (l *Ledger) SetServers(now time.Time, listed []fleet.BackendServer) {
+	l.listed = l.listed[:0]
+	for _, s := range listed {
+		if s.Region == l.settings.Region {
+			l.listed = append(l.listed, s)
+		}
+	}
+	l.refreshEligible(now)
+	for _, s := range l.listed {
+		h := l.holdings[s.Partition()]
+		if h == nil || !h.ready {
+			continue
+		}
+		known := l.serverOf(now, h, s.ID)
+		if s.Leaving {
+			l.evictAll(now, known)
+		}
+	}
+}
--- /dev/null
+++ b/decision/task/offer.go
@@ -0,0 +1,230 @@
+package task
+
+import (
+	"slices"
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+const (
+	// offerPatience is how long a partition duty may take to answer an offer;
+	// one that was restarted never does.
+	offerPatience = 2 * time.Second
+	// declinePause is how long tasks of the declined size or larger are not
+	// offered to the partition, unless room becomes free before.
+	declinePause = 500 * time.Millisecond
+	// scanPause is the time between looks for a task that found none.
+	scanPause = 250 * time.Millisecond
+)
+
+// proposal is a task on its way from waiting to a start that is read back.
+type proposal struct {
+	ref     Ref
+	attempt int
+	holding *holding
+	job     *job
+	since   time.Time // since when the task waits
+	server  fleet.BackendServerID
+	// placed is set once the partition duty has reserved room on server and
+	// the start was appended.
+	placed bool
+}
+
+func (l *Ledger) offerTasks(now time.Time) {
+	if len(l.teamQueues) == 0 {
+		return
+	}
+	if !l.silent.since.IsZero() {
+		if now.Before(l.silent.probeAt) {
+			return
+		}
+		l.silent.probeAt = now.Add(probePause)
+		l.timers.add(l.silent.probeAt, func(time.Time) {})
+		l.probe(now)
+		return
+	}
+	for _, id := range l.heldInOrder() {
+		l.offerFor(now, l.holdings[id])
+	}
+}
+
+// heldInOrder makes the plan independent of the order of a map.
+func (l *Ledger) heldInOrder() []fleet.PartitionID {
+	ids := make([]fleet.PartitionID, 0, len(l.holdings))
+	for id := range l.holdings {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// probe makes one offer while the log is silent and no start is on its way.
+func (l *Ledger) probe(now time.Time) {
+	if len(l.proposals) > 0 {
+		return
+	}
+	for _, id := range l.heldInOrder() {
+		h := l.holdings[id]
+		if h.ready && now.Before(h.until) && l.offerOne(now, h) {
+			return
+		}
+	}
+}
+
+func (l *Ledger) offerFor(now time.Time, h *holding) {
+	if !h.ready || now.Before(h.scanAt) || !now.Before(h.until) {
+		return
+	}
+	h.declined = slices.DeleteFunc(h.declined, func(d declined) bool { return !now.Before(d.until) })
+	for h.offers < l.settings.OffersPerPartition {
+		if !l.offerOne(now, h) {
+			h.scanAt = now.Add(scanPause)
+			l.timers.add(h.scanAt, func(time.Time) {})
+			return
+		}
+	}
+}
+
+// offerOne offers the next task to a partition: the team that uses the least
+// of its share goes first, within it the job with the fewest running tasks, so
+// that a job with many tasks doesn't hold back the others of its team.
+func (l *Ledger) offerOne(now time.Time, h *holding) bool {
+	for _, name := range l.teamOrder() {
+		var best *jobQueue
+		var from *fifo
+		for _, q := range l.dropClosed(name) {
+			if best != nil && q.job.running >= best.job.running || h.wasDeclined(q.job.spec.Resources) {
+				continue
+			}
+			if f := l.peek(now, q, h.partition); f != nil {
+				best, from = q, f
+			}
+		}
+		if best != nil {
+			head := from.items[0]
+			from.items = from.items[1:]
+			l.offer(now, h, best.job, head)
+			return true
+		}
+	}
+	return false
+}
+
+func (h *holding) wasDeclined(r fleet.Resources) bool {
+	for _, d := range h.declined {
+		if d.resources.Fits(r) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) offer(now time.Time, h *holding, j *job, head queued) {
+	t := &j.tasks[head.index]
+	p := &proposal{
+		ref: Ref{j.spec.ID, head.index}, attempt: int(t.attempt) + 1,
+		holding: h, job: j, since: head.since,
+	}
+	l.proposals[p.ref] = p
+	h.offers++
+	l.offered[j.spec.Team] += slotsOf(j.spec)
+	l.out.Offers = append(l.out.Offers, Offer{
+		Task: p.ref, Attempt: p.attempt, Partition: h.partition, Epoch: h.epoch,
+		Kind: j.spec.Kind, Team: j.spec.Team, Resources: j.spec.Resources,
+		Avoid: l.avoid(h.partition, t),
+	})
+	l.timers.add(now.Add(offerPatience), func(time.Time) {
+		if l.proposals[p.ref] == p && !p.placed {
+			l.withdraw(p)
+		}
+	})
+}
+
+// avoid lists the servers on which a task failed, and those of the partition
+// that fail everything.
+func (l *Ledger) avoid(p fleet.PartitionID, t *task) []fleet.BackendServerID {
+	var list []fleet.BackendServerID
+	if t.more != nil {
+		list = l.fold.serverNames(t.more.failedOn)
+	}
+	for n := range l.fold.health {
+		id := l.fold.servers.names[n]
+		if l.fold.health[n].failsEverything() && l.isIn(id, p) && !slices.Contains(list, id) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+func (l *Ledger) isIn(id fleet.BackendServerID, p fleet.PartitionID) bool {
+	s := l.servers[id]
+	return s != nil && s.holding.partition == p
+}
+
+// Placed takes the answer that room is reserved for an attempt.
+func (l *Ledger) Placed(now time.Time, r Release) {
+	p := l.proposals[r.Task]
+	h := l.holdings[r.Partition]
+	if p == nil || h == nil || p.holding != h || h.epoch != r.Epoch || p.attempt != r.Attempt || p.placed {
+		if p == nil || !p.placed || p.server != r.Server || p.attempt != r.Attempt {
+			l.out.Releases = append(l.out.Releases, r)
+		}
+		return
+	}
+	p.placed, p.server = true, r.Server
+	j, t := l.fold.find(r.Task)
+	if t == nil || j.state != Open || !now.Before(h.until) {
+		l.withdraw(p)
+		return
+	}
+	l.append(now, Record{
+		Kind: Started, Task: r.Task, Attempt: r.Attempt, Partition: r.Partition,
+		Epoch: r.Epoch, Server: r.Server, Checkpoint: t.checkpoint(),
+	})
+}
+
+// Declined takes the answer that no room is free.
+func (l *Ledger) Declined(now time.Time, r Ref, attempt int, from fleet.PartitionID) {
+	p := l.proposals[r]
+	if p == nil || p.placed || p.attempt != attempt || p.holding.partition != from {
+		return
+	}
+	p.holding.declined = append(p.holding.declined, declined{p.job.spec.Resources, now.Add(declinePause)})
+	l.withdraw(p)
+}
+
+// withdraw gives the room of a proposal back and lets the task wait on.
+func (l *Ledger) withdraw(p *proposal) {
+	delete(l.proposals, p.ref)
+	p.holding.offers--
+	l.offered[p.job.spec.Team] -= slotsOf(p.job.spec)
+	if p.placed {
+		l.release(p.holding, p.ref, p.attempt, p.server)
+	}
+	_, t := l.fold.find(p.ref)
+	if t != nil && t.state == waiting && int(t.attempt)+1 == p.attempt {
+		l.queueTask(p.ref, p.since, true)
+	}
+}
+
+func (l *Ledger) release(h *holding, r Ref, attempt int, server fleet.BackendServerID) {
+	h.declined, h.scanAt = nil, time.Time{}
+	l.out.Releases = append(l.out.Releases, Release{
+		Task: r, Attempt: attempt, Partition: h.partition, Epoch: h.epoch, Server: server,
+	})
+}
+
+// giveUpStart gives up a start that was not read back in time. If its record
+// shows up later nevertheless, readStart ends the attempt as not started.
+func (l *Ledger) giveUpStart(id string, r Record) {
+	delete(l.pending, id)
+	if p := l.proposals[r.Task]; p != nil && p.matches(r) {
+		l.withdraw(p)
+	}
+}
+
+func (p *proposal) matches(r Record) bool {
+	return p.placed && p.attempt == r.Attempt && p.server == r.Server &&
+		p.holding.partition == r.Partition && p.holding.epoch == r.Epoch
+}
--- /dev/null
+++ b/decision/task/queue.go
@@ -0,0 +1,237 @@
+package task
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// jobQueue holds the waiting tasks of one job by the partition that is first
+// in their order.
+type jobQueue struct {
+	job        *job
+	partitions []fleet.PartitionID // that could hold a task, sorted
+	firsts     map[fleet.PartitionID]*fifo
+}
+
+type fifo struct{ items []queued }
+
+type queued struct {
+	index int
+	since time.Time // when the task began to wait as this instance saw it
+}
+
+// refreshEligible recomputes which partitions could hold which tasks. Only
+// jobs whose set of partitions changed are queued again.
+func (l *Ledger) refreshEligible(now time.Time) {
+	l.eligible = map[fleet.Resources][]fleet.PartitionID{}
+	for _, q := range l.queues {
+		partitions := l.couldHold(q.job.spec.Resources)
+		if !slices.Equal(partitions, q.partitions) {
+			l.queueJob(now, q.job.spec.ID)
+		}
+	}
+}
+
+// couldHold returns the partitions with a backend server that is large enough
+// and not leaving.
+func (l *Ledger) couldHold(r fleet.Resources) []fleet.PartitionID {
+	known, ok := l.eligible[r]
+	if ok {
+		return known
+	}
+	for _, s := range l.listed {
+		if !s.Leaving && r.Fits(s.Capacity) {
+			known = append(known, s.Partition())
+		}
+	}
+	slices.Sort(known)
+	known = slices.Compact(known)
+	l.eligible[r] = known
+	return known
+}
+
+func (l *Ledger) queueAll(now time.Time) {
+	ids := make([]fleet.JobID, 0, len(l.fold.jobs))
+	for id, j := range l.fold.jobs {
+		if j.state == Open {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b fleet.JobID) int {
+		return int(int64(l.fold.jobs[a].sequence) - int64(l.fold.jobs[b].sequence))
+	})
+	for _, id := range ids {
+		l.queueJob(now, id)
+	}
+}
+
+// queueJob queues every waiting task of a job, forgetting older entries.
+func (l *Ledger) queueJob(now time.Time, id fleet.JobID) {
+	j := l.fold.jobs[id]
+	if j == nil || j.state != Open {
+		return
+	}
+	q := l.queues[id]
+	if q == nil {
+		q = &jobQueue{job: j}
+		l.queues[id] = q
+		l.teamQueues[j.spec.Team] = append(l.teamQueues[j.spec.Team], q)
+	}
+	q.partitions, q.firsts = l.couldHold(j.spec.Resources), map[fleet.PartitionID]*fifo{}
+	for i := range j.tasks {
+		if j.tasks[i].state == waiting && l.proposals[Ref{id, i}] == nil {
+			l.queueTask(Ref{id, i}, now, false)
+		}
+	}
+}
+
+func (l *Ledger) queueTask(r Ref, since time.Time, front bool) {
+	q := l.queues[r.Job]
+	if q == nil || q.job.state != Open {
+		return
+	}
+	first := q.first(r.Index)
+	f := q.firsts[first]
+	if f == nil {
+		f = &fifo{}
+		q.firsts[first] = f
+	}
+	if front {
+		f.items = slices.Insert(f.items, 0, queued{r.Index, since})
+	} else {
+		f.items = append(f.items, queued{r.Index, since})
+	}
+	if h := l.holdings[first]; h != nil {
+		h.scanAt = time.Time{}
+	}
+}
+
+// dropClosed forgets the queues of a team's jobs that accept no start.
+func (l *Ledger) dropClosed(name fleet.Team) []*jobQueue {
+	kept := slices.DeleteFunc(l.teamQueues[name], func(q *jobQueue) bool {
+		if q.job.state == Open {
+			return false
+		}
+		delete(l.queues, q.job.spec.ID)
+		delete(l.tooLargeFrom, q.job.spec.ID)
+		return true
+	})
+	if len(kept) == 0 {
+		delete(l.teamQueues, name)
+	} else {
+		l.teamQueues[name] = kept
+	}
+	return kept
+}
+
+// peek returns the queue whose head partition p may start now: a task that has
+// p first in its order, or one that has waited long enough for those before p.
+func (l *Ledger) peek(now time.Time, q *jobQueue, p fleet.PartitionID) *fifo {
+	if _, ok := slices.BinarySearch(q.partitions, p); !ok {
+		return nil
+	}
+	if f := q.firsts[p]; f != nil && l.clean(q, f) {
+		return f
+	}
+	for _, first := range q.partitions {
+		f := q.firsts[first]
+		if f == nil || first == p || !l.clean(q, f) {
+			continue
+		}
+		head := f.items[0]
+		waited := now.Sub(head.since)
+		if waited >= l.settings.HandOver && waited >= time.Duration(q.rank(head.index, p))*l.settings.HandOver {
+			return f
+		}
+	}
+	return nil
+}
+
+// clean drops heads that don't wait any more and reports whether one is left.
+func (l *Ledger) clean(q *jobQueue, f *fifo) bool {
+	for len(f.items) > 0 {
+		index := f.items[0].index
+		if q.job.tasks[index].state == waiting && l.proposals[Ref{q.job.spec.ID, index}] == nil {
+			return true
+		}
+		f.items = f.items[1:]
+	}
+	return false
+}
+
+// first returns the first partition in a task's order, or "" without any.
+func (q *jobQueue) first(index int) fleet.PartitionID {
+	var best fleet.PartitionID
+	var bestScore uint64
+	seed := q.seed(index)
+	for _, p := range q.partitions {
+		if s := score(seed, p); best == "" || s > bestScore {
+			best, bestScore = p, s
+		}
+	}
+	return best
+}
+
+// rank returns the place of a partition in a task's order, from 0.
+func (q *jobQueue) rank(index int, of fleet.PartitionID) int {
+	seed := q.seed(index)
+	own := score(seed, of)
+	rank := 0
+	for _, p := range q.partitions {
+		if score(seed, p) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (q *jobQueue) seed(index int) uint64 {
+	return xxhash.Sum64String(string(q.job.spec.ID)) + uint64(index)*0x9E3779B97F4A7C15
+}
+
+// score is the weight of rendezvous hashing; the finaliser is that of
+// splitmix64.
+func score(seed uint64, p fleet.PartitionID) uint64 {
+	z := seed ^ xxhash.Sum64String(string(p))
+	z = (z ^ z>>30) * 0xBF58476D1CE4E5B9
+	z = (z ^ z>>27) * 0x94D049BB133111EB
+	return z ^ z>>31
+}
+
+// teamOrder returns the teams with queued jobs, the one that uses the least of
+// its share first.
+func (l *Ledger) teamOrder() []fleet.Team {
+	type use struct {
+		name  fleet.Team
+		ratio float64
+	}
+	uses := make([]use, 0, len(l.teamQueues))
+	for name := range l.teamQueues {
+		slots := l.fold.team(name).slots + l.offered[name]
+		uses = append(uses, use{name, float64(slots) / max(l.shares[name], minShare)})
+	}
+	slices.SortFunc(uses, func(a, b use) int {
+		switch {
+		case a.ratio < b.ratio:
+			return -1
+		case a.ratio > b.ratio:
+			return 1
+		default:
+			return strings.Compare(string(a.name), string(b.name))
+		}
+	})
+	names := make([]fleet.Team, len(uses))
+	for i, u := range uses {
+		names[i] = u.name
+	}
+	return names
+}
+
+// minShare stands for the share of a team that has none; it only gets what
+// others leave.
+const minShare = 0.001
--- /dev/null
+++ b/decision/task/read.go
@@ -0,0 +1,178 @@
+package task
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// rebuild is the state of a fold that started empty or lost records.
+type rebuild struct {
+	// begun is set once it is known where the records read begin.
+	begun bool
+	// done is set once the fold is complete up to the newest record read.
+	done     bool
+	caughtUp bool
+	// tail holds the records read while a snapshot is still missing. The
+	// log's retention bounds it.
+	tail []entry
+}
+
+type entry struct {
+	at     Position
+	id     string
+	record Record
+}
+
+// Begin tells that the next record is the first of the stream. Records read
+// before Begin or Truncated are ignored, because a restarted duty may get
+// records from the middle of the stream until the reader starts again.
+func (l *Ledger) Begin() {
+	if !l.rebuild.begun {
+		l.rebuild.begun, l.rebuild.done = true, true
+	}
+}
+
+// Truncated tells that records before the next one are gone. The state is
+// rebuilt from a snapshot, and what is held is announced again.
+func (l *Ledger) Truncated(now time.Time) {
+	l.rebuild = rebuild{begun: true}
+	held := make([]Holding, 0, len(l.holdings))
+	for _, h := range l.holdings {
+		held = append(held, Holding{h.partition, h.epoch, h.until})
+		l.drop(h)
+	}
+	l.fold = NewFold()
+	l.queues, l.teamQueues = map[fleet.JobID]*jobQueue{}, map[fleet.Team][]*jobQueue{}
+	l.pending, l.parts, l.snapDue = map[string]*pendingAppend{}, nil, false
+	l.SetHoldings(now, held)
+}
+
+// Read takes the record at a position; id is the one it was appended under. It
+// returns what the fold did with it, or NotApplicable while it can't tell.
+func (l *Ledger) Read(now time.Time, at Position, id string, r Record) Verdict {
+	if !l.rebuild.begun {
+		return NotApplicable
+	}
+	l.logAnswered(now)
+	if !l.rebuild.done {
+		l.rebuild.tail = append(l.rebuild.tail, entry{at, id, r})
+		return NotApplicable
+	}
+	return l.apply(now, entry{at, id, r})
+}
+
+// CaughtUp tells that no newer record was in the log.
+func (l *Ledger) CaughtUp(now time.Time) {
+	if !l.rebuild.begun {
+		return
+	}
+	l.logAnswered(now)
+	if l.rebuild.caughtUp || !l.rebuild.done {
+		return
+	}
+	l.rebuild.caughtUp = true
+	l.event(Event{Kind: EventRebuilt, Detail: fmt.Sprintf("%d jobs", len(l.fold.jobs))})
+	l.refreshEligible(now)
+	l.queueAll(now)
+	for _, h := range l.holdings {
+		l.announce(now, h)
+	}
+}
+
+// Restore takes a snapshot whose parts were all read. It reports false when
+// the snapshot is not needed or older than the oldest record read.
+func (l *Ledger) Restore(now time.Time, s Snapshot) bool {
+	if l.rebuild.done {
+		l.sinceSnap, l.snapAt, l.snapDue = 0, now, false
+		return false
+	}
+	if len(l.rebuild.tail) == 0 || s.At.Offset+1 < l.rebuild.tail[0].at.Offset {
+		return false
+	}
+	l.fold = Restore(s)
+	tail := l.rebuild.tail
+	l.rebuild.done, l.rebuild.tail = true, nil
+	for _, e := range tail {
+		l.apply(now, e)
+	}
+	l.sinceSnap, l.snapAt = len(tail), now
+	return true
+}
+
+func (l *Ledger) apply(now time.Time, e entry) Verdict {
+	before := l.runningOn(e.record.Task)
+	verdict := l.fold.Apply(e.at, e.record)
+	if verdict == AlreadyApplied {
+		return verdict
+	}
+	l.sinceSnap++
+	p := l.pending[e.id]
+	delete(l.pending, e.id)
+	if l.rebuild.caughtUp {
+		l.follow(now, e, verdict, before, p)
+	}
+	return verdict
+}
+
+// follow does what a record that was read back calls for.
+func (l *Ledger) follow(now time.Time, e entry, verdict Verdict, before where, p *pendingAppend) {
+	switch e.record.Kind {
+	case JobSubmitted:
+		if verdict == Accepted {
+			l.event(Event{Kind: EventAccepted, Task: Ref{Job: e.record.Job.ID}})
+			l.queueJob(now, e.record.Job.ID)
+		}
+	case Held:
+		l.readHeld(now, e.record)
+	case Started:
+		l.readStart(now, e.record, verdict)
+	case Ended, Evicted:
+		l.readEnd(now, e.record, verdict, before)
+	case Cancelled:
+		l.readCancel(now, e.record.Task.Job)
+	case SetAside:
+		if verdict == Accepted {
+			l.event(Event{Kind: EventSetAside, Task: e.record.Task, Detail: e.record.Reason})
+		}
+	case SnapshotPart:
+		if p != nil {
+			l.nextPart(now)
+		}
+	}
+}
+
+func (l *Ledger) readHeld(now time.Time, r Record) {
+	h := l.holdings[r.Partition]
+	if h == nil {
+		return
+	}
+	if h.epoch < l.fold.Epoch(r.Partition) {
+		l.drop(h)
+		return
+	}
+	if h.epoch == r.Epoch && !h.ready {
+		l.openHolding(now, h)
+	}
+}
+
+// where names the partition and server of a running attempt.
+type where struct {
+	partition fleet.PartitionID
+	epoch     fleet.Epoch
+	server    fleet.BackendServerID
+	attempt   int
+	running   bool
+}
+
+func (l *Ledger) runningOn(r Ref) where {
+	_, t := l.fold.find(r)
+	if t == nil || t.state != running {
+		return where{}
+	}
+	return where{
+		partition: l.fold.partitions.names[t.partition], epoch: t.epoch,
+		server: l.fold.servers.names[t.server], attempt: int(t.attempt), running: true,
+	}
+}
--- /dev/null
+++ b/decision/task/record.go
@@ -0,0 +1,164 @@
+// Package task decides what happens to batch jobs and their tasks. It is pure:
+// the Fold derives the state of every job from the records of the stream
+// tasks.<region>, and the Ledger plans what one entry instance has to do for
+// the partitions that it holds. The ledger duty of entry/batch starts it, owns
+// it and rebuilds it from the log when the duty fails.
+//
+// Invariants: of the starts of one attempt exactly one is accepted; the next
+// attempt is proposed only after the end of the former one is recorded, and
+// that end is recorded only once the worker confirmed it or the worker's lease
+// has lapsed; a cancelled job accepts no start; an accepted job ends as
+// finished, cancelled or set aside.
+package task
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Ref names one task by its job and its index from 0.
+type Ref struct {
+	Job   fleet.JobID
+	Index int
+}
+
+// ID returns the identifier that workers and partition duties see.
+func (r Ref) ID() fleet.TaskID {
+	return fleet.TaskID(string(r.Job) + "/" + strconv.Itoa(r.Index))
+}
+
+// ParseRef is the inverse of ID.
+func ParseRef(id fleet.TaskID) (Ref, bool) {
+	i := strings.LastIndexByte(string(id), '/')
+	if i <= 0 {
+		return Ref{}, false
+	}
+	index, err := strconv.Atoi(string(id[i+1:]))
+	if err != nil || index < 0 || index >= MaxTasks {
+		return Ref{}, false
+	}
+	return Ref{Job: fleet.JobID(id[:i]), Index: index}, true
+}
+
+// MaxTasks bounds the tasks of one job, so that one submission can neither
+// fill the state nor delay the planner by more than about a millisecond.
+const MaxTasks = 10_000
+
+// Job is what was submitted. It is immutable.
+type Job struct {
+	ID   fleet.JobID
+	Team fleet.Team
+	// Kind is the kind of work, for interference estimates.
+	Kind string
+	// Tasks is the number of tasks, from 1 to MaxTasks.
+	Tasks     int
+	Resources fleet.Resources
+	// RunTime is the declared run time of one task.
+	RunTime    time.Duration
+	Parameters string
+	// TeamLimit is the team's bound on open jobs that was in force where the
+	// job was submitted. It is part of the record because the fold must not
+	// depend on the configuration, which is in another stream.
+	TeamLimit int
+}
+
+// Kind says what a record means.
+type Kind uint8
+
+const (
+	// JobSubmitted adds Job.
+	JobSubmitted Kind = iota + 1
+	// Held says that Partition is held under Epoch; records of earlier epochs
+	// that follow are ignored.
+	Held
+	// Started begins Attempt of Task on Server from Checkpoint.
+	Started
+	// Ended ends Attempt of Task with End.
+	Ended
+	// Evicted ends Attempt of Task with Checkpoint.
+	Evicted
+	// Cancelled withdraws job Task.Job.
+	Cancelled
+	// SetAside stops job Task.Job from starting, with Reason.
+	SetAside
+	// SnapshotPart carries a part of a snapshot in Part; it changes nothing.
+	SnapshotPart
+)
+
+// End is how an attempt ended.
+type End uint8
+
+const (
+	// Succeeded ends the task.
+	Succeeded End = iota + 1
+	// Failed means that the worker reported a failure of the task.
+	Failed
+	// Stopped means that the worker confirmed a stop without a checkpoint.
+	Stopped
+	// Lost means that the attempt no longer runs and nobody knows its result.
+	Lost
+	// NotStarted means that the worker was never asked to start the attempt,
+	// or confirmed that it did not run.
+	NotStarted
+)
+
+// Record is one record of the stream tasks.<region>.
+type Record struct {
+	Kind       Kind
+	Job        *Job
+	Task       Ref
+	Attempt    int // from 1
+	Partition  fleet.PartitionID
+	Epoch      fleet.Epoch
+	Server     fleet.BackendServerID
+	Checkpoint string
+	End        End
+	Reason     string
+	Part       *Part
+}
+
+// Part is one part of an encoded snapshot.
+type Part struct {
+	// Snapshot names the snapshot; the parts of two writers may interleave.
+	Snapshot string
+	Index    int
+	Count    int
+	Data     []byte
+}
+
+// Position is a place in the stream: an offset and the index among the entries
+// of a group-committed append.
+type Position struct {
+	Offset fleet.Offset
+	Index  int
+}
+
+// After reports whether p comes later in the stream than other.
+func (p Position) After(other Position) bool {
+	if p.Offset != other.Offset {
+		return p.Offset > other.Offset
+	}
+	return p.Index > other.Index
+}
+
+// Verdict says what the fold did with a record.
+type Verdict string
+
+const (
+	Accepted       Verdict = "accepted"
+	Duplicate      Verdict = "duplicate"
+	Conflict       Verdict = "identifier-used-by-another-job"
+	TeamLimit      Verdict = "team-limit-reached"
+	OldEpoch       Verdict = "old-epoch"
+	NoSuchTask     Verdict = "no-such-task"
+	NotWaiting     Verdict = "not-waiting"
+	WrongAttempt   Verdict = "wrong-attempt"
+	JobClosed      Verdict = "job-closed"
+	WrongHolder    Verdict = "another-partition"
+	OldCheckpoint  Verdict = "old-checkpoint"
+	NotApplicable  Verdict = "no-effect"
+	AlreadyApplied Verdict = "position-already-applied"
+)
--- /dev/null
+++ b/decision/task/run.go
@@ -0,0 +1,226 @@
+package task
+
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+const (
+	// callPause is the wait before a call without an answer is repeated.
+	callPause = time.Second
+	// maxCheckpointRefusals is how often a worker may refuse a checkpoint
+	// before the eviction is given up.
+	maxCheckpointRefusals = 3
+)
+
+// phase is what this instance knows of an attempt that the fold has running on
+// one of its partitions.
+type phase uint8
+
+const (
+	// checking waits for a report that shows whether the worker runs it.
+	checking phase = iota
+	// starting has a start call due or in progress.
+	starting
+	// confirmed runs on the worker.
+	confirmed
+	// evicting has a checkpoint call due or in progress.
+	evicting
+	// stopping has a stop call due or in progress.
+	stopping
+	// settled has ended; the record of its end is not read back yet.
+	settled
+)
+
+// run is an attempt on a backend server of a held partition.
+type run struct {
+	ref     Ref
+	attempt int
+	server  *server
+	phase   phase
+	// queued is set while the run waits for a call, call is the identifier of
+	// the one in progress.
+	queued bool
+	call   uint64
+	// callFrom is when the next call may be made.
+	callFrom time.Time
+	// confirmedAt is when it was known to run; a report of an earlier sample
+	// that lacks it proves nothing.
+	confirmedAt time.Time
+	// ifGone is the end to record when the worker confirms that the attempt
+	// doesn't run and has no result of it.
+	ifGone    End
+	reason    string
+	evictNext bool // evict once started
+	refusals  int
+}
+
+func (l *Ledger) addRun(now time.Time, h *holding, r Ref, attempt int, server fleet.BackendServerID, p phase) *run {
+	s := l.serverOf(now, h, server)
+	u := &run{ref: r, attempt: attempt, server: s, phase: p, ifGone: Lost}
+	s.runs[r] = u
+	return u
+}
+
+// readStart acts on a start that was read back.
+func (l *Ledger) readStart(now time.Time, r Record, v Verdict) {
+	p := l.proposals[r.Task]
+	if v != Accepted {
+		if p != nil && p.matches(r) {
+			l.event(Event{Kind: EventStartIgnore, Task: r.Task, Server: r.Server, Attempt: r.Attempt, Detail: string(v)})
+			l.withdraw(p)
+		}
+		return
+	}
+	own := p != nil && p.matches(r)
+	if own {
+		delete(l.proposals, r.Task)
+		p.holding.offers--
+		l.offered[p.job.spec.Team] -= slotsOf(p.job.spec)
+	} else if p != nil {
+		l.event(Event{Kind: EventStartLost, Task: r.Task, Server: p.server, Attempt: p.attempt})
+		l.withdraw(p)
+	}
+	h := l.holdings[r.Partition]
+	if h == nil || !h.ready || h.epoch != r.Epoch {
+		if own {
+			l.release(p.holding, r.Task, r.Attempt, r.Server)
+		}
+		return
+	}
+	if own {
+		u := l.addRun(now, h, r.Task, r.Attempt, r.Server, starting)
+		l.need(now, u)
+		return
+	}
+	// A start that was given up, or of the duty's life before a restart: no
+	// room is reserved, and a call of that life may still be on its way.
+	u := l.addRun(now, h, r.Task, r.Attempt, r.Server, stopping)
+	u.ifGone = NotStarted
+	l.needAt(now.Add(l.settings.CallTimeout), u)
+}
+
+// readEnd acts on an end that was read back.
+func (l *Ledger) readEnd(now time.Time, r Record, v Verdict, before where) {
+	if v != Accepted {
+		return
+	}
+	kind, detail := EventEnded, r.Reason
+	if r.Kind == Evicted {
+		kind, detail = EventEvicted, r.Checkpoint
+	}
+	if s := l.servers[before.server]; s != nil {
+		if u := s.runs[r.Task]; u != nil && u.attempt == r.Attempt {
+			l.event(Event{Kind: kind, Task: r.Task, Server: before.server, Attempt: r.Attempt, Detail: detail})
+			if u.phase != settled {
+				l.release(s.holding, r.Task, r.Attempt, s.id)
+			}
+			u.phase = settled
+			delete(s.runs, r.Task)
+		}
+	}
+	if _, t := l.fold.find(r.Task); t != nil && t.state == waiting {
+		l.queueTask(r.Task, now, false)
+	}
+}
+
+// readCancel stops the tasks of a cancelled job that run here. Offers of it
+// are withdrawn by the fold's rejection of their starts.
+func (l *Ledger) readCancel(now time.Time, id fleet.JobID) {
+	j := l.fold.jobs[id]
+	if j == nil || j.state != CancelledState {
+		return
+	}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != running {
+			continue
+		}
+		s := l.servers[l.fold.servers.names[t.server]]
+		if s == nil {
+			continue
+		}
+		if u := s.runs[Ref{id, i}]; u != nil {
+			l.stop(now, u, Stopped, "job was cancelled")
+		}
+	}
+}
+
+// stop ends an attempt without a checkpoint.
+func (l *Ledger) stop(now time.Time, u *run, ifGone End, reason string) {
+	if u.phase == settled || u.phase == stopping {
+		return
+	}
+	if u.phase == starting && u.call == 0 {
+		l.settle(now, u, Record{Kind: Ended, End: NotStarted, Reason: reason})
+		return
+	}
+	u.phase, u.ifGone, u.reason, u.callFrom = stopping, ifGone, reason, now
+	l.need(now, u)
+}
+
+// Evict asks for a checkpoint and a stop of a task.
+func (l *Ledger) Evict(now time.Time, r Ref, server fleet.BackendServerID) {
+	if s := l.servers[server]; s != nil && s.runs[r] != nil {
+		l.evict(now, s.runs[r])
+	}
+}
+
+func (l *Ledger) evict(now time.Time, u *run) {
+	switch u.phase {
+	case confirmed:
+		u.phase, u.refusals = evicting, 0
+		l.need(now, u)
+	case starting:
+		u.evictNext = true
+	}
+}
+
+func (l *Ledger) evictAll(now time.Time, s *server) {
+	for _, u := range s.inOrder() {
+		l.evict(now, u)
+	}
+}
+
+// Throttle slows a task down or lifts that again. It is not repeated: the
+// usage report shows the partition duty whether it took effect.
+func (l *Ledger) Throttle(now time.Time, r Ref, server fleet.BackendServerID, throttled bool) {
+	s := l.servers[server]
+	if s == nil || s.runs[r] == nil || s.runs[r].phase != confirmed {
+		return
+	}
+	c := l.newCall(now, s, ThrottleCall)
+	c.Task, c.Attempt, c.Throttled = r, s.runs[r].attempt, throttled
+	l.out.Calls = append(l.out.Calls, c)
+}
+
+// settle records the end of an attempt that no longer runs.
+func (l *Ledger) settle(now time.Time, u *run, r Record) {
+	if u.phase == settled {
+		return
+	}
+	u.phase = settled
+	h := u.server.holding
+	r.Task, r.Attempt, r.Partition, r.Epoch, r.Server = u.ref, u.attempt, h.partition, h.epoch, u.server.id
+	l.release(h, u.ref, u.attempt, u.server.id)
+	l.append(now, r)
+}
+
+// settleSeen records the end that the worker reported. It reports false when
+// the attempt still runs.
+func (l *Ledger) settleSeen(now time.Time, u *run, seen Observation) bool {
+	switch seen.State {
+	case WorkerRunning:
+		return false
+	case WorkerSucceeded:
+		l.settle(now, u, Record{Kind: Ended, End: Succeeded})
+	case WorkerFailed:
+		l.settle(now, u, Record{Kind: Ended, End: Failed, Reason: seen.Reason})
+	case WorkerCheckpointed:
+		l.settle(now, u, Record{Kind: Evicted, Checkpoint: seen.Checkpoint})
+	default:
+		l.settle(now, u, Record{Kind: Ended, End: u.ifGone, Reason: u.reason})
+	}
+	return true
+}
--- /dev/null
+++ b/decision/task/server.go
@@ -0,0 +1,213 @@
+package task
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// lapsedPause is the wait before another look at a server while the partition's
+// own lease is not valid.
+const lapsedPause = 500 * time.Millisecond
+
+// server is a backend server of a held partition.
+type server struct {
+	id      fleet.BackendServerID
+	holding *holding
+	runs    map[Ref]*run
+	queue   []*run // need a call
+	// inFlight are the calls in progress but for renewals.
+	inFlight map[uint64]bool
+	// contactAt is when the worker last answered.
+	contactAt time.Time
+	// lastLease is when a call that gives or extends leases was last issued,
+	// by this holder or a former one.
+	lastLease time.Time
+	// fencedAt is when the worker first answered a call of this epoch. From
+	// then on it accepts none of an earlier epoch.
+	fencedAt time.Time
+	// sampledAt is the sample time of the newest report.
+	sampledAt time.Time
+	// abandoned servers get no renewals, so that their leases lapse.
+	abandoned bool
+}
+
+func (l *Ledger) serverOf(now time.Time, h *holding, id fleet.BackendServerID) *server {
+	s := l.servers[id]
+	if s != nil && s.holding == h {
+		return s
+	}
+	s = &server{
+		id: id, holding: h, runs: map[Ref]*run{}, inFlight: map[uint64]bool{},
+		contactAt: now, lastLease: h.takenAt,
+	}
+	l.servers[id] = s
+	l.renew(now, s)
+	return s
+}
+
+// openHolding begins to act for a partition: its servers are fenced by a
+// renewal, and attempts that the fold has running there are checked.
+func (l *Ledger) openHolding(now time.Time, h *holding) {
+	h.ready = true
+	for _, b := range l.listed {
+		if b.Partition() == h.partition {
+			l.serverOf(now, h, b.ID)
+		}
+	}
+	n := l.fold.partition(h.partition)
+	for id, j := range l.fold.jobs {
+		for i := range j.tasks {
+			t := &j.tasks[i]
+			if t.state == running && t.partition == n {
+				l.addRun(now, h, Ref{id, i}, int(t.attempt), l.fold.servers.names[t.server], checking)
+			}
+		}
+	}
+	for _, s := range l.servers {
+		for _, u := range s.inOrder() {
+			if u.phase == checking && l.fold.jobs[u.ref.Job].state == CancelledState {
+				l.stop(now, u, Stopped, "job was cancelled")
+			}
+		}
+	}
+}
+
+// renew is the loop that extends a worker's leases and notices one that
+// doesn't answer.
+func (l *Ledger) renew(now time.Time, s *server) {
+	if l.servers[s.id] != s {
+		return
+	}
+	pause := l.settings.RenewEvery
+	switch valid := now.Before(s.holding.until); {
+	case !valid:
+		pause = lapsedPause
+	case !s.abandoned && (len(s.runs) > 0 || s.fencedAt.IsZero()):
+		c := l.newCall(now, s, RenewCall)
+		c.Lease = l.settings.Lease
+		s.lastLease = now
+		l.out.Calls = append(l.out.Calls, c)
+	}
+	for _, u := range s.inOrder() {
+		l.need(now, u) // what was skipped while the server was abandoned
+	}
+	l.pump(now, s)
+	l.checkContact(now, s)
+	l.timers.add(now.Add(pause), func(now time.Time) { l.renew(now, s) })
+}
+
+// checkContact gives up attempts on a worker that doesn't answer: first their
+// leases are no longer extended, then, once they have lapsed for sure, the
+// attempts are recorded as lost.
+func (l *Ledger) checkContact(now time.Time, s *server) {
+	limit := l.settings.Lease + l.settings.Margin
+	if len(s.runs) == 0 || !now.Before(s.holding.until) {
+		return
+	}
+	if !s.abandoned && now.Sub(s.contactAt) > limit {
+		s.abandoned = true
+		l.event(Event{Kind: EventServerLost, Server: s.id})
+	}
+	if !s.abandoned || now.Sub(s.lastLease) <= limit+l.settings.CallTimeout {
+		return
+	}
+	for _, u := range s.inOrder() {
+		end := Lost
+		if u.phase == starting {
+			end = NotStarted
+		}
+		l.settle(now, u, Record{Kind: Ended, End: end, Reason: "worker did not answer until the task's lease had lapsed"})
+	}
+}
+
+func (s *server) contact(now time.Time) {
+	s.contactAt = now
+	s.abandoned = false
+}
+
+func (s *server) renewDone(now time.Time, r CallResult) {
+	if r.Outcome == CallDone && s.fencedAt.IsZero() {
+		s.fencedAt = now
+	}
+}
+
+func (s *server) inOrder() []*run {
+	list := make([]*run, 0, len(s.runs))
+	for _, u := range s.runs {
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		if c := strings.Compare(string(a.ref.Job), string(b.ref.Job)); c != 0 {
+			return c
+		}
+		return a.ref.Index - b.ref.Index
+	})
+	return list
+}
+
+// Report takes a worker's report, dated no later than its sample.
+func (l *Ledger) Report(now time.Time, id fleet.BackendServerID, sampledAt time.Time, tasks []Observation) {
+	s := l.servers[id]
+	if s == nil || !s.holding.ready || !sampledAt.After(s.sampledAt) || s.fencedAt.IsZero() || !sampledAt.After(s.fencedAt) {
+		return
+	}
+	s.sampledAt = sampledAt
+	if sampledAt.After(s.contactAt) {
+		s.contact(sampledAt)
+	}
+	seen := map[Ref]bool{}
+	for _, o := range tasks {
+		u := s.runs[o.Task]
+		if u == nil || u.attempt != o.Attempt {
+			l.stray(now, s, o)
+			continue
+		}
+		seen[o.Task] = true
+		l.observe(now, u, o)
+	}
+	for _, u := range s.inOrder() {
+		if !seen[u.ref] {
+			l.absent(now, u, sampledAt)
+		}
+	}
+}
+
+func (l *Ledger) observe(now time.Time, u *run, o Observation) {
+	if u.phase == settled || u.phase == stopping && u.call != 0 {
+		return
+	}
+	if o.State == WorkerRunning {
+		if u.phase == checking {
+			u.phase, u.confirmedAt = confirmed, now
+			l.event(Event{Kind: EventAdopted, Task: u.ref, Server: u.server.id, Attempt: u.attempt})
+		}
+		return
+	}
+	l.settleSeen(now, u, o)
+}
+
+// absent handles a run that a report lacks. The stop call is the proof that
+// the worker doesn't run it, and returns the result if the worker has one.
+func (l *Ledger) absent(now time.Time, u *run, sampledAt time.Time) {
+	if u.phase == checking || u.phase == confirmed && sampledAt.After(u.confirmedAt) {
+		l.stop(now, u, Lost, "worker no longer reports the task")
+	}
+}
+
+// stray stops an attempt that runs although its end is recorded, for example
+// on a worker that was cut off for longer than its lease.
+func (l *Ledger) stray(now time.Time, s *server, o Observation) {
+	if o.State != WorkerRunning || !now.Before(s.holding.until) {
+		return
+	}
+	if w := l.runningOn(o.Task); w.running && w.server == s.id && w.attempt <= o.Attempt {
+		return
+	}
+	c := l.newCall(now, s, StopCall)
+	c.Task, c.Attempt = o.Task, o.Attempt
+	l.out.Calls = append(l.out.Calls, c)
+	l.event(Event{Kind: EventStray, Task: o.Task, Server: s.id, Attempt: o.Attempt})
+}
--- /dev/null
+++ b/decision/task/sim_test.go
@@ -0,0 +1,559 @@
+package task
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// The simulation joins the planners of several instances to one log and to
+// workers, with a clock of its own.
+const (
+	tick       = 100 * time.Millisecond
+	holderTTL  = 4 * time.Second
+	simRegion  = fleet.Region("accra")
+	workSlots  = 3
+	restartGap = 6 * time.Second
+)
+
+type sim struct {
+	t       *rapid.T
+	rand    *rand.Rand
+	now     time.Time
+	log     []entry
+	sending []sending
+	logDown bool
+	calm    bool // no more faults
+	members []*member
+	racks   map[fleet.PartitionID]*rack
+	workers map[fleet.BackendServerID]*worker
+	listed  []fleet.BackendServer
+	later   timers
+	started map[string]int // worker-side starts by task and attempt
+	resumed map[string]int // worker-side starts by checkpoint
+	jobs    []fleet.JobID  // accepted
+	oracle  *Fold
+}
+
+type sending struct {
+	due time.Time
+	entry
+}
+
+type rack struct {
+	holder *member
+	epoch  fleet.Epoch
+	until  time.Time
+}
+
+type member struct {
+	name     fleet.InstanceID
+	ledger   *Ledger
+	life     int
+	read     int
+	frozen   time.Time // until when the process does nothing
+	down     time.Time // until when it is not started again
+	reserved map[string]fleet.BackendServerID
+}
+
+type worker struct {
+	id          fleet.BackendServerID
+	partition   fleet.PartitionID
+	seen        fleet.Epoch
+	tasks       map[string]*attempt
+	stopped     map[string]bool
+	unreachable bool
+	failsAll    bool
+}
+
+type attempt struct {
+	Observation
+	leaseUntil, doneAt, endedAt time.Time
+}
+
+func key(r Ref, attempt int) string { return fmt.Sprint(r.ID(), "#", attempt) }
+
+func newSim(t *rapid.T) *sim {
+	s := &sim{
+		t: t, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		now:   time.Unix(1_000_000, 0),
+		racks: map[fleet.PartitionID]*rack{}, workers: map[fleet.BackendServerID]*worker{},
+		started: map[string]int{}, resumed: map[string]int{}, oracle: NewFold(),
+	}
+	for i := range 3 {
+		s.members = append(s.members, &member{name: fleet.InstanceID(fmt.Sprint("entry-", i))})
+		s.boot(s.members[i])
+	}
+	for i := range 3 {
+		id := fleet.PartitionOf("accra-1", fleet.Rack(fmt.Sprint("rack-", i)))
+		s.racks[id] = &rack{}
+		for k := range 3 {
+			b := fleet.BackendServer{
+				ID: fleet.BackendServerID(fmt.Sprintf("w%d%d", i, k)), Region: simRegion,
+				DataCentre: "accra-1", Rack: fleet.Rack(fmt.Sprint("rack-", i)),
+				Capacity: fleet.Resources{Slots: workSlots},
+			}
+			s.listed = append(s.listed, b)
+			s.workers[b.ID] = &worker{id: b.ID, partition: id, tasks: map[string]*attempt{}, stopped: map[string]bool{}}
+		}
+	}
+	return s
+}
+
+// boot starts a process with empty state; it reads the log from its beginning.
+func (s *sim) boot(m *member) {
+	settings := DefaultSettings(m.name, simRegion)
+	m.ledger, m.read, m.reserved = NewLedger(s.now, settings), 0, map[string]fleet.BackendServerID{}
+	m.life++
+	m.ledger.Begin()
+	m.ledger.SetServers(s.now, s.listed)
+	m.ledger.SetTeams(map[fleet.Team]float64{"dye": 0.7, "seam": 0.3})
+}
+
+func (m *member) runs(now time.Time) bool { return !now.Before(m.frozen) && !now.Before(m.down) }
+
+// chance is false once the faults have stopped.
+func (s *sim) chance(percent int) bool { return !s.calm && s.rand.IntN(100) < percent }
+
+func (s *sim) after(ticks int, run func()) {
+	s.later.add(s.now.Add(time.Duration(ticks)*tick), func(time.Time) { run() })
+}
+
+func (s *sim) step() {
+	s.now = s.now.Add(tick)
+	s.later.fire(s.now)
+	s.deliverAppends()
+	s.assignRacks()
+	for _, w := range s.ordered() {
+		w.run(s)
+		if s.rand.IntN(5) == 0 {
+			s.report(w)
+		}
+	}
+	for _, m := range s.members {
+		if m.runs(s.now) {
+			s.stepMember(m)
+		}
+	}
+	s.checkOnePlace()
+}
+
+func (s *sim) ordered() []*worker {
+	return slices.SortedFunc(maps.Values(s.workers), func(a, b *worker) int {
+		return int(a.id[1])*10 + int(a.id[2]) - int(b.id[1])*10 - int(b.id[2])
+	})
+}
+
+// deliverAppends lets appends take effect, in the order of their delays.
+func (s *sim) deliverAppends() {
+	if s.logDown {
+		return
+	}
+	kept := s.sending[:0]
+	for _, a := range s.sending {
+		if a.due.After(s.now) {
+			kept = append(kept, a)
+			continue
+		}
+		a.at = Position{Offset: fleet.Offset(len(s.log) / 2), Index: len(s.log) % 2}
+		s.log = append(s.log, a.entry)
+		if v := s.oracle.Apply(a.at, a.record); v == Accepted && a.record.Kind == JobSubmitted {
+			s.jobs = append(s.jobs, a.record.Job.ID)
+		}
+	}
+	s.sending = kept
+}
+
+func (s *sim) append(a Append) {
+	if s.logDown && s.chance(70) || s.chance(8) {
+		return // lost before effect
+	}
+	e := entry{id: a.ID, record: a.Record}
+	s.sending = append(s.sending, sending{s.now.Add(time.Duration(s.rand.IntN(5)) * tick), e})
+	if s.chance(8) { // repeated late because its answer was lost
+		s.sending = append(s.sending, sending{s.now.Add(time.Duration(s.rand.IntN(300)) * tick), e})
+	}
+}
+
+// assignRacks keeps one holder for each rack: the next one follows when the
+// former one's lease has ended.
+func (s *sim) assignRacks() {
+	for _, id := range slices.Sorted(maps.Keys(s.racks)) {
+		r := s.racks[id]
+		if r.holder != nil && r.holder.runs(s.now) && s.now.Before(r.until) {
+			r.until = s.now.Add(holderTTL)
+			continue
+		}
+		next := s.members[s.rand.IntN(len(s.members))]
+		if s.now.Before(r.until.Add(200*time.Millisecond)) || !next.runs(s.now) {
+			continue
+		}
+		r.holder, r.epoch, r.until = next, r.epoch+1, s.now.Add(holderTTL)
+	}
+}
+
+func (s *sim) stepMember(m *member) {
+	var own []Holding
+	for _, id := range slices.Sorted(maps.Keys(s.racks)) {
+		if r := s.racks[id]; r.holder == m {
+			own = append(own, Holding{id, r.epoch, r.until})
+		}
+	}
+	m.ledger.SetHoldings(s.now, own)
+	for n := s.rand.IntN(8); n > 0 && m.read < len(s.log) && !s.logDown; n-- {
+		e := s.log[m.read]
+		m.read++
+		m.ledger.Read(s.now, e.at, e.id, e.record)
+	}
+	if m.read == len(s.log) && !s.logDown {
+		m.ledger.CaughtUp(s.now)
+	}
+	s.act(m, m.ledger.Step(s.now))
+}
+
+func (s *sim) act(m *member, a Actions) {
+	for _, x := range a.Appends {
+		s.append(x)
+	}
+	for _, r := range a.Releases {
+		delete(m.reserved, key(r.Task, r.Attempt))
+	}
+	life := m.life
+	for _, o := range a.Offers {
+		s.after(s.rand.IntN(3), func() {
+			if m.life == life && m.runs(s.now) {
+				s.answerOffer(m, o)
+			}
+		})
+	}
+	for _, c := range a.Calls {
+		s.after(s.rand.IntN(3), func() {
+			if s.now.Before(m.down) {
+				return
+			}
+			result := s.carry(m, c)
+			s.after(s.rand.IntN(3), func() {
+				if m.life == life && m.runs(s.now) {
+					m.ledger.CallDone(s.now, result)
+				}
+			})
+		})
+	}
+}
+
+// answerOffer plays the partition duty: it counts what runs and is reserved.
+func (s *sim) answerOffer(m *member, o Offer) {
+	for _, w := range s.ordered() {
+		used := 0
+		for _, a := range w.tasks {
+			if a.State == WorkerRunning {
+				used++
+			}
+		}
+		for _, id := range m.reserved {
+			if id == w.id {
+				used++
+			}
+		}
+		if w.partition == o.Partition && used < workSlots && !slices.Contains(o.Avoid, w.id) {
+			m.reserved[key(o.Task, o.Attempt)] = w.id
+			m.ledger.Placed(s.now, Release{o.Task, o.Attempt, o.Partition, o.Epoch, w.id})
+			return
+		}
+	}
+	m.ledger.Declined(s.now, o.Task, o.Attempt, o.Partition)
+}
+
+// carry plays the runner and the network.
+func (s *sim) carry(m *member, c Call) CallResult {
+	r := CallResult{Call: c, Outcome: CallUnknown}
+	w := s.workers[c.Server]
+	if !s.now.Before(c.NotAfter) || !m.runs(s.now) {
+		r.Outcome = CallNotSent
+		return r
+	}
+	if w.unreachable || s.chance(5) {
+		return r
+	}
+	if s.chance(3) { // takes effect later, though still in time
+		s.after(s.rand.IntN(int(c.NotAfter.Sub(s.now)/tick)+1), func() { w.take(s, c) })
+		return r
+	}
+	outcome, seen := w.take(s, c)
+	if s.chance(5) {
+		return r // answer lost
+	}
+	r.Outcome, r.Seen = outcome, seen
+	return r
+}
+
+// take plays the worker's side of a call.
+func (w *worker) take(s *sim, c Call) (CallOutcome, Observation) {
+	if c.Epoch < w.seen {
+		return CallRefused, Observation{}
+	}
+	w.seen = c.Epoch
+	if c.Kind == RenewCall {
+		for _, a := range w.tasks {
+			a.leaseUntil = s.now.Add(c.Lease)
+		}
+		return CallDone, Observation{}
+	}
+	id := key(c.Task, c.Attempt)
+	a := w.tasks[id]
+	switch {
+	case c.Kind == StartCall && a == nil && !w.stopped[id]:
+		w.start(s, c)
+		return CallDone, Observation{}
+	case c.Kind == StartCall && a == nil:
+		return CallRefused, Observation{}
+	case c.Kind == StopCall && a == nil:
+		w.stopped[id] = true
+		return CallDone, Observation{}
+	case a == nil || c.Kind == StartCall || c.Kind == ThrottleCall:
+		return CallDone, Observation{}
+	}
+	if a.State == WorkerRunning {
+		a.State, a.endedAt = WorkerStopped, s.now
+		if c.Kind == CheckpointCall {
+			a.State, a.Checkpoint = WorkerCheckpointed, "after "+id
+		}
+	}
+	return CallDone, a.Observation
+}
+
+func (w *worker) start(s *sim, c Call) {
+	id := key(c.Task, c.Attempt)
+	if s.started[id]++; s.started[id] > 1 {
+		s.t.Fatalf("attempt %s was started twice", id)
+	}
+	if c.Checkpoint != "" {
+		s.resumed[c.Checkpoint]++
+	}
+	w.tasks[id] = &attempt{
+		Observation: Observation{Task: c.Task, Attempt: c.Attempt, State: WorkerRunning},
+		leaseUntil:  s.now.Add(c.Lease), doneAt: s.now.Add(c.RunTime),
+	}
+}
+
+func (w *worker) run(s *sim) {
+	for id, a := range w.tasks {
+		switch {
+		case a.State != WorkerRunning && s.now.Sub(a.endedAt) > time.Minute:
+			delete(w.tasks, id) // no longer reported
+		case a.State != WorkerRunning:
+		case s.now.After(a.leaseUntil):
+			a.State, a.endedAt = WorkerStopped, s.now
+		case w.failsAll && !s.calm || a.Task.Job == "never":
+			a.State, a.Reason, a.endedAt = WorkerFailed, "exit status 1", s.now
+		case s.now.After(a.doneAt):
+			a.State, a.endedAt = WorkerSucceeded, s.now
+		}
+	}
+}
+
+// report takes a sample now and delivers it to the holder later.
+func (s *sim) report(w *worker) {
+	if w.unreachable {
+		return
+	}
+	var seen []Observation
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		seen = append(seen, w.tasks[id].Observation)
+	}
+	sampled := s.now
+	s.after(s.rand.IntN(15), func() {
+		for _, m := range s.members {
+			if m.runs(s.now) {
+				m.ledger.Report(s.now, w.id, sampled, seen)
+			}
+		}
+	})
+}
+
+// checkOnePlace is promise 2.
+func (s *sim) checkOnePlace() {
+	where := map[Ref]string{}
+	for _, w := range s.ordered() {
+		for _, a := range w.tasks {
+			if a.State != WorkerRunning {
+				continue
+			}
+			here := fmt.Sprint(w.id, " attempt ", a.Attempt)
+			if there, twice := where[a.Task]; twice {
+				s.t.Fatalf("%s runs on %s and on %s", a.Task.ID(), there, here)
+			}
+			where[a.Task] = here
+		}
+	}
+}
+
+func simJob(id string, n int, run time.Duration) Job {
+	team := fleet.Team("dye")
+	if n%2 == 0 {
+		team = "seam"
+	}
+	return Job{
+		ID: fleet.JobID(id), Team: team, Kind: "dye-check", Tasks: 1 + n%5,
+		Resources: fleet.Resources{Slots: 1}, RunTime: run, TeamLimit: 100,
+	}
+}
+
+// Guards against: a task in two places; an eviction that is resumed never or
+// twice; a job that is lost or never ends; a rebuilt state that differs.
+func TestPlannersThroughFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runFaults(t) })
+}
+
+func runFaults(t *rapid.T) {
+	s := newSim(t)
+	submitted := 0
+	submit := func(j Job) {
+		s.members[s.rand.IntN(3)].ledger.Submit(s.now, j)
+		submitted++
+	}
+	someWorker := func() *worker { return s.ordered()[s.rand.IntN(len(s.workers))] }
+	faults := map[string]func(){
+		"submit": func() {
+			submit(simJob(fmt.Sprint("job-", submitted), submitted, time.Duration(s.rand.IntN(40))*time.Second))
+		},
+		"never": func() { submit(simJob("never", 2, time.Second)) },
+		"large": func() { j := simJob("large", 1, 0); j.Resources.Slots = 9; submit(j) },
+		"cancel": func() {
+			s.members[s.rand.IntN(3)].ledger.Cancel(s.now, fleet.JobID(fmt.Sprint("job-", s.rand.IntN(submitted+1))), "test")
+		},
+		"cancel-all": func() { // a wave
+			for i := range submitted {
+				s.members[s.rand.IntN(3)].ledger.Cancel(s.now, fleet.JobID(fmt.Sprint("job-", i)), "wave")
+			}
+		},
+		"crash":       func() { m := s.members[s.rand.IntN(3)]; m.down = s.now.Add(restartGap); s.boot(m) },
+		"restart":     func() { s.boot(s.members[s.rand.IntN(3)]) },
+		"freeze":      func() { s.members[s.rand.IntN(3)].frozen = s.now.Add(time.Duration(s.rand.IntN(200)) * tick) },
+		"release":     func() { s.racks["accra-1/rack-0"].until = s.now; s.racks["accra-1/rack-0"].holder = nil },
+		"unreachable": func() { w := someWorker(); w.unreachable = !w.unreachable },
+		"reboot":      func() { w := someWorker(); w.tasks, w.seen = map[string]*attempt{}, 0 },
+		"fails-all":   func() { w := someWorker(); w.failsAll = !w.failsAll },
+		"log":         func() { s.logDown = !s.logDown },
+		"evict": func() {
+			for _, w := range s.ordered() {
+				for _, a := range w.tasks {
+					for _, m := range s.members {
+						m.ledger.Evict(s.now, a.Task, w.id)
+					}
+				}
+			}
+		},
+	}
+	names := slices.Sorted(maps.Keys(faults))
+	for range rapid.IntRange(1, 25).Draw(t, "events") {
+		faults[rapid.SampledFrom(names).Draw(t, "event")]()
+		for range rapid.IntRange(0, 150).Draw(t, "ticks") {
+			s.step()
+		}
+	}
+	s.settleDown()
+}
+
+// settleDown ends the faults and checks what must hold then.
+func (s *sim) settleDown() {
+	s.calm, s.logDown = true, false
+	for _, w := range s.workers {
+		w.unreachable = false
+	}
+	for range int(15 * time.Minute / tick) {
+		s.step()
+		if s.allEnded() && len(s.sending) == 0 {
+			break
+		}
+	}
+	for _, id := range s.jobs {
+		v, ok := s.oracle.View(id)
+		if !ok || v.State == Open || v.Running > 0 {
+			s.t.Fatalf("job %s has not ended: %+v (known %v)", id, v, ok)
+		}
+	}
+	s.checkResumes()
+	s.checkRebuild()
+}
+
+func (s *sim) allEnded() bool {
+	for _, m := range s.members {
+		if m.read < len(s.log) {
+			return false
+		}
+	}
+	for _, id := range s.jobs {
+		if v, _ := s.oracle.View(id); v.State == Open || v.Running > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// checkResumes is promise 3: a checkpoint is resumed once; once more only for
+// each resumed attempt that is recorded to have ended without a checkpoint,
+// and at least once when its job finished.
+func (s *sim) checkResumes() {
+	f := NewFold()
+	from, allowed := map[string]string{}, map[string]int{}
+	for _, e := range s.log {
+		if f.Apply(e.at, e.record) != Accepted {
+			continue
+		}
+		id := key(e.record.Task, e.record.Attempt)
+		switch e.record.Kind {
+		case Started:
+			from[id] = e.record.Checkpoint
+		case Evicted:
+			allowed[e.record.Checkpoint]++
+		case Ended:
+			if e.record.End != Succeeded {
+				allowed[from[id]]++
+			}
+		}
+	}
+	for checkpoint, n := range s.resumed {
+		if n > allowed[checkpoint] {
+			s.t.Fatalf("checkpoint %q was resumed %d times, allowed %d", checkpoint, n, allowed[checkpoint])
+		}
+	}
+	for _, e := range s.log {
+		v, _ := f.View(e.record.Task.Job)
+		if e.record.Kind == Evicted && v.State == Finished && s.resumed[e.record.Checkpoint] == 0 {
+			s.t.Fatalf("checkpoint %q was never resumed although its job finished", e.record.Checkpoint)
+		}
+	}
+}
+
+// checkRebuild compares the state from a snapshot at any place and the tail
+// with the state from the whole log.
+func (s *sim) checkRebuild() {
+	want := fmt.Sprintf("%+v", s.oracle.Snapshot())
+	f := NewFold()
+	cut := s.rand.IntN(len(s.log) + 1)
+	for _, e := range s.log[:cut] {
+		f.Apply(e.at, e.record)
+	}
+	restored := Restore(f.Snapshot())
+	for _, e := range s.log {
+		restored.Apply(e.at, e.record)
+	}
+	if got := fmt.Sprintf("%+v", restored.Snapshot()); got != want {
+		s.t.Fatalf("snapshot at record %d and tail give\n%s\nthe whole log gives\n%s", cut, got, want)
+	}
+	for _, m := range s.members {
+		if got := fmt.Sprintf("%+v", m.ledger.Fold().Snapshot()); m.read == len(s.log) && got != want {
+			s.t.Fatalf("%s has\n%s\nthe log gives\n%s", m.name, got, want)
+		}
+	}
+}
+
+func TestMain(m *testing.M) { m.Run() }
--- /dev/null
+++ b/decision/task/upkeep.go
@@ -0,0 +1,120 @@
+package task
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+const (
+	// partsInFlight bounds the snapshot parts that are appended and not read
+	// back, so that a snapshot doesn't delay other records.
+	partsInFlight = 2
+	// snapshotSpread spreads the instances' snapshots, so that usually one
+	// writes it and the others see it before their turn.
+	snapshotSpread = 10 * time.Second
+	// tooLargeCheck is the time between looks for jobs that are too large.
+	tooLargeCheck = time.Second
+)
+
+// checkSnapshot asks for a snapshot once enough records came after the last
+// one. The records between two snapshots are at least twice the tasks in the
+// state, which bounds the snapshot's part of the log's volume.
+func (l *Ledger) checkSnapshot(now time.Time) {
+	if l.snapDue || l.sinceSnap == 0 || !l.silent.since.IsZero() || len(l.parts) > 0 {
+		return
+	}
+	due := l.sinceSnap >= l.settings.SnapshotRecords && l.sinceSnap >= 2*l.fold.Counts().Tasks
+	if !due && now.Sub(l.snapAt) < l.settings.SnapshotAge {
+		return
+	}
+	l.snapDue = true
+	at := l.fold.position
+	spread := xxhash.Sum64String(fmt.Sprint(l.settings.Instance, at)) % uint64(snapshotSpread)
+	l.timers.add(now.Add(time.Duration(spread)), func(time.Time) {
+		l.out.Snapshot = l.snapDue && l.Ready()
+	})
+}
+
+// AppendParts appends the parts of the snapshot that was asked for.
+func (l *Ledger) AppendParts(now time.Time, parts []Part) {
+	l.snapDue, l.sinceSnap, l.snapAt = false, 0, now
+	for i := range parts {
+		l.parts = append(l.parts, Append{Record: Record{Kind: SnapshotPart, Part: &parts[i]}})
+	}
+	for range partsInFlight {
+		l.nextPart(now)
+	}
+}
+
+func (l *Ledger) nextPart(now time.Time) {
+	if len(l.parts) == 0 {
+		return
+	}
+	next := l.parts[0]
+	l.parts = l.parts[1:]
+	l.append(now, next.Record)
+}
+
+// checkTooLarge sets aside jobs whose tasks are larger than every listed
+// backend server for long enough. The holder of the job's first partition
+// writes the record; after HandOver the holder of the next one does too.
+func (l *Ledger) checkTooLarge(now time.Time) {
+	l.timers.add(now.Add(tooLargeCheck), l.checkTooLarge)
+	if !l.Ready() || len(l.listed) == 0 || !l.silent.since.IsZero() {
+		return
+	}
+	for id, q := range l.queues {
+		if q.job.state != Open {
+			continue
+		}
+		largest, fits := l.largest(q.job.spec.Resources)
+		if fits {
+			delete(l.tooLargeFrom, id)
+			continue
+		}
+		since, known := l.tooLargeFrom[id]
+		if !known {
+			l.tooLargeFrom[id], since = now, now
+		}
+		rank, holds := l.ownRank(id)
+		if holds && now.Sub(since) >= l.settings.TooLarge+time.Duration(rank)*l.settings.HandOver {
+			l.append(now, Record{Kind: SetAside, Task: Ref{Job: id}, Reason: fmt.Sprintf(
+				"a task needs %+v; no backend server of the region holds that, the largest has %+v",
+				q.job.spec.Resources, largest)})
+		}
+	}
+}
+
+// largest returns the backend server capacity with the most processor time,
+// and whether the resources fit into any.
+func (l *Ledger) largest(r fleet.Resources) (largest fleet.Resources, fits bool) {
+	for _, s := range l.listed {
+		if r.Fits(s.Capacity) {
+			return s.Capacity, true
+		}
+		if s.Capacity.MilliCPU > largest.MilliCPU {
+			largest = s.Capacity
+		}
+	}
+	return largest, false
+}
+
+// ownRank returns the best place that a held partition has in a job's order
+// over all listed partitions.
+func (l *Ledger) ownRank(id fleet.JobID) (int, bool) {
+	q := jobQueue{job: l.fold.jobs[id], partitions: l.couldHold(fleet.Resources{})}
+	best, holds := 0, false
+	for _, p := range q.partitions {
+		if l.holdings[p] == nil {
+			continue
+		}
+		if rank := q.rank(0, p); !holds || rank < best {
+			best, holds = rank, true
+		}
+	}
+	return best, holds
+}
--- /dev/null
+++ b/decision/task/view.go
@@ -0,0 +1,75 @@
+package task
+
+import (
+	"slices"
+	"strings"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// JobView is a job's state for callers.
+type JobView struct {
+	Job    Job
+	State  JobState
+	Reason string
+	// Waiting, Running and Done count tasks.
+	Waiting int
+	Running int
+	Done    int
+}
+
+// View returns a job's state. It reports false for a job that was never
+// accepted or ended too long ago.
+func (f *Fold) View(id fleet.JobID) (JobView, bool) {
+	j := f.jobs[id]
+	if j == nil {
+		return JobView{}, false
+	}
+	return j.view(), true
+}
+
+func (j *job) view() JobView {
+	v := JobView{Job: j.spec, State: j.state, Reason: j.reason, Running: j.running, Done: j.done}
+	if j.state == Open {
+		v.Waiting = j.spec.Tasks - j.running - j.done
+	}
+	return v
+}
+
+// List returns up to limit jobs of a team (empty: all teams) whose identifier
+// is greater than after, by identifier.
+func (f *Fold) List(of fleet.Team, after fleet.JobID, limit int) []JobView {
+	var selected []*job
+	for _, j := range f.jobs {
+		if (of == "" || j.spec.Team == of) && j.spec.ID > after {
+			selected = append(selected, j)
+		}
+	}
+	slices.SortFunc(selected, func(a, b *job) int {
+		return strings.Compare(string(a.spec.ID), string(b.spec.ID))
+	})
+	views := make([]JobView, 0, min(limit, len(selected)))
+	for _, j := range selected[:min(limit, len(selected))] {
+		views = append(views, j.view())
+	}
+	return views
+}
+
+// Counts are totals for metrics and the state dump.
+type Counts struct {
+	Jobs       int `json:"jobs"`
+	EndedJobs  int `json:"ended_jobs"`
+	Tasks      int `json:"tasks"`
+	Running    int `json:"running"`
+	Partitions int `json:"partitions"`
+}
+
+// Counts returns totals; the cost grows with the number of jobs.
+func (f *Fold) Counts() Counts {
+	c := Counts{Jobs: len(f.jobs), EndedJobs: len(f.ended), Partitions: len(f.epochs)}
+	for _, j := range f.jobs {
+		c.Tasks += len(j.tasks)
+		c.Running += j.running
+	}
+	return c
+}
--- /dev/null
+++ b/records/task/record.go
@@ -0,0 +1,140 @@
+// Package task encodes the records of the streams tasks.<region> as JSON, and
+// snapshots as parts of bounded size. The decisions on records are in
+// decision/task. It starts nothing and owns nothing; a record that can't be
+// decoded is returned as an error and skipped by the ledger duty.
+package task
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/task"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Stream returns the name of a region's stream.
+func Stream(region fleet.Region) string { return "tasks." + string(region) }
+
+// wire is the JSON form. Names are short because 1,200 starts are recorded
+// each second at the target size.
+type wire struct {
+	Kind       string                `json:"k"`
+	Job        *wireJob              `json:"job,omitempty"`
+	ID         fleet.JobID           `json:"j,omitempty"`
+	Index      int                   `json:"i,omitempty"`
+	Attempt    int                   `json:"a,omitempty"`
+	Partition  fleet.PartitionID     `json:"p,omitempty"`
+	Epoch      fleet.Epoch           `json:"e,omitempty"`
+	Server     fleet.BackendServerID `json:"s,omitempty"`
+	Checkpoint string                `json:"c,omitempty"`
+	End        string                `json:"end,omitempty"`
+	Reason     string                `json:"r,omitempty"`
+	Part       *wirePart             `json:"part,omitempty"`
+}
+
+type wireJob struct {
+	ID         fleet.JobID     `json:"id"`
+	Team       fleet.Team      `json:"team"`
+	Kind       string          `json:"kind"`
+	Tasks      int             `json:"tasks"`
+	Resources  fleet.Resources `json:"resources"`
+	RunMillis  int64           `json:"run_ms"`
+	Parameters string          `json:"parameters,omitempty"`
+	TeamLimit  int             `json:"team_limit,omitempty"`
+}
+
+type wirePart struct {
+	Snapshot string `json:"id"`
+	Index    int    `json:"index"`
+	Count    int    `json:"count"`
+	Data     []byte `json:"data"`
+}
+
+// kindNames and endNames are part of the format; they must not change.
+var (
+	kindNames = [...]string{"", "job", "held", "start", "ended", "evicted", "cancel", "set-aside", "snapshot"}
+	endNames  = [...]string{"", "succeeded", "failed", "stopped", "lost", "not-started"}
+)
+
+// Encode returns the JSON form of a record.
+func Encode(r task.Record) ([]byte, error) {
+	w := wire{
+		Kind: kindNames[r.Kind], ID: r.Task.Job, Index: r.Task.Index, Attempt: r.Attempt,
+		Partition: r.Partition, Epoch: r.Epoch, Server: r.Server, Checkpoint: r.Checkpoint,
+		End: endNames[r.End], Reason: r.Reason,
+	}
+	if r.Job != nil {
+		j := encodeJob(*r.Job)
+		w.Job = &j
+	}
+	if r.Part != nil {
+		w.Part = &wirePart{Snapshot: r.Part.Snapshot, Index: r.Part.Index, Count: r.Part.Count, Data: r.Part.Data}
+	}
+	data, err := json.Marshal(w)
+	return data, errors.Wrap(err, "encode task record")
+}
+
+// Decode is the inverse of Encode. It returns an error for a kind or end that
+// this version doesn't know.
+func Decode(data []byte) (task.Record, error) {
+	var w wire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return task.Record{}, errors.Wrap(err, "decode task record")
+	}
+	kind, ok := indexOf(kindNames[:], w.Kind)
+	if !ok || kind == 0 {
+		return task.Record{}, errors.Errorf("task record has kind %q, which this version does not know", w.Kind)
+	}
+	end, ok := indexOf(endNames[:], w.End)
+	if !ok {
+		return task.Record{}, errors.Errorf("task record has end %q, which this version does not know", w.End)
+	}
+	r := task.Record{
+		Kind: task.Kind(kind), Task: task.Ref{Job: w.ID, Index: w.Index}, Attempt: w.Attempt,
+		Partition: w.Partition, Epoch: w.Epoch, Server: w.Server, Checkpoint: w.Checkpoint,
+		End: task.End(end), Reason: w.Reason,
+	}
+	if w.Job != nil {
+		j := decodeJob(*w.Job)
+		r.Job = &j
+	}
+	if w.Part != nil {
+		r.Part = &task.Part{Snapshot: w.Part.Snapshot, Index: w.Part.Index, Count: w.Part.Count, Data: w.Part.Data}
+	}
+	return r, check(r)
+}
+
+func check(r task.Record) error {
+	switch {
+	case r.Kind == task.JobSubmitted && r.Job == nil:
+		return errors.New("job record has no job")
+	case r.Kind == task.SnapshotPart && (r.Part == nil || r.Part.Index < 0 || r.Part.Index >= r.Part.Count || r.Part.Count > maxParts):
+		return errors.New("snapshot record has no valid part")
+	}
+	return nil
+}
+
+func indexOf(names []string, name string) (int, bool) {
+	for i, n := range names {
+		if n == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func encodeJob(j task.Job) wireJob {
+	return wireJob{
+		ID: j.ID, Team: j.Team, Kind: j.Kind, Tasks: j.Tasks, Resources: j.Resources,
+		RunMillis: j.RunTime.Milliseconds(), Parameters: j.Parameters, TeamLimit: j.TeamLimit,
+	}
+}
+
+func decodeJob(w wireJob) task.Job {
+	return task.Job{
+		ID: w.ID, Team: w.Team, Kind: w.Kind, Tasks: w.Tasks, Resources: w.Resources,
+		RunTime: time.Duration(w.RunMillis) * time.Millisecond, Parameters: w.Parameters, TeamLimit: w.TeamLimit,
+	}
+}
--- /dev/null
+++ b/records/task/snapshot.go
@@ -0,0 +1,114 @@
+package task
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/task"
+)
+
+const (
+	// MaxPartBytes bounds an encoded snapshot record.
+	MaxPartBytes = 256 << 10
+	// partBytes is the data of one part. It grows by a third as base64 in the
+	// record and once more where the log writer frames entries as JSON:
+	// 128 KiB become 228 KiB.
+	partBytes = 128 << 10
+	// maxSnapshotBytes bounds a decompressed snapshot, so that a damaged one
+	// can't use up an instance's memory.
+	maxSnapshotBytes = 512 << 20
+	maxParts         = maxSnapshotBytes / partBytes
+	// maxAssembling bounds the snapshots whose parts are still incomplete;
+	// a writer that dies leaves one behind.
+	maxAssembling = 8
+)
+
+// EncodeSnapshot returns the parts of a snapshot: JSON, compressed, cut.
+func EncodeSnapshot(id string, s task.Snapshot) ([]task.Part, error) {
+	var packed bytes.Buffer
+	zip, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress snapshot")
+	}
+	if err := json.NewEncoder(zip).Encode(encodeState(s)); err != nil {
+		return nil, errors.Wrap(err, "encode snapshot")
+	}
+	if err := zip.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress snapshot")
+	}
+	data := packed.Bytes()
+	count := (len(data) + partBytes - 1) / partBytes
+	parts := make([]task.Part, count)
+	for i := range parts {
+		parts[i] = task.Part{
+			Snapshot: id, Index: i, Count: count,
+			Data: data[i*partBytes : min((i+1)*partBytes, len(data))],
+		}
+	}
+	return parts, nil
+}
+
+// Assembler collects the parts of snapshots as they are read. The parts of
+// several writers may interleave and repeat.
+type Assembler struct {
+	open  map[string]*assembly
+	order []string
+}
+
+type assembly struct {
+	parts   [][]byte
+	missing int
+}
+
+// Add takes a part. It returns the snapshot once all its parts were added, and
+// nil before. A snapshot that can't be decoded is an error.
+func (a *Assembler) Add(p task.Part) (*task.Snapshot, error) {
+	if a.open == nil {
+		a.open = map[string]*assembly{}
+	}
+	s := a.open[p.Snapshot]
+	if s == nil {
+		s = &assembly{parts: make([][]byte, p.Count), missing: p.Count}
+		a.open[p.Snapshot] = s
+		a.order = append(a.order, p.Snapshot)
+		a.dropOldest()
+	}
+	if p.Count != len(s.parts) {
+		return nil, errors.Errorf("snapshot %q has parts of %d and of %d", p.Snapshot, p.Count, len(s.parts))
+	}
+	if s.missing == 0 || s.parts[p.Index] != nil {
+		return nil, nil
+	}
+	s.parts[p.Index] = p.Data
+	s.missing--
+	if s.missing > 0 {
+		return nil, nil
+	}
+	data := bytes.Join(s.parts, nil)
+	s.parts = make([][]byte, p.Count) // a repeated part must not start it anew
+	return decodeSnapshot(data)
+}
+
+func (a *Assembler) dropOldest() {
+	if len(a.order) > maxAssembling {
+		delete(a.open, a.order[0])
+		a.order = a.order[1:]
+	}
+}
+
+func decodeSnapshot(data []byte) (*task.Snapshot, error) {
+	zip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress snapshot")
+	}
+	var w wireState
+	if err := json.NewDecoder(io.LimitReader(zip, maxSnapshotBytes)).Decode(&w); err != nil {
+		return nil, errors.Wrap(err, "decode snapshot")
+	}
+	s := decodeState(w)
+	return &s, nil
+}
--- /dev/null
+++ b/records/task/state.go
@@ -0,0 +1,96 @@
+package task
+
+import (
+	"lacewingfork.example/lacewingfork/decision/task"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// wireState is the JSON form of a snapshot.
+type wireState struct {
+	Offset   fleet.Offset  `json:"offset"`
+	Index    int           `json:"index"`
+	Accepted uint64        `json:"accepted"`
+	Epochs   []wireEpoch   `json:"epochs"`
+	Health   []wireHealth  `json:"health"`
+	Jobs     []wireJobs    `json:"jobs"`
+	Ended    []fleet.JobID `json:"ended"`
+}
+
+// The following have the fields of their counterparts in decision/task, so
+// that they convert; only the tags are added.
+type (
+	wireEpoch struct {
+		Partition fleet.PartitionID `json:"p"`
+		Epoch     fleet.Epoch       `json:"e"`
+	}
+	wireHealth struct {
+		Server fleet.BackendServerID `json:"s"`
+		Failed []fleet.JobID         `json:"failed"`
+	}
+	wireTask struct {
+		State      uint8                   `json:"st,omitempty"`
+		Attempt    int                     `json:"a,omitempty"`
+		Partition  fleet.PartitionID       `json:"p,omitempty"`
+		Epoch      fleet.Epoch             `json:"e,omitempty"`
+		Server     fleet.BackendServerID   `json:"s,omitempty"`
+		Checkpoint string                  `json:"c,omitempty"`
+		Failures   int                     `json:"f,omitempty"`
+		FailedOn   []fleet.BackendServerID `json:"on,omitempty"`
+	}
+)
+
+// wireJobs is a job with its tasks.
+type wireJobs struct {
+	Spec     wireJob                 `json:"job"`
+	Sequence uint64                  `json:"seq"`
+	State    uint8                   `json:"st,omitempty"`
+	Reason   string                  `json:"r,omitempty"`
+	Done     int                     `json:"done,omitempty"`
+	FailedOn []fleet.BackendServerID `json:"on,omitempty"`
+	Tasks    []wireTask              `json:"t,omitempty"`
+}
+
+func encodeState(s task.Snapshot) wireState {
+	w := wireState{Offset: s.At.Offset, Index: s.At.Index, Accepted: s.Accepted, Ended: s.Ended}
+	for _, e := range s.Epochs {
+		w.Epochs = append(w.Epochs, wireEpoch(e))
+	}
+	for _, h := range s.Health {
+		w.Health = append(w.Health, wireHealth(h))
+	}
+	w.Jobs = make([]wireJobs, len(s.Jobs))
+	for i, j := range s.Jobs {
+		out := wireJobs{
+			Spec: encodeJob(j.Spec), Sequence: j.Sequence, State: uint8(j.State), Reason: j.Reason,
+			Done: j.Done, FailedOn: j.FailedOn, Tasks: make([]wireTask, len(j.Tasks)),
+		}
+		for k, t := range j.Tasks {
+			out.Tasks[k] = wireTask(t)
+		}
+		w.Jobs[i] = out
+	}
+	return w
+}
+
+func decodeState(w wireState) task.Snapshot {
+	s := task.Snapshot{
+		At: task.Position{Offset: w.Offset, Index: w.Index}, Accepted: w.Accepted, Ended: w.Ended,
+	}
+	for _, e := range w.Epochs {
+		s.Epochs = append(s.Epochs, task.PartitionEpoch(e))
+	}
+	for _, h := range w.Health {
+		s.Health = append(s.Health, task.ServerHealth(h))
+	}
+	for _, j := range w.Jobs {
+		out := task.JobSnapshot{
+			Spec: decodeJob(j.Spec), Sequence: j.Sequence, State: task.JobState(j.State), Reason: j.Reason,
+			Done: j.Done, FailedOn: j.FailedOn,
+		}
+		for _, t := range j.Tasks {
+			out.Tasks = append(out.Tasks, task.TaskSnapshot(t))
+		}
+		s.Jobs = append(s.Jobs, out)
+	}
+	return s
+}
