Give unreachable workers no tasks and expect every call to end

The simulation found three ways in which a task stayed open for ever: a worker that was abandoned before it was fenced got no renewal any more, tasks were placed on workers that did not answer, and a call whose result was lost with its runner kept its place. Idle workers are renewed too, workers that do not answer are avoided, and a call without a result counts as unanswered.

--- a/decision/task/call.go
+++ b/decision/task/call.go
@@ -42,10 +42,21 @@
 			s.inFlight[c.ID] = true
 			l.calls++
 			l.out.Calls = append(l.out.Calls, c)
+			l.expect(s, c)
 		}
 	}
 }
 
+// expect counts a call whose result never comes as one without an answer: the
+// runner duty that carried it has failed.
+func (l *Ledger) expect(s *server, c Call) {
+	l.timers.add(c.NotAfter.Add(l.settings.CallTimeout), func(now time.Time) {
+		if s.inFlight[c.ID] {
+			l.CallDone(now, CallResult{Call: c, Outcome: CallUnknown, Reason: "no result of the call"})
+		}
+	})
+}
+
 func (l *Ledger) newCall(now time.Time, s *server, k CallKind) Call {
 	l.nextCall++
 	c := Call{
--- a/decision/task/ledger.go
+++ b/decision/task/ledger.go
@@ -101,6 +101,7 @@
 	// ready is set once the Held record was read back: from then on the fold
 	// holds every start of former epochs that will ever be accepted.
 	ready    bool
+	servers  []*server
 	offers   int // proposals
 	declined []declined
 	// scanAt is when to look for a task again after a look that found none.
@@ -225,10 +226,10 @@
 			l.withdraw(p)
 		}
 	}
-	for id, s := range l.servers {
-		if s.holding == h {
-			l.calls -= len(s.inFlight)
-			delete(l.servers, id)
+	for _, s := range h.servers {
+		l.calls -= len(s.inFlight)
+		if l.servers[s.id] == s {
+			delete(l.servers, s.id)
 		}
 	}
 	for id, p := range l.pending {
--- a/decision/task/offer.go
+++ b/decision/task/offer.go
@@ -16,6 +16,11 @@
 	declinePause = 500 * time.Millisecond
 	// scanPause is the time between looks for a task that found none.
 	scanPause = 250 * time.Millisecond
+	// repeatServerAfter is how long a task waits for a server on which it did
+	// not fail yet.
+	repeatServerAfter = 20 * time.Second
+	// failingProbe is how often a server that fails everything gets a task.
+	failingProbe = time.Minute
 )
 
 // proposal is a task on its way from waiting to a start that is read back.
@@ -132,7 +137,7 @@
 	l.out.Offers = append(l.out.Offers, Offer{
 		Task: p.ref, Attempt: p.attempt, Partition: h.partition, Epoch: h.epoch,
 		Kind: j.spec.Kind, Team: j.spec.Team, Resources: j.spec.Resources,
-		Avoid: l.avoid(h.partition, t),
+		Avoid: l.avoid(now, h, t, head.since),
 	})
 	l.timers.add(now.Add(offerPatience), func(time.Time) {
 		if l.proposals[p.ref] == p && !p.placed {
@@ -142,24 +147,33 @@
 }
 
 // avoid lists the servers on which a task failed, and those of the partition
-// that fail everything.
-func (l *Ledger) avoid(p fleet.PartitionID, t *task) []fleet.BackendServerID {
+// that fail everything or don't answer. A task that found no other server for
+// long enough may fail on the same one again, so that its job ends where there
+// are few servers.
+func (l *Ledger) avoid(now time.Time, h *holding, t *task, since time.Time) []fleet.BackendServerID {
 	var list []fleet.BackendServerID
-	if t.more != nil {
+	if t.more != nil && now.Sub(since) < repeatServerAfter {
 		list = l.fold.serverNames(t.more.failedOn)
 	}
-	for n := range l.fold.health {
-		id := l.fold.servers.names[n]
-		if l.fold.health[n].failsEverything() && l.isIn(id, p) && !slices.Contains(list, id) {
-			list = append(list, id)
+	for _, s := range h.servers {
+		if (!l.answers(now, s) || l.failing(now, s)) && !slices.Contains(list, s.id) {
+			list = append(list, s.id)
 		}
 	}
 	return list
 }
 
-func (l *Ledger) isIn(id fleet.BackendServerID, p fleet.PartitionID) bool {
-	s := l.servers[id]
-	return s != nil && s.holding.partition == p
+// failing reports whether a server is avoided because it fails everything. One
+// task in failingProbe is let through, so that a repaired server is noticed.
+func (l *Ledger) failing(now time.Time, s *server) bool {
+	if !l.fold.FailsEverything(s.id) {
+		return false
+	}
+	if now.Before(s.probeAt) {
+		return true
+	}
+	s.probeAt = now.Add(failingProbe)
+	return false
 }
 
 // Placed takes the answer that room is reserved for an attempt.
--- a/decision/task/server.go
+++ b/decision/task/server.go
@@ -30,6 +30,8 @@
 	fencedAt time.Time
 	// sampledAt is the sample time of the newest report.
 	sampledAt time.Time
+	// probeAt is when a server that fails everything gets a task again.
+	probeAt time.Time
 	// abandoned servers get no renewals, so that their leases lapse.
 	abandoned bool
 }
@@ -44,6 +46,7 @@
 		contactAt: now, lastLease: h.takenAt,
 	}
 	l.servers[id] = s
+	h.servers = append(h.servers, s)
 	l.renew(now, s)
 	return s
 }
@@ -85,7 +88,9 @@
 	switch valid := now.Before(s.holding.until); {
 	case !valid:
 		pause = lapsedPause
-	case !s.abandoned && (len(s.runs) > 0 || s.fencedAt.IsZero()):
+	case !s.abandoned || !s.hasLive():
+		// Workers without tasks are asked too, so that one that doesn't answer
+		// is known before it is given a task.
 		c := l.newCall(now, s, RenewCall)
 		c.Lease = l.settings.Lease
 		s.lastLease = now
@@ -104,7 +109,7 @@
 // attempts are recorded as lost.
 func (l *Ledger) checkContact(now time.Time, s *server) {
 	limit := l.settings.Lease + l.settings.Margin
-	if len(s.runs) == 0 || !now.Before(s.holding.until) {
+	if !s.hasLive() || !now.Before(s.holding.until) {
 		return
 	}
 	if !s.abandoned && now.Sub(s.contactAt) > limit {
@@ -123,6 +128,21 @@
 	}
 }
 
+// hasLive reports whether an attempt may still run on the server.
+func (s *server) hasLive() bool {
+	for _, u := range s.runs {
+		if u.phase != settled {
+			return true
+		}
+	}
+	return false
+}
+
+// answers reports whether the worker answered lately, under this epoch.
+func (l *Ledger) answers(now time.Time, s *server) bool {
+	return !s.fencedAt.IsZero() && now.Sub(s.contactAt) <= 2*l.settings.RenewEvery+l.settings.CallTimeout
+}
+
 func (s *server) contact(now time.Time) {
 	s.contactAt = now
 	s.abandoned = false
--- a/decision/task/sim_test.go
+++ b/decision/task/sim_test.go
@@ -61,6 +61,9 @@
 	frozen   time.Time // until when the process does nothing
 	down     time.Time // until when it is not started again
 	reserved map[string]fleet.BackendServerID
+	// snapshot is read once the member has read snapshotAt records.
+	snapshot   *Snapshot
+	snapshotAt int
 }
 
 type worker struct {
@@ -87,10 +90,6 @@
 		racks: map[fleet.PartitionID]*rack{}, workers: map[fleet.BackendServerID]*worker{},
 		started: map[string]int{}, resumed: map[string]int{}, oracle: NewFold(),
 	}
-	for i := range 3 {
-		s.members = append(s.members, &member{name: fleet.InstanceID(fmt.Sprint("entry-", i))})
-		s.boot(s.members[i])
-	}
 	for i := range 3 {
 		id := fleet.PartitionOf("accra-1", fleet.Rack(fmt.Sprint("rack-", i)))
 		s.racks[id] = &rack{}
@@ -104,19 +103,40 @@
 			s.workers[b.ID] = &worker{id: b.ID, partition: id, tasks: map[string]*attempt{}, stopped: map[string]bool{}}
 		}
 	}
+	for i := range 3 {
+		s.members = append(s.members, &member{name: fleet.InstanceID(fmt.Sprint("entry-", i))})
+		s.boot(s.members[i])
+	}
 	return s
 }
 
 // boot starts a process with empty state; it reads the log from its beginning.
 func (s *sim) boot(m *member) {
 	settings := DefaultSettings(m.name, simRegion)
-	m.ledger, m.read, m.reserved = NewLedger(s.now, settings), 0, map[string]fleet.BackendServerID{}
+	m.ledger, m.read, m.reserved, m.snapshot = NewLedger(s.now, settings), 0, map[string]fleet.BackendServerID{}, nil
 	m.life++
 	m.ledger.Begin()
 	m.ledger.SetServers(s.now, s.listed)
 	m.ledger.SetTeams(map[fleet.Team]float64{"dye": 0.7, "seam": 0.3})
 }
 
+// truncate lets the log's retention drop records that the member has not read;
+// a snapshot of a later state is further on in the log.
+func (s *sim) truncate(m *member) {
+	from := s.rand.IntN(len(s.log) + 1)
+	cut := from + s.rand.IntN(len(s.log)-from+1)
+	f := NewFold()
+	for _, e := range s.log[:cut] {
+		f.Apply(e.at, e.record)
+	}
+	snapshot := f.Snapshot()
+	if cut == 0 || from == len(s.log) || snapshot.At.Offset+1 < s.log[from].at.Offset {
+		return
+	}
+	m.snapshot, m.snapshotAt, m.read = &snapshot, cut, from
+	m.ledger.Truncated(s.now)
+}
+
 func (m *member) runs(now time.Time) bool { return !now.Before(m.frozen) && !now.Before(m.down) }
 
 // chance is false once the faults have stopped.
@@ -212,6 +232,9 @@
 		m.read++
 		m.ledger.Read(s.now, e.at, e.id, e.record)
 	}
+	if m.snapshot != nil && m.read >= m.snapshotAt && m.ledger.Restore(s.now, *m.snapshot) {
+		m.snapshot = nil
+	}
 	if m.read == len(s.log) && !s.logDown {
 		m.ledger.CaughtUp(s.now)
 	}
@@ -240,7 +263,7 @@
 			}
 			result := s.carry(m, c)
 			s.after(s.rand.IntN(3), func() {
-				if m.life == life && m.runs(s.now) {
+				if m.life == life && m.runs(s.now) { // else the runner failed
 					m.ledger.CallDone(s.now, result)
 				}
 			})
@@ -424,17 +447,24 @@
 		"submit": func() {
 			submit(simJob(fmt.Sprint("job-", submitted), submitted, time.Duration(s.rand.IntN(40))*time.Second))
 		},
+		"submit-more": func() {
+			for n := 8; n > 0; n-- {
+				submit(simJob(fmt.Sprint("job-", submitted), submitted, time.Duration(10+s.rand.IntN(90))*time.Second))
+			}
+		},
 		"never": func() { submit(simJob("never", 2, time.Second)) },
 		"large": func() { j := simJob("large", 1, 0); j.Resources.Slots = 9; submit(j) },
 		"cancel": func() {
 			s.members[s.rand.IntN(3)].ledger.Cancel(s.now, fleet.JobID(fmt.Sprint("job-", s.rand.IntN(submitted+1))), "test")
 		},
 		"cancel-all": func() { // a wave
-			for i := range submitted {
+			for i := s.rand.IntN(submitted + 1); i < submitted; i++ {
 				s.members[s.rand.IntN(3)].ledger.Cancel(s.now, fleet.JobID(fmt.Sprint("job-", i)), "wave")
 			}
 		},
 		"crash":       func() { m := s.members[s.rand.IntN(3)]; m.down = s.now.Add(restartGap); s.boot(m) },
+		"truncate":    func() { s.truncate(s.members[s.rand.IntN(3)]) },
+		"rebuild":     func() { m := s.members[s.rand.IntN(3)]; s.boot(m); s.truncate(m) },
 		"restart":     func() { s.boot(s.members[s.rand.IntN(3)]) },
 		"freeze":      func() { s.members[s.rand.IntN(3)].frozen = s.now.Add(time.Duration(s.rand.IntN(200)) * tick) },
 		"release":     func() { s.racks["accra-1/rack-0"].until = s.now; s.racks["accra-1/rack-0"].holder = nil },
@@ -453,6 +483,7 @@
 		},
 	}
 	names := slices.Sorted(maps.Keys(faults))
+	faults["submit-more"]()
 	for range rapid.IntRange(1, 25).Draw(t, "events") {
 		faults[rapid.SampledFrom(names).Draw(t, "event")]()
 		for range rapid.IntRange(0, 150).Draw(t, "ticks") {
@@ -556,4 +587,3 @@
 	}
 }
 
-func TestMain(m *testing.M) { m.Run() }
