--- a/decision/task/sim_test.go
+++ b/decision/task/sim_test.go
@@ -586,4 +586,3 @@
 		}
 	}
 }
-
