Wait until an unanswered start can't be on its way before the stop

The stand-in's workers do not remember a stop of an attempt that they do not know, and the contract does not ask for it. The simulated workers forget it now too. A stop that follows a start without an answer, or a restart of the duty, therefore waits until the call's time limit and the margin have passed. Names are hashed in record identifiers, which the log bounds to 128 bytes.

--- a/decision/task/append.go
+++ b/decision/task/append.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
@@ -33,13 +35,14 @@
 }
 
 // recordID identifies a record when it is read back. Two appends of one record
-// have the same ID.
+// have the same ID. Names without a bound are hashed, because the log takes
+// identifiers of at most 128 bytes.
 func recordID(r Record) string {
 	switch r.Kind {
 	case JobSubmitted:
 		return "job:" + string(r.Job.ID)
 	case Held:
-		return fmt.Sprintf("held:%s:%d", r.Partition, r.Epoch)
+		return fmt.Sprintf("held:%016x:%d", xxhash.Sum64String(string(r.Partition)), r.Epoch)
 	case Cancelled:
 		return "cancel:" + string(r.Task.Job)
 	case SetAside:
@@ -47,7 +50,8 @@
 	case SnapshotPart:
 		return fmt.Sprintf("snapshot:%s:%d", r.Part.Snapshot, r.Part.Index)
 	case Started:
-		return fmt.Sprintf("start:%s:%d:%d:%s", r.Task.ID(), r.Attempt, r.Epoch, r.Server)
+		server := xxhash.Sum64String(string(r.Server))
+		return fmt.Sprintf("start:%s:%d:%d:%016x", r.Task.ID(), r.Attempt, r.Epoch, server)
 	default:
 		return fmt.Sprintf("end:%s:%d:%d", r.Task.ID(), r.Attempt, r.Epoch)
 	}
--- a/decision/task/call.go
+++ b/decision/task/call.go
@@ -166,7 +166,9 @@
 		l.need(now, u)
 	case CallUnknown:
 		u.phase, u.ifGone, u.reason = stopping, NotStarted, r.Reason
-		l.need(now, u)
+		// Workers don't remember a stop of an attempt that they don't know, so
+		// the start must not be on its way any more.
+		l.needAt(r.Call.NotAfter.Add(l.settings.Margin), u)
 	default:
 		l.needAt(now.Add(callPause), u)
 	}
--- a/decision/task/run.go
+++ b/decision/task/run.go
@@ -98,7 +98,7 @@
 	// room is reserved, and a call of that life may still be on its way.
 	u := l.addRun(now, h, r.Task, r.Attempt, r.Server, stopping)
 	u.ifGone = NotStarted
-	l.needAt(now.Add(l.settings.CallTimeout), u)
+	l.needAt(now.Add(l.settings.CallTimeout+l.settings.Margin), u)
 }
 
 // readEnd acts on an end that was read back.
@@ -156,7 +156,11 @@
 		l.settle(now, u, Record{Kind: Ended, End: NotStarted, Reason: reason})
 		return
 	}
-	u.phase, u.ifGone, u.reason, u.callFrom = stopping, ifGone, reason, now
+	u.phase, u.ifGone, u.reason = stopping, ifGone, reason
+	if now.Before(u.callFrom) {
+		l.needAt(u.callFrom, u)
+		return
+	}
 	l.need(now, u)
 }
 
--- a/decision/task/server.go
+++ b/decision/task/server.go
@@ -65,7 +65,8 @@
 		for i := range j.tasks {
 			t := &j.tasks[i]
 			if t.state == running && t.partition == n {
-				l.addRun(now, h, Ref{id, i}, int(t.attempt), l.fold.servers.names[t.server], checking)
+				u := l.addRun(now, h, Ref{id, i}, int(t.attempt), l.fold.servers.names[t.server], checking)
+				u.callFrom = now.Add(l.settings.CallTimeout + l.settings.Margin) // calls of a life before a restart
 			}
 		}
 	}
--- a/decision/task/sim_test.go
+++ b/decision/task/sim_test.go
@@ -71,7 +71,6 @@
 	partition   fleet.PartitionID
 	seen        fleet.Epoch
 	tasks       map[string]*attempt
-	stopped     map[string]bool
 	unreachable bool
 	failsAll    bool
 }
@@ -100,7 +99,7 @@
 				Capacity: fleet.Resources{Slots: workSlots},
 			}
 			s.listed = append(s.listed, b)
-			s.workers[b.ID] = &worker{id: b.ID, partition: id, tasks: map[string]*attempt{}, stopped: map[string]bool{}}
+			s.workers[b.ID] = &worker{id: b.ID, partition: id, tasks: map[string]*attempt{}}
 		}
 	}
 	for i := range 3 {
@@ -332,13 +331,8 @@
 	id := key(c.Task, c.Attempt)
 	a := w.tasks[id]
 	switch {
-	case c.Kind == StartCall && a == nil && !w.stopped[id]:
-		w.start(s, c)
-		return CallDone, Observation{}
 	case c.Kind == StartCall && a == nil:
-		return CallRefused, Observation{}
-	case c.Kind == StopCall && a == nil:
-		w.stopped[id] = true
+		w.start(s, c)
 		return CallDone, Observation{}
 	case a == nil || c.Kind == StartCall || c.Kind == ThrottleCall:
 		return CallDone, Observation{}
