Add the batch duties, the messages of tasks and the routes of jobs

A submission is answered once its record is read back; a repeat finds the job by its identifier or by the one derived from its key.

--- a/decision/task/fold.go
+++ b/decision/task/fold.go
@@ -130,7 +130,7 @@
 		return NotApplicable
 	}
 	if known := f.jobs[spec.ID]; known != nil {
-		if sameSubmission(known.spec, *spec) {
+		if SameSubmission(known.spec, *spec) {
 			return Duplicate
 		}
 		return Conflict
@@ -145,9 +145,9 @@
 	return Accepted
 }
 
-// sameSubmission ignores the team's limit, which may have changed between a
+// SameSubmission reports whether b repeats a. It ignores the team's limit, which may have changed between a
 // submission and its repeat.
-func sameSubmission(a, b Job) bool {
+func SameSubmission(a, b Job) bool {
 	a.TeamLimit, b.TeamLimit = 0, 0
 	return a == b
 }
--- a/decision/task/upkeep.go
+++ b/decision/task/upkeep.go
@@ -16,6 +16,9 @@
 	// snapshotSpread spreads the instances' snapshots, so that usually one
 	// writes it and the others see it before their turn.
 	snapshotSpread = 10 * time.Second
+	// idleSnapshots times SnapshotAge is the time between snapshots without new
+	// records: the log's retention would drop the last one otherwise.
+	idleSnapshots = 4
 	// tooLargeCheck is the time between looks for jobs that are too large.
 	tooLargeCheck = time.Second
 )
@@ -24,11 +27,14 @@
 // one. The records between two snapshots are at least twice the tasks in the
 // state, which bounds the snapshot's part of the log's volume.
 func (l *Ledger) checkSnapshot(now time.Time) {
-	if l.snapDue || l.sinceSnap == 0 || !l.silent.since.IsZero() || len(l.parts) > 0 {
+	if l.snapDue || !l.silent.since.IsZero() || len(l.parts) > 0 {
 		return
 	}
-	due := l.sinceSnap >= l.settings.SnapshotRecords && l.sinceSnap >= 2*l.fold.Counts().Tasks
-	if !due && now.Sub(l.snapAt) < l.settings.SnapshotAge {
+	age := now.Sub(l.snapAt)
+	many := l.sinceSnap >= l.settings.SnapshotRecords && l.sinceSnap >= 2*l.fold.Counts().Tasks
+	old := l.sinceSnap > 0 && age >= l.settings.SnapshotAge
+	idle := len(l.fold.jobs) > 0 && age >= idleSnapshots*l.settings.SnapshotAge
+	if !many && !old && !idle {
 		return
 	}
 	l.snapDue = true
--- /dev/null
+++ b/entry/batch/ledger.go
@@ -0,0 +1,207 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/decision/task"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	taskrecord "lacewingfork.example/lacewingfork/records/task"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// ledger is the state of one run of the ledger duty.
+type ledger struct {
+	*Supervisor
+	planner  *task.Ledger
+	stream   string
+	teams    map[fleet.Team]configuration.Team
+	routes   map[fleet.PartitionID]message.TaskRoute
+	ended    []message.TaskEnded // not taken by their partition duty yet
+	parts    taskrecord.Assembler
+	waiting  map[fleet.JobID][]waiter
+	counters counters
+}
+
+// counters are for the state dump.
+type counters struct {
+	Undecodable   uint64 `json:"undecodable_records"`
+	RefusedCalls  uint64 `json:"refused_calls"`
+	RefusedOffers uint64 `json:"refused_offers"`
+	SnapshotBytes int    `json:"last_snapshot_bytes"`
+	LastError     string `json:"last_error,omitempty"`
+}
+
+func (s *Supervisor) runLedger(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	l := &ledger{
+		Supervisor: s, planner: task.NewLedger(time.Now(), s.plannerSettings()),
+		stream: taskrecord.Stream(s.settings.Region),
+		routes: map[fleet.PartitionID]message.TaskRoute{}, waiting: map[fleet.JobID][]waiter{},
+	}
+	defer l.answerAll()
+	if s.settings.Rewinds != nil {
+		if err := s.settings.Rewinds.Put(ctx, message.Rewind{}); err != nil {
+			return err
+		}
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if err := l.receive(ctx, timer.C, dumps); err != nil {
+			return err
+		}
+		now := time.Now()
+		l.expire(now)
+		l.act(ctx, now, l.planner.Step(now))
+		timer.Reset(l.pause(now))
+	}
+}
+
+func (s *Supervisor) plannerSettings() task.Settings { return s.planner }
+
+// receive waits for one input.
+func (l *ledger) receive(ctx context.Context, timer <-chan time.Time, dumps <-chan supervise.DumpRequest) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer:
+	case batch := <-l.Records.Items():
+		l.takeRecords(time.Now(), batch)
+	case h := <-l.Holdings.Items():
+		l.takeHoldings(time.Now(), h)
+	case s := <-l.Snapshots.Items():
+		l.planner.SetServers(time.Now(), s.BackendServers)
+	case u := <-l.Usage.Items():
+		for _, r := range u.Reports {
+			l.planner.Report(time.Now(), r.BackendServer, r.SampledAt, observations(r.Tasks))
+		}
+	case c := <-l.Configurations.Items():
+		l.takeConfiguration(c)
+	case signal := <-l.Signals.Items():
+		l.takeSignal(time.Now(), signal)
+	case command := <-l.Commands.Items():
+		l.takeCommand(time.Now(), command)
+	case done := <-l.results.Items():
+		l.planner.CallDone(time.Now(), done.CallResult)
+	case request := <-dumps:
+		request.Answer(l.dump())
+	}
+	return nil
+}
+
+const (
+	// longestPause bounds the wait when nothing is due.
+	longestPause = time.Second
+	// shortestPause keeps timers that are due at once from using a core.
+	shortestPause = 5 * time.Millisecond
+)
+
+func (l *ledger) pause(now time.Time) time.Duration {
+	due := l.planner.NextStep()
+	if due.IsZero() {
+		return longestPause
+	}
+	return min(max(due.Sub(now), shortestPause), longestPause)
+}
+
+func (l *ledger) takeRecords(now time.Time, batch message.LogRecords) {
+	switch {
+	case batch.Truncated:
+		l.parts = taskrecord.Assembler{}
+		l.planner.Truncated(now)
+	case batch.From == 0:
+		l.planner.Begin()
+	}
+	for _, e := range batch.Records {
+		r, err := taskrecord.Decode(e.Data)
+		if err != nil {
+			l.counters.Undecodable++
+			l.counters.LastError = err.Error()
+			continue
+		}
+		at := task.Position{Offset: e.Offset, Index: e.Index}
+		verdict := l.planner.Read(now, at, e.ID, r)
+		l.answerRead(r, verdict)
+		if r.Kind == task.SnapshotPart {
+			l.takePart(now, *r.Part)
+		}
+	}
+	if batch.CaughtUp {
+		l.planner.CaughtUp(now)
+	}
+}
+
+func (l *ledger) takePart(now time.Time, p task.Part) {
+	snapshot, err := l.parts.Add(p)
+	if err != nil {
+		l.counters.LastError = err.Error()
+		return
+	}
+	if snapshot != nil {
+		l.planner.Restore(now, *snapshot)
+	}
+}
+
+func (l *ledger) takeHoldings(now time.Time, h message.Holdings) {
+	own := make([]task.Holding, len(h.Own))
+	for i, o := range h.Own {
+		own[i] = task.Holding{Partition: o.Partition, Epoch: o.Epoch, Until: o.Until}
+	}
+	l.planner.SetHoldings(now, own)
+}
+
+func (l *ledger) takeConfiguration(c message.ConfigurationInForce) {
+	l.teams = map[fleet.Team]configuration.Team{}
+	shares := map[fleet.Team]float64{}
+	for _, t := range c.Value.Teams {
+		l.teams[t.Name], shares[t.Name] = t, t.Share
+	}
+	l.planner.SetTeams(shares)
+}
+
+func (l *ledger) takeSignal(now time.Time, signal message.TaskSignal) {
+	switch s := signal.(type) {
+	case message.TaskPlaced:
+		if ref, ok := task.ParseRef(s.Task); ok {
+			l.planner.Placed(now, task.Release{
+				Task: ref, Attempt: s.Attempt, Partition: s.Partition, Epoch: s.Epoch, Server: s.Server,
+			})
+		}
+	case message.TaskDeclined:
+		if ref, ok := task.ParseRef(s.Task); ok {
+			l.planner.Declined(now, ref, s.Attempt, s.Partition)
+		}
+	case message.EvictTask:
+		if ref, ok := task.ParseRef(s.Task); ok {
+			l.planner.Evict(now, ref, s.Server)
+		}
+	case message.ThrottleTask:
+		if ref, ok := task.ParseRef(s.Task); ok {
+			l.planner.Throttle(now, ref, s.Server, s.Throttled)
+		}
+	case message.TaskRoute:
+		l.routes[s.Partition] = s
+	}
+}
+
+// ledgerState is the ledger's part of the state dump.
+type ledgerState struct {
+	Ready     bool        `json:"ready"`
+	LogSilent bool        `json:"log_silent"`
+	Position  string      `json:"position"`
+	Counts    task.Counts `json:"counts"`
+	Routes    int         `json:"partition_routes"`
+	Commands  int         `json:"commands_waiting"`
+	Counters  counters    `json:"counters"`
+}
+
+func (l *ledger) dump() ledgerState {
+	at := l.planner.Fold().Position()
+	return ledgerState{
+		Ready: l.planner.Ready(), LogSilent: l.planner.LogSilent(), Position: fmt.Sprintf("%d.%d", at.Offset, at.Index),
+		Counts: l.planner.Fold().Counts(), Routes: len(l.routes), Commands: len(l.waiting), Counters: l.counters,
+	}
+}
--- /dev/null
+++ b/entry/batch/runner.go
@@ -0,0 +1,121 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/task"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/platformapi"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// runRunner makes one worker call after the other.
+func (s *Supervisor) runRunner(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	done := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case r := <-dumps:
+			r.Answer(map[string]int{"calls_done": done})
+		case c := <-s.calls.Items():
+			result := carry(ctx, s.settings.Workers, c.Call)
+			done++
+			if err := s.results.Put(ctx, message.TaskCallDone{CallResult: result}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// carry makes one call. The time limit is checked last before the call; the
+// partition's lease ends no earlier.
+func carry(ctx context.Context, workers platformapi.Workers, c task.Call) task.CallResult {
+	result := task.CallResult{Call: c, Outcome: task.CallNotSent, Seen: task.Observation{Task: c.Task, Attempt: c.Attempt}}
+	if !time.Now().Before(c.NotAfter) || ctx.Err() != nil {
+		result.Reason = "time limit passed before the call was sent"
+		return result
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.NotAfter)
+	defer cancel()
+	report, err := send(ctx, workers, c)
+	result.Outcome = outcomeOf(c.Kind, err)
+	if err != nil {
+		result.Reason = err.Error()
+		return result
+	}
+	if c.Kind == task.StopCall || c.Kind == task.CheckpointCall {
+		result.Seen.State = stateOf(report.State)
+		result.Seen.Checkpoint, result.Seen.Reason = report.Checkpoint, report.Error
+	}
+	return result
+}
+
+func send(ctx context.Context, w platformapi.Workers, c task.Call) (platformapi.TaskReport, error) {
+	switch c.Kind {
+	case task.StartCall:
+		return platformapi.TaskReport{}, w.Start(ctx, c.Server, platformapi.StartTask{
+			Task: c.Task.ID(), Attempt: c.Attempt, Partition: c.Partition, Epoch: c.Epoch,
+			Class: c.WorkKind, Resources: c.Resources, RunMillis: c.RunTime.Milliseconds(),
+			Checkpoint: c.Checkpoint, Parameters: c.Parameters, LeaseMillis: c.Lease.Milliseconds(),
+		})
+	case task.CheckpointCall:
+		return w.Checkpoint(ctx, c.Server, c.Task.ID(), c.Attempt, c.Epoch)
+	case task.StopCall:
+		return w.Stop(ctx, c.Server, c.Task.ID(), c.Attempt, c.Epoch)
+	case task.ThrottleCall:
+		return platformapi.TaskReport{}, w.Throttle(ctx, c.Server, c.Task.ID(), c.Attempt, c.Epoch, c.Throttled)
+	default:
+		return platformapi.TaskReport{}, w.Renew(ctx, c.Server, c.Partition, c.Epoch, c.Lease)
+	}
+}
+
+// outcomeOf tells a refusal without effect from a call that may have had one.
+// A stop or a checkpoint of a task that the worker doesn't know is a proof that
+// it doesn't run there.
+func outcomeOf(kind task.CallKind, err error) task.CallOutcome {
+	switch {
+	case err == nil:
+		return task.CallDone
+	case errors.Is(err, platformapi.ErrUnknown) && (kind == task.StopCall || kind == task.CheckpointCall):
+		return task.CallDone
+	case errors.Is(err, platformapi.ErrInvalid), errors.Is(err, platformapi.ErrFenced):
+		return task.CallRefused
+	default:
+		return task.CallUnknown
+	}
+}
+
+func stateOf(s platformapi.TaskState) task.WorkerState {
+	switch s {
+	case platformapi.TaskRunning:
+		return task.WorkerRunning
+	case platformapi.TaskSucceeded:
+		return task.WorkerSucceeded
+	case platformapi.TaskFailed:
+		return task.WorkerFailed
+	case platformapi.TaskCheckpointed:
+		return task.WorkerCheckpointed
+	case platformapi.TaskStopped:
+		return task.WorkerStopped
+	default:
+		return task.NotSeen
+	}
+}
+
+// observations returns what a report says of the tasks that this system
+// started; others have identifiers of another form.
+func observations(reports []platformapi.TaskReport) []task.Observation {
+	list := make([]task.Observation, 0, len(reports))
+	for _, r := range reports {
+		if ref, ok := task.ParseRef(r.Task); ok {
+			list = append(list, task.Observation{
+				Task: ref, Attempt: r.Attempt, State: stateOf(r.State), Checkpoint: r.Checkpoint, Reason: r.Error,
+			})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/entry/callers/jobs_test.go
@@ -0,0 +1,102 @@
+package callers
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/gorilla/mux"
+
+	"lacewingfork.example/lacewingfork/decision/task"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const goodJob = `{"id":"j1","team":"dye","kind":"check","tasks":3,"resources":{"slots":1},"run_ms":1000}`
+
+// Guards against an answer that misstates what became of a command, a lax
+// decoder, and findings that are reported one at a time.
+func TestJobRoutes(t *testing.T) {
+	cases := map[string]struct {
+		method, path, body, key string
+		outcome                 message.JobOutcome
+		status                  int
+		want                    []string
+	}{
+		"accepted":     {"POST", "/v1/jobs", goodJob, "", message.JobAccepted, 201, []string{`"id":"j1"`, `"state":"waiting"`}},
+		"repeated":     {"POST", "/v1/jobs", goodJob, "", message.JobRepeated, 200, []string{`"id":"j1"`}},
+		"conflict":     {"POST", "/v1/jobs", goodJob, "", message.JobConflict, 409, []string{"identifier"}},
+		"over limit":   {"POST", "/v1/jobs", goodJob, "", message.JobOverLimit, 429, []string{"max_jobs"}},
+		"unknown team": {"POST", "/v1/jobs", goodJob, "", message.JobUnknownTeam, 400, []string{"team"}},
+		"unconfirmed":  {"POST", "/v1/jobs", goodJob, "", message.JobUnconfirmed, 504, []string{"may still take effect"}},
+		"not ready":    {"POST", "/v1/jobs", goodJob, "", message.JobNotReady, 503, []string{"nothing was done"}},
+		"by key":       {"POST", "/v1/jobs", strings.Replace(goodJob, `"id":"j1",`, "", 1), "k", message.JobAccepted, 201, []string{`"id":"key-`}},
+		"all findings": {"POST", "/v1/jobs", `{"tasks":10001,"run_ms":-1}`, "", "", 400, []string{"id:", "team:", "kind:", "tasks: 10001", "run_ms:", "resources.slots:"}},
+		"unknown key":  {"POST", "/v1/jobs", `{"id":"j1","priority":1}`, "", "", 400, []string{"priority"}},
+		"bad id":       {"POST", "/v1/jobs", strings.Replace(goodJob, "j1", "a/b", 1), "", "", 400, []string{"identifier"}},
+		"two values":   {"POST", "/v1/jobs", goodJob + "{}", "", "", 400, []string{"more follows"}},
+		"too large":    {"POST", "/v1/jobs", `{"parameters":"` + strings.Repeat("x", maxJobBytes) + `"}`, "", "", 413, []string{"larger than"}},
+		"status":       {"GET", "/v1/jobs/j1", "", "", message.JobAccepted, 200, []string{`"id":"j1"`}},
+		"not found":    {"GET", "/v1/jobs/j1", "", "", message.JobNotFound, 404, []string{"no such job"}},
+		"cancel":       {"DELETE", "/v1/jobs/j1", "", "", message.JobAccepted, 200, []string{`"id":"j1"`}},
+		"list":         {"GET", "/v1/jobs?team=dye&limit=5", "", "", message.JobAccepted, 200, []string{`[{"id":"j1"`}},
+		"bad limit":    {"GET", "/v1/jobs?limit=0", "", "", "", 400, []string{"limit"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			commands := supervise.NewRing[message.JobCommand]("commands", 1, supervise.Refuse)
+			router := mux.NewRouter()
+			registerJobs(router, commands)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go answerOne(ctx, commands, c.outcome)
+			r := httptest.NewRequest(c.method, c.path, strings.NewReader(c.body))
+			r.Header.Set("Idempotency-Key", c.key)
+			w := httptest.NewRecorder()
+			router.ServeHTTP(w, r)
+			if w.Code != c.status {
+				t.Fatalf("status %d, want %d: %s", w.Code, c.status, w.Body)
+			}
+			for _, part := range c.want {
+				if !strings.Contains(w.Body.String(), part) {
+					t.Errorf("body %s lacks %q", w.Body, part)
+				}
+			}
+		})
+	}
+}
+
+// answerOne plays the ledger duty.
+func answerOne(ctx context.Context, commands *supervise.Ring[message.JobCommand], o message.JobOutcome) {
+	view := task.JobView{Job: task.Job{ID: "j1"}}
+	select {
+	case <-ctx.Done():
+	case c := <-commands.Items():
+		switch c := c.(type) {
+		case message.SubmitJob:
+			_ = c.Reply.Put(ctx, message.JobReply{Outcome: o, View: task.JobView{Job: c.Job}})
+		case message.JobStatus:
+			_ = c.Reply.Put(ctx, message.JobReply{Outcome: o, View: view})
+		case message.CancelJob:
+			_ = c.Reply.Put(ctx, message.JobReply{Outcome: o, View: view})
+		case message.ListJobs:
+			_ = c.Reply.Put(ctx, message.JobListReply{Outcome: o, Jobs: []task.JobView{view}})
+		}
+	}
+}
+
+// Guards against a full ring that is reported as a command that may have
+// taken effect.
+func TestJobCommandRefusedByFullRing(t *testing.T) {
+	commands := supervise.NewRing[message.JobCommand]("commands", 1, supervise.Refuse)
+	_ = commands.Put(t.Context(), message.JobStatus{})
+	router := mux.NewRouter()
+	registerJobs(router, commands)
+	w := httptest.NewRecorder()
+	router.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/jobs/j1", nil))
+	if w.Code != http.StatusServiceUnavailable {
+		t.Fatalf("status %d, want 503", w.Code)
+	}
+}
