--- a/records/task/record.go
+++ b/records/task/record.go
@@ -73,7 +73,10 @@
 		w.Part = &wirePart{Snapshot: r.Part.Snapshot, Index: r.Part.Index, Count: r.Part.Count, Data: r.Part.Data}
 	}
 	data, err := json.Marshal(w)
-	return data, errors.Wrap(err, "encode task record")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode task record")
+	}
+	return data, nil
 }
 
 // Decode is the inverse of Encode. It returns an error for a kind or end that
--- /dev/null
+++ b/records/task/record_test.go
@@ -0,0 +1,253 @@
+package task
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"runtime"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lacewingfork.example/lacewingfork/decision/task"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/records"
+)
+
+func drawRecord(t *rapid.T) task.Record {
+	text := rapid.StringMatching(`[a-zé"/\\ ]{0,12}`)
+	r := task.Record{
+		Kind:    task.Kind(rapid.IntRange(1, len(kindNames)-1).Draw(t, "kind")),
+		Task:    task.Ref{Job: fleet.JobID(text.Draw(t, "job")), Index: rapid.IntRange(0, task.MaxTasks-1).Draw(t, "index")},
+		Attempt: rapid.IntRange(0, 1000).Draw(t, "attempt"), Epoch: fleet.Epoch(rapid.Uint64().Draw(t, "epoch")),
+		Partition: fleet.PartitionID(text.Draw(t, "partition")), Server: fleet.BackendServerID(text.Draw(t, "server")),
+		Checkpoint: text.Draw(t, "checkpoint"), Reason: text.Draw(t, "reason"),
+		End: task.End(rapid.IntRange(0, len(endNames)-1).Draw(t, "end")),
+	}
+	switch r.Kind {
+	case task.JobSubmitted:
+		r.Job = &task.Job{
+			ID: "j", Team: "dye", Kind: "k", Tasks: rapid.IntRange(1, 9).Draw(t, "tasks"), Parameters: text.Draw(t, "parameters"),
+			Resources: fleet.Resources{Slots: 1, MilliCPU: 5}, RunTime: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "run")) * time.Millisecond,
+		}
+	case task.SnapshotPart:
+		count := rapid.IntRange(1, 5).Draw(t, "count")
+		r.Part = &task.Part{Snapshot: "s", Count: count, Index: rapid.IntRange(0, count-1).Draw(t, "part"), Data: []byte(text.Draw(t, "data") + "x")}
+	}
+	return r
+}
+
+// Guards against a field that is lost or changed on its way through the log.
+func TestRecordRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := drawRecord(t)
+		data, err := Encode(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(data)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, %v, want %+v", got, err, want)
+		}
+	})
+}
+
+// Guards against a damaged or newer record that stops the ledger.
+func TestDecodeRefuses(t *testing.T) {
+	for _, data := range []string{
+		``, `{}`, `[]`, `{"k":"new-kind"}`, `{"k":"ended","end":"exploded"}`, `{"k":"job"}`, `{"k":"snapshot"}`,
+		`{"k":"snapshot","part":{"index":2,"count":2}}`, `{"k":"snapshot","part":{"index":0,"count":2000000000}}`,
+	} {
+		if r, err := Decode([]byte(data)); err == nil {
+			t.Errorf("%s was decoded as %+v", data, r)
+		}
+	}
+}
+
+// filled returns a fold with n tasks in jobs of 100, two thirds of them
+// started, and the records that made it.
+func filled(n int) (*task.Fold, [][]byte) {
+	f := task.NewFold()
+	random := rand.New(rand.NewPCG(20261204, 1))
+	var data [][]byte
+	add := func(r task.Record) {
+		encoded, err := Encode(r)
+		if err != nil {
+			panic(err)
+		}
+		f.Apply(task.Position{Offset: fleet.Offset(len(data))}, r)
+		data = append(data, encoded)
+	}
+	for i := range n {
+		id := fleet.JobID(fmt.Sprintf("regrind-2026-12-04-%06d", i/100))
+		if i%100 == 0 {
+			add(task.Record{Kind: task.JobSubmitted, Job: &task.Job{
+				ID: id, Team: fleet.Team(fmt.Sprint("team-", i%180)), Kind: "full-regrind", Tasks: 100, TeamLimit: n,
+				Resources: fleet.Resources{Slots: 1, MilliCPU: 4000, MemoryMiB: 8000}, RunTime: time.Hour, Parameters: "batch=17",
+			}})
+		}
+		if i%3 == 0 {
+			continue
+		}
+		rack := random.IntN(108)
+		add(task.Record{
+			Kind: task.Started, Task: task.Ref{Job: id, Index: i % 100}, Attempt: 1, Epoch: 7,
+			Partition: fleet.PartitionID(fmt.Sprintf("rosario/rack-%03d", rack)),
+			Server:    fleet.BackendServerID(fmt.Sprintf("worker-%03d-%02d", rack, random.IntN(10))),
+		})
+	}
+	return f, data
+}
+
+// Guards against a part that doesn't fit a record, and a snapshot that comes
+// back changed from parts that arrive in another order, twice and among those
+// of another writer.
+func TestSnapshotParts(t *testing.T) {
+	f, _ := filled(60_000)
+	want := f.Snapshot()
+	parts, err := EncodeSnapshot("a", want)
+	if err != nil || len(parts) < 2 {
+		t.Fatalf("%d parts, %v; want several", len(parts), err)
+	}
+	other, err := EncodeSnapshot("b", want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var assembler Assembler
+	whole := 0
+	for i := len(parts) - 1; i >= 0; i-- {
+		data, err := Encode(task.Record{Kind: task.SnapshotPart, Part: &parts[i]})
+		if err != nil || (records.Entry{ID: "snapshot", Data: data}).Size() > MaxPartBytes {
+			t.Fatalf("part %d has %d bytes, %v", i, len(data), err)
+		}
+		for _, p := range []task.Part{parts[i], other[0], parts[i]} {
+			got, err := assembler.Add(p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got == nil {
+				continue
+			}
+			whole++
+			if !reflect.DeepEqual(task.Restore(*got).Snapshot(), want) {
+				t.Fatal("the snapshot came back changed")
+			}
+		}
+	}
+	if whole != 1 {
+		t.Fatalf("the snapshot was complete %d times, want 1", whole)
+	}
+	if _, err := assembler.Add(task.Part{Snapshot: "bad", Count: 1, Data: []byte("no gzip")}); err == nil {
+		t.Error("a damaged snapshot was accepted")
+	}
+}
+
+// Guards against records that outgrow the append budget: 1,200 starts and as
+// many ends a second, by seven writers that commit together what comes within
+// 25 ms or fills 256 KiB, take less than 300 appends a second.
+func TestAppendsPerSecond(t *testing.T) {
+	const (
+		writers, perSecond = 7, 2 * 1200
+		flushAfter         = 25 * time.Millisecond
+		flushBytes         = 256 << 10
+	)
+	start, _ := Encode(task.Record{
+		Kind: task.Started, Task: task.Ref{Job: "regrind-2026-12-04-000123", Index: 9999}, Attempt: 12, Epoch: 1234,
+		Partition: "la-plata/rack-017", Server: "worker-017-03", Checkpoint: "regrind-2026-12-04-000123/9999/11/86400000",
+	})
+	size := records.Entry{ID: "start:regrind-2026-12-04-000123/9999:12:1234:0123456789abcdef", Data: start}.Size()
+	random := rand.New(rand.NewPCG(20261204, 2))
+	var due [writers]time.Duration
+	var waiting [writers]int
+	appends, bytes := 0, 0
+	for at := time.Duration(0); at < time.Minute; at += time.Second / perSecond {
+		w := random.IntN(writers)
+		if waiting[w] > 0 && (at >= due[w] || waiting[w]+size > flushBytes) {
+			appends, bytes, waiting[w] = appends+1, bytes+waiting[w], 0
+		}
+		if waiting[w] == 0 {
+			due[w] = at + flushAfter
+		}
+		waiting[w] += size
+	}
+	t.Logf("record %d bytes, entry %d bytes, %.1f appends/s, %.0f KiB/s", len(start), size, float64(appends)/60, float64(bytes)/60/1024)
+	if appends >= 300*60 {
+		t.Fatalf("%d appends in a minute, want less than %d", appends, 300*60)
+	}
+}
+
+// Guards against a task state that grows: 300,000 tasks have to fit beside
+// everything else in an instance of 256 MB.
+func TestBytesPerTask(t *testing.T) {
+	const n = 120_000
+	measure := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := measure()
+	f, data := filled(n)
+	count := len(data)
+	data = nil
+	perTask := float64(measure()-before) / n
+	t.Logf("%.1f bytes of state per task, %d tasks, %d records", perTask, f.Counts().Tasks, count)
+	if perTask > 64 {
+		t.Fatalf("%.1f bytes per task, want at most 64", perTask)
+	}
+	runtime.KeepAlive(f)
+	_ = data
+}
+
+// BenchmarkRebuild is the time to rebuild from n tasks' records; the slope over
+// n is the cost of one record.
+func BenchmarkRebuild(b *testing.B) {
+	for _, n := range []int{15_000, 30_000, 60_000, 120_000} {
+		_, data := filled(n)
+		b.Run(fmt.Sprintf("records=%d", len(data)), func(b *testing.B) {
+			for b.Loop() {
+				f := task.NewFold()
+				for i, d := range data {
+					r, err := Decode(d)
+					if err != nil {
+						b.Fatal(err)
+					}
+					f.Apply(task.Position{Offset: fleet.Offset(i)}, r)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(len(data)), "ns/record")
+		})
+	}
+}
+
+// BenchmarkSnapshot is the time that the ledger duty spends to encode a
+// snapshot, and an instance that starts to restore it.
+func BenchmarkSnapshot(b *testing.B) {
+	f, _ := filled(120_000)
+	b.Run("encode", func(b *testing.B) {
+		bytes := 0
+		for b.Loop() {
+			parts, err := EncodeSnapshot("a", f.Snapshot())
+			if err != nil {
+				b.Fatal(err)
+			}
+			bytes = 0
+			for _, p := range parts {
+				bytes += len(p.Data)
+			}
+		}
+		b.ReportMetric(float64(bytes), "snapshot-bytes")
+	})
+	parts, _ := EncodeSnapshot("a", f.Snapshot())
+	b.Run("restore", func(b *testing.B) {
+		for b.Loop() {
+			var a Assembler
+			for _, p := range parts {
+				if s, _ := a.Add(p); s != nil {
+					task.Restore(*s)
+				}
+			}
+		}
+	})
+}
