--- a/entry/batch/batch.go
+++ b/entry/batch/batch.go
@@ -105,3 +105,6 @@
 		tree.Start(d)
 	}
 }
+
+// Rewinds is the ring by which the ledger asks its log reader to start again.
+func (s *Supervisor) Rewinds() *message.RewindRing { return s.settings.Rewinds }
--- a/entry/scheduling/actions.go
+++ b/entry/scheduling/actions.go
@@ -26,6 +26,10 @@
 			w.finish(a.ID, message.Refuse(a.ID, w.refusalReason(a.Reason), a.RetryAfter))
 		case partition.Deliver:
 			w.deliver(a.ID)
+		case partition.PlaceTask, partition.DeclineTask:
+			actions = w.answerOffer(ctx, a, actions)
+		case partition.ThrottleTask, partition.UnthrottleTask, partition.EvictTask:
+			w.relieve(ctx, a)
 		case partition.GiveUp:
 			w.record(ctx, string(a.ID))
 			w.finish(a.ID, message.Unknown(a.ID, a.Reason))
--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -10,6 +10,7 @@
 	"lacewingfork.example/lacewingfork/entry/dispatch"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
@@ -17,6 +18,9 @@
 	// submissionCapacity is what a partition of 88 slots starts within a few
 	// milliseconds of 10 ms requests; more would only hide overload.
 	submissionCapacity = 1024
+	// taskCapacity holds the offers and ends of a few ledger steps; the ledger
+	// repeats what a full ring refuses.
+	taskCapacity = 256
 	// explainCapacity is as many operators as ask at the same time.
 	explainCapacity = 4
 	// minCompletions leaves room for backend servers that join the rack.
@@ -39,6 +43,7 @@
 	lease         *supervise.Ring[message.Holding]
 	release       *supervise.Ring[struct{}]
 	explain       *supervise.Ring[message.ExplainQuery]
+	tasks         *supervise.Ring[message.TaskCommand]
 }
 
 func newPartitionRings(holding message.Holding, slots int) partitionRings {
@@ -51,12 +56,13 @@
 		configuration: supervise.NewRing[message.ConfigurationInForce](name("configuration"), 1, supervise.DropOldest),
 		lease:         supervise.NewRing[message.Holding](name("lease"), 1, supervise.DropOldest),
 		release:       supervise.NewRing[struct{}](name("release"), 1, supervise.DropOldest),
+		tasks:         supervise.NewRing[message.TaskCommand](name("tasks"), taskCapacity, supervise.Refuse),
 		explain:       supervise.NewRing[message.ExplainQuery](name("explain"), explainCapacity, supervise.Refuse),
 	}
 }
 
 func (r partitionRings) measured() []supervise.Measured {
-	return []supervise.Measured{r.submissions, r.completions, r.servers, r.usage, r.configuration, r.lease, r.release, r.explain}
+	return []supervise.Measured{r.submissions, r.completions, r.servers, r.usage, r.configuration, r.lease, r.release, r.explain, r.tasks}
 }
 
 // partitionDuty owns the work of one partition under one epoch. When its state
@@ -70,6 +76,7 @@
 	lines         *dispatch.Supervisor
 	relinquish    *supervise.Ring[message.Relinquish]
 	events        *supervise.Ring[message.Event]
+	signals       *supervise.Ring[message.TaskSignal] // of the ledger duty
 	started       bool
 }
 
@@ -124,6 +131,7 @@
 	lines    map[fleet.BackendServerID]*dispatch.Line
 	pending  map[fleet.RequestID]*pending
 	keys     *keyedRequests
+	attempts map[fleet.TaskID]int // of the tasks that have room here
 	inFlight int
 	draining bool
 	actions  []partition.Action
@@ -132,10 +140,11 @@
 func newPartitionWork(d *partitionDuty) *partitionWork {
 	w := &partitionWork{
 		duty: d, lease: d.holding,
-		state:   partition.New(time.Now(), d.servers, d.configuration.Value),
-		lines:   map[fleet.BackendServerID]*dispatch.Line{},
-		pending: map[fleet.RequestID]*pending{},
-		keys:    newKeyedRequests(d.holding.Partition, d.holding.Epoch),
+		state:    partition.New(time.Now(), d.servers, d.configuration.Value),
+		lines:    map[fleet.BackendServerID]*dispatch.Line{},
+		pending:  map[fleet.RequestID]*pending{},
+		attempts: map[fleet.TaskID]int{},
+		keys:     newKeyedRequests(d.holding.Partition, d.holding.Epoch),
 	}
 	w.openLines(d.servers)
 	return w
@@ -168,6 +177,8 @@
 			w.lease = lease
 		case <-rings.release.Items():
 			w.drain(ctx)
+		case c := <-rings.tasks.Items():
+			w.command(ctx, c)
 		case q := <-rings.explain.Items():
 			_ = q.Reply.Put(ctx, message.ExplainAnswer{Events: w.explained(q.Subject)})
 		case <-timer.C:
@@ -259,6 +270,9 @@
 		if w.lines[r.BackendServer] == nil {
 			continue
 		}
+		for _, t := range r.Tasks {
+			w.attempts[t.Task] = max(w.attempts[t.Task], t.Attempt)
+		}
 		w.act(ctx, w.state.Report(time.Now(), usageOf(r), w.actions[:0]))
 	}
 }
@@ -271,6 +285,14 @@
 	for service, micros := range r.Latencies {
 		u.Latencies[service] = time.Duration(micros) * time.Microsecond
 	}
+	for _, t := range r.Tasks {
+		if t.State == platformapi.TaskRunning {
+			u.Tasks = append(u.Tasks, partition.RunningTask{
+				Task: t.Task, Kind: t.Class, Resources: t.Resources,
+				Progress: time.Duration(t.ProgressMillis) * time.Millisecond,
+			})
+		}
+	}
 	return u
 }
 
--- a/entry/scheduling/scheduling.go
+++ b/entry/scheduling/scheduling.go
@@ -44,13 +44,16 @@
 	changes    *supervise.Ring[message.PartitionChange]
 	relinquish *supervise.Ring[message.Relinquish]
 	events     *supervise.Ring[message.Event]
+	signals    *supervise.Ring[message.TaskSignal]
 }
 
 // New adds the scheduling supervisor below root. Changes take each partition
-// that opens or closes; relinquish goes to the ownership duty.
+// that opens or closes; relinquish goes to the ownership duty, signals to the
+// ledger duty.
 func New(
 	root *supervise.Tree, lines *dispatch.Supervisor, changes *supervise.Ring[message.PartitionChange],
 	relinquish *supervise.Ring[message.Relinquish], events *supervise.Ring[message.Event],
+	signals *supervise.Ring[message.TaskSignal],
 ) *Supervisor {
 	s := &Supervisor{
 		tree: root.Child("scheduling", supervise.DefaultIntensity), lines: lines,
@@ -59,7 +62,7 @@
 		Holdings:       supervise.NewRing[message.Holdings]("scheduling.holdings", 1, supervise.DropOldest),
 		Configurations: supervise.NewRing[message.ConfigurationInForce]("scheduling.configurations", 1, supervise.DropOldest),
 		Explains:       supervise.NewRing[message.ExplainQuery]("scheduling.explains", explainCapacity, supervise.Refuse),
-		changes:        changes, relinquish: relinquish, events: events,
+		changes:        changes, relinquish: relinquish, events: events, signals: signals,
 	}
 	s.tree.Start(supervise.Duty{
 		Name:  "manager",
@@ -143,14 +146,15 @@
 	d := &partitionDuty{
 		holding: h, servers: servers, configuration: m.configuration,
 		rings: newPartitionRings(h, slots), lines: m.lines,
-		relinquish: m.relinquish, events: m.events,
+		relinquish: m.relinquish, events: m.events, signals: m.signals,
 	}
 	m.open[h.Partition] = d
 	m.tree.Start(supervise.Duty{Name: d.name(), Rings: d.rings.measured(), Run: d.run})
 	m.announceOne(ctx, d)
 }
 
-// announce repeats the open partitions, for a routing duty that was restarted.
+// announce repeats the open partitions, for a routing or ledger duty that was
+// restarted.
 func (m *manager) announce(ctx context.Context) {
 	for _, d := range m.open {
 		m.announceOne(ctx, d)
@@ -161,6 +165,9 @@
 	_ = m.changes.Put(ctx, message.PartitionChange{Opened: &message.PartitionOpened{
 		Partition: d.holding.Partition, Epoch: d.holding.Epoch, Submissions: d.rings.submissions,
 	}})
+	_ = m.signals.Put(ctx, message.TaskRoute{
+		Partition: d.holding.Partition, Epoch: d.holding.Epoch, Commands: d.rings.tasks,
+	})
 }
 
 func (m *manager) close(ctx context.Context, id fleet.PartitionID) {
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -1,11 +1,11 @@
 package entry
 
 import (
-	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
 	"lacewingfork.example/lacewingfork/decision/lease"
+	"lacewingfork.example/lacewingfork/entry/batch"
 	"lacewingfork.example/lacewingfork/entry/callers"
 	"lacewingfork.example/lacewingfork/entry/configuration"
 	"lacewingfork.example/lacewingfork/entry/dispatch"
@@ -19,6 +19,7 @@
 	"lacewingfork.example/lacewingfork/fleet"
 	"lacewingfork.example/lacewingfork/platformapi"
 	ownershiprecords "lacewingfork.example/lacewingfork/records/ownership"
+	taskrecords "lacewingfork.example/lacewingfork/records/task"
 	"lacewingfork.example/lacewingfork/settings"
 	"lacewingfork.example/lacewingfork/supervise"
 )
@@ -32,9 +33,9 @@
 var providers = fx.Options(
 	fx.Provide(
 		newOwnHints, newClients, newConfigurationRings, newOwnershipRings,
-		newRouting, newPeers, newPlatform, dispatch.New, newScheduling, newCallers, newOperations, newStopper,
+		newRouting, newPeers, newPlatform, dispatch.New, newBatch, newScheduling, newCallers, newOperations, newStopper,
 	),
-	fx.Invoke(startOwnership, startConfiguration, startRouting, startPlatform),
+	fx.Invoke(startOwnership, startConfiguration, startRouting, startBatch, startPlatform),
 )
 
 type ownHintsRing = *supervise.Ring[[]message.LoadHint]
@@ -64,7 +65,7 @@
 
 func newPlatform(
 	clients platformClients, s settings.Settings, rings *configuration.Rings, owner *ownership.Rings,
-	route *routing.Duty, sched *scheduling.Supervisor, links *peers.Supervisor, ops *operations.Supervisor,
+	route *routing.Duty, sched *scheduling.Supervisor, links *peers.Supervisor, ops *operations.Supervisor, ledger *batch.Supervisor,
 ) *platform.Platform {
 	return platform.New(platform.Settings{
 		Log: clients.log, List: clients.list, Workers: clients.workers,
@@ -74,9 +75,13 @@
 				Name: ownershiprecords.Stream(s.Instance.Region), Folds: []*supervise.Ring[message.LogRecords]{owner.Log},
 				Rewinds: owner.Rewinds,
 			},
+			{
+				Name: taskrecords.Stream(s.Instance.Region), Folds: []*supervise.Ring[message.LogRecords]{ledger.Records},
+				Rewinds: ledger.Rewinds(),
+			},
 		},
-		Snapshots:   []*message.SnapshotRing{owner.Snapshots, route.Snapshots, sched.Snapshots, links.Snapshots, ops.Snapshots},
-		UsageRegion: &platform.UsageRegion{Region: s.Instance.Region, Rings: []*message.UsageRing{sched.Usage}},
+		Snapshots:   []*message.SnapshotRing{owner.Snapshots, route.Snapshots, sched.Snapshots, links.Snapshots, ops.Snapshots, ledger.Snapshots},
+		UsageRegion: &platform.UsageRegion{Region: s.Instance.Region, Rings: []*message.UsageRing{sched.Usage, ledger.Usage}},
 	})
 }
 
@@ -116,17 +121,29 @@
 
 func newScheduling(
 	tree *supervise.Tree, lines *dispatch.Supervisor, route *routing.Duty, owner *ownership.Rings,
-	events *supervise.Ring[message.Event],
+	events *supervise.Ring[message.Event], ledger *batch.Supervisor,
 ) *scheduling.Supervisor {
-	return scheduling.New(tree, lines, route.Partitions, owner.Relinquish, events)
+	return scheduling.New(tree, lines, route.Partitions, owner.Relinquish, events, ledger.Signals)
+}
+
+func newBatch(s settings.Settings, clients platformClients, events *supervise.Ring[message.Event]) *batch.Supervisor {
+	return batch.NewRings(batch.Settings{
+		Instance: s.Instance.ID, Region: s.Instance.Region, Workers: clients.workers, Events: events,
+		Rewinds: supervise.NewRing[message.Rewind]("batch.rewinds", 1, supervise.DropOldest),
+	})
+}
+
+func startBatch(tree *supervise.Tree, ledger *batch.Supervisor, p *platform.Platform) {
+	ledger.Start(tree, p.Appends())
 }
 
 func newCallers(
-	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, registry *prometheus.Registry,
+	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, registry *prometheus.Registry, ledger *batch.Supervisor,
 ) *callers.Supervisor {
 	place := callers.Settings{Instance: s.Instance.ID, StopTimeout: s.Process.StopTimeout}
-	var routes []func(*mux.Router)
-	return callers.New(tree, place, l.Callers, route.Submissions, callers.NewMetrics(registry), routes...)
+	return callers.New(
+		tree, place, l.Callers, route.Submissions, callers.NewMetrics(registry), callers.RegisterJobs(ledger.Commands),
+	)
 }
 
 func newOperations(
@@ -139,9 +156,9 @@
 
 func startOwnership(
 	tree *supervise.Tree, s settings.Settings, l *Listeners, owner *ownership.Rings, p *platform.Platform, links *peers.Supervisor,
-	route *routing.Duty, sched *scheduling.Supervisor, ops *operations.Supervisor,
+	route *routing.Duty, sched *scheduling.Supervisor, ops *operations.Supervisor, ledger *batch.Supervisor,
 ) {
-	owner.Subscribers = []*message.HoldingsRing{route.Holdings, sched.Holdings, ops.Holdings}
+	owner.Subscribers = []*message.HoldingsRing{route.Holdings, sched.Holdings, ops.Holdings, ledger.Holdings}
 	owner.Appends, owner.Events = p.Appends(), ops.Events
 	owner.SendRequests, owner.SendPromises, owner.SendGiveBacks = links.PromiseRequests, links.Promises, links.GiveBacks
 	duty := ownership.NewLeaseDuty(ownership.Settings{
@@ -166,10 +183,10 @@
 func startConfiguration(
 	tree *supervise.Tree, s settings.Settings, rings *configuration.Rings, appends *platform.Platform,
 	route *routing.Duty, sched *scheduling.Supervisor, front *callers.Supervisor, ops *operations.Supervisor,
-	links *peers.Supervisor,
+	links *peers.Supervisor, ledger *batch.Supervisor,
 ) {
 	rings.Subscribers = []*message.ConfigurationRing{
-		route.Configurations, sched.Configurations, front.Configurations, ops.Configurations,
+		route.Configurations, sched.Configurations, front.Configurations, ops.Configurations, ledger.Configurations,
 	}
 	route.Wanted, sched.Wanted, front.Wanted, ops.Wanted = rings.Wanted, rings.Wanted, rings.Wanted, rings.Wanted
 	rings.Appends = appends.Appends()
--- a/platformapi/platformapi.go
+++ b/platformapi/platformapi.go
@@ -95,6 +95,9 @@
 	Attempt    int          `json:"attempt"`
 	Epoch      fleet.Epoch  `json:"epoch"`
 	State      TaskState    `json:"state"`
+	// Class and Resources are those of the StartTask.
+	Class     string          `json:"class"`
+	Resources fleet.Resources `json:"resources"`
 	Checkpoint string       `json:"checkpoint,omitempty"`
 	// ProgressMillis is the work done so far.
 	ProgressMillis int64  `json:"progress_ms"`
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -81,6 +81,7 @@
 func (t *task) report() platformapi.TaskReport {
 	return platformapi.TaskReport{
 		Task: t.start.Task, Attempt: t.start.Attempt, Epoch: t.start.Epoch, State: t.state,
+		Class: t.start.Class, Resources: t.start.Resources,
 		Checkpoint: t.checkpoint, ProgressMillis: t.progress.Milliseconds(),
 		Throttled: t.throttled, Error: t.cause,
 	}
