Wire the limits of the settings to the parts that they bound

Body and header size, the longest deadline, the age of connections and the explanation history were read and checked but not used. The bounds of waiting requests and request keys in a partition stay constants of the decisions, so their settings are gone.

--- a/demo/balancer.go
+++ b/demo/balancer.go
@@ -29,7 +29,7 @@
 }
 
 // watch follows the readiness of the instances until the context ends.
-func (b *balancer) watch(ctx context.Context, instances []*instance) {
+func (b *balancer) watch(ctx context.Context, instances []instance) {
 	ticker := time.NewTicker(checkEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -172,6 +172,16 @@
 	}
 }
 
+// addresses copies the instances; their addresses stay the same when they are
+// replaced.
+func (c *cluster) addresses() []instance {
+	var list []instance
+	for _, i := range c.instances {
+		list = append(list, *i)
+	}
+	return list
+}
+
 func (c *cluster) callersAddresses() []string {
 	var list []string
 	for _, i := range c.instances {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -69,7 +69,7 @@
 	b := newBalancer()
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go b.watch(watchCtx, c.instances)
+	go b.watch(watchCtx, c.addresses())
 	t, err := newTraffic(b, c.callersAddresses(), loadRate*int(loadDuration.Seconds()))
 	if err != nil {
 		return report, err
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -29,10 +29,6 @@
 )
 
 const (
-	// MaxBodyBytes bounds the body of a request.
-	MaxBodyBytes = 1 << 20
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 16 << 10
 	// readTimeout bounds the time that a caller takes to send its request.
 	readTimeout = 30 * time.Second
 	// idleTimeout closes connections that callers left open.
@@ -46,6 +42,11 @@
 type Settings struct {
 	Instance    fleet.InstanceID
 	StopTimeout time.Duration
+	// MaxBodyBytes and MaxHeaderBytes bound a request.
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	// MaxDeadline bounds the deadline whatever the configuration says.
+	MaxDeadline time.Duration
 }
 
 // Supervisor runs the server duty and the duty that keeps the configuration
@@ -85,7 +86,7 @@
 		add(router)
 	}
 	s.server = &http.Server{
-		Handler: router, MaxHeaderBytes: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Handler: router, MaxHeaderBytes: settings.MaxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 	}
 	tree := root.Child("callers", supervise.DefaultIntensity)
 	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
--- a/entry/callers/codec.go
+++ b/entry/callers/codec.go
@@ -39,11 +39,11 @@
 	if op == nil {
 		return refuse(outcome.NoSuchService, 0)
 	}
-	deadline, ok := deadlineOf(r, op, c.Value.Limits)
+	deadline, ok := deadlineOf(r, op, min(c.Value.Limits.MaxDeadline, s.settings.MaxDeadline))
 	if !ok || len(r.Header.Get(callerapi.HeaderTeam)) > maxNameBytes || len(r.Header.Get(callerapi.HeaderCaller)) > maxNameBytes {
 		return refuse(outcome.MalformedRequest, 0)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -60,16 +60,16 @@
 
 // deadlineOf takes the caller's deadline, or the operation's when it names
 // none, bounded by the limit.
-func deadlineOf(r *http.Request, op *configuration.Operation, limits configuration.Limits) (time.Time, bool) {
+func deadlineOf(r *http.Request, op *configuration.Operation, limit time.Duration) (time.Time, bool) {
 	wait := op.Deadline
 	if text := r.Header.Get(callerapi.HeaderDeadline); text != "" {
 		millis, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || millis <= 0 || millis > limits.MaxDeadline.Milliseconds() {
+		if err != nil || millis <= 0 || millis > limit.Milliseconds() {
 			return time.Time{}, false
 		}
 		wait = time.Duration(millis) * time.Millisecond
 	}
-	return time.Now().Add(min(wait, limits.MaxDeadline)), true
+	return time.Now().Add(min(wait, limit)), true
 }
 
 // hopByHop fields concern one connection; the others with a meaning to this
--- a/entry/dispatch/connection.go
+++ b/entry/dispatch/connection.go
@@ -14,9 +14,6 @@
 	// connectTimeout is ten times the round trip between regions plus the
 	// time of a retransmitted SYN within a data centre.
 	connectTimeout = 500 * time.Millisecond
-	// maxConnectionAge bounds how long a connection is reused, so that a
-	// path that lost track of it is left within a minute.
-	maxConnectionAge = 60 * time.Second
 	// maxIdleNonIdempotent is the longest idle time after which a connection
 	// still carries a non-idempotent request without being replaced.
 	maxIdleNonIdempotent = time.Second
@@ -43,8 +40,8 @@
 }
 
 // reusable reports whether the connection may carry another request.
-func (c *connection) reusable(now time.Time, idempotent bool) bool {
-	if now.Sub(c.openedAt) > maxConnectionAge {
+func (c *connection) reusable(now time.Time, maxAge time.Duration, idempotent bool) bool {
+	if now.Sub(c.openedAt) > maxAge {
 		return false
 	}
 	if !idempotent && now.Sub(c.usedAt) > maxIdleNonIdempotent {
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
@@ -18,12 +19,14 @@
 
 // Supervisor starts the exchange duties.
 type Supervisor struct {
-	tree *supervise.Tree
+	tree   *supervise.Tree
+	maxAge time.Duration // of a connection
 }
 
-// New adds the dispatch supervisor below root.
-func New(root *supervise.Tree) *Supervisor {
-	return &Supervisor{tree: root.Child("dispatch", supervise.DefaultIntensity)}
+// New adds the dispatch supervisor below root. Connections older than maxAge
+// are replaced, so that a path that lost track of one is left in time.
+func New(root *supervise.Tree, maxAge time.Duration) *Supervisor {
+	return &Supervisor{tree: root.Child("dispatch", supervise.DefaultIntensity), maxAge: maxAge}
 }
 
 // Line is the way to one backend server.
@@ -44,7 +47,7 @@
 			Name:  fmt.Sprintf("%s@%d/slot-%d", server.ID, epoch, slot),
 			Rings: slotRings(slot, line.Exchanges),
 			Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
-				return newExchanger(server).run(ctx, line.Exchanges, dumps)
+				return newExchanger(server, s.maxAge).run(ctx, line.Exchanges, dumps)
 			},
 		}))
 	}
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -44,12 +44,15 @@
 // exchanger carries requests over one connection, one after the other.
 type exchanger struct {
 	server     fleet.BackendServer
+	maxAge     time.Duration // of the connection
 	connection *connection
 	carried    uint64
 	crossed    uint64
 }
 
-func newExchanger(server fleet.BackendServer) *exchanger { return &exchanger{server: server} }
+func newExchanger(server fleet.BackendServer, maxAge time.Duration) *exchanger {
+	return &exchanger{server: server, maxAge: maxAge}
+}
 
 type exchangerDump struct {
 	Server  fleet.BackendServerID `json:"server"`
@@ -122,7 +125,7 @@
 }
 
 func (e *exchanger) connect(ctx context.Context, x message.Exchange) error {
-	if e.connection != nil && e.connection.reusable(time.Now(), x.Request.Idempotent) {
+	if e.connection != nil && e.connection.reusable(time.Now(), e.maxAge, x.Request.Idempotent) {
 		return nil
 	}
 	e.close()
--- a/entry/dispatch/exchange_test.go
+++ b/entry/dispatch/exchange_test.go
@@ -102,7 +102,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			e := newExchanger(startBackend(t, c.script))
+			e := newExchanger(startBackend(t, c.script), time.Minute)
 			defer e.close()
 			done := e.exchange(context.Background(), exchangeOf(request("q1", time.Minute), c.lease))
 			if done.Answer.Outcome != c.outcome || done.Answer.Reason != c.reason || done.Written != c.written || done.SlotReleased != c.released {
@@ -119,7 +119,7 @@
 // the next request on the same connection.
 func TestUnrequestedAnswerReplacesConnection(t *testing.T) {
 	backend := startBackend(t, script{whole("one") + strings.ReplaceAll(whole("stray"), "ID", "q2")}, script{whole("two")})
-	e := newExchanger(backend)
+	e := newExchanger(backend, time.Minute)
 	defer e.close()
 	first := e.exchange(context.Background(), exchangeOf(request("q1", time.Minute), time.Hour))
 	second := e.exchange(context.Background(), exchangeOf(request("q2", time.Minute), time.Hour))
@@ -131,7 +131,7 @@
 // Guards against a request with an unknown outcome when the server closed an
 // idle connection: the probe finds it and a fresh connection is used.
 func TestClosedIdleConnectionIsReplaced(t *testing.T) {
-	e := newExchanger(startBackend(t, script{whole("one")}, script{whole("two")}))
+	e := newExchanger(startBackend(t, script{whole("one")}, script{whole("two")}), time.Minute)
 	defer e.close()
 	first := e.exchange(context.Background(), exchangeOf(request("q1", time.Minute), time.Hour))
 	// The script ends here; wait for the close to arrive.
@@ -168,7 +168,7 @@
 	defer func() { _ = c.Close() }()
 	for _, test := range cases {
 		c.openedAt, c.usedAt = now.Add(test.opened), now.Add(test.used)
-		if got := c.reusable(now, test.idempotent); got != test.want {
+		if got := c.reusable(now, time.Minute, test.idempotent); got != test.want {
 			t.Errorf("%s: reusable = %v", test.name, got)
 		}
 	}
@@ -182,7 +182,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }() // accepts by the backlog, never answers
-	e := newExchanger(fleet.BackendServer{ID: "b1", Address: listener.Addr().String()})
+	e := newExchanger(fleet.BackendServer{ID: "b1", Address: listener.Addr().String()}, time.Minute)
 	defer e.close()
 	done := e.exchange(context.Background(), exchangeOf(request("q1", 50*time.Millisecond), time.Hour))
 	if done.Answer.Outcome != outcome.Unknown || done.Answer.Reason != outcome.BackendTimeout || done.SlotReleased {
@@ -198,7 +198,7 @@
 	}
 	address := listener.Addr().String()
 	_ = listener.Close()
-	e := newExchanger(fleet.BackendServer{ID: "b1", Address: address})
+	e := newExchanger(fleet.BackendServer{ID: "b1", Address: address}, time.Minute)
 	done := e.exchange(context.Background(), exchangeOf(request("q1", time.Minute), time.Hour))
 	if done.Answer.Outcome != outcome.RefusedNotRun || done.Answer.Reason != outcome.ConnectFailed || done.Written {
 		t.Fatalf("got %+v", done)
--- a/entry/operations/history.go
+++ b/entry/operations/history.go
@@ -7,26 +7,23 @@
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
-const (
-	// historyEvents bounds the explanations kept: about 4 MiB at 500 bytes.
-	historyEvents = 8192
-	// eventCapacity absorbs a wave of refusals or evictions.
-	eventCapacity = 4096
-)
+// eventCapacity absorbs a wave of refusals or evictions.
+const eventCapacity = 4096
 
 // history is the state of the history duty: the newest events, oldest first.
 type history struct {
 	events []message.Event
+	limit  int
 	next   int // place that is overwritten next once the history is full
 }
 
 func (h *history) add(e message.Event) {
-	if len(h.events) < historyEvents {
+	if len(h.events) < h.limit {
 		h.events = append(h.events, e)
 		return
 	}
 	h.events[h.next] = e
-	h.next = (h.next + 1) % historyEvents
+	h.next = (h.next + 1) % h.limit
 }
 
 func (h *history) about(subject string) []message.Event {
@@ -40,7 +37,7 @@
 }
 
 func (s *Supervisor) keepHistory(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
-	h := &history{}
+	h := &history{limit: s.settings.History}
 	for {
 		select {
 		case <-ctx.Done():
--- a/entry/operations/operations.go
+++ b/entry/operations/operations.go
@@ -32,6 +32,8 @@
 	Instance   fleet.InstanceID
 	Region     fleet.Region
 	DataCentre fleet.DataCentre
+	// History bounds the explanations kept, in events.
+	History int
 }
 
 // Supervisor runs the duties of this folder.
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -33,7 +33,7 @@
 var providers = fx.Options(
 	fx.Provide(
 		newOwnHints, newClients, newConfigurationRings, newOwnershipRings,
-		newRouting, newPeers, newPlatform, dispatch.New, newBatch, newScheduling, newCallers, newOperations, newStopper,
+		newRouting, newPeers, newPlatform, newDispatch, newBatch, newScheduling, newCallers, newOperations, newStopper,
 	),
 	fx.Invoke(startOwnership, startConfiguration, startRouting, startBatch, startPlatform),
 )
@@ -119,6 +119,10 @@
 	return peers.New(tree, place, l.Peers, receivers, route.Links, hints)
 }
 
+func newDispatch(tree *supervise.Tree, s settings.Settings) *dispatch.Supervisor {
+	return dispatch.New(tree, s.Limits.ConnectionMaxAge)
+}
+
 func newScheduling(
 	tree *supervise.Tree, lines *dispatch.Supervisor, route *routing.Duty, owner *ownership.Rings,
 	events *supervise.Ring[message.Event], ledger *batch.Supervisor,
@@ -140,7 +144,10 @@
 func newCallers(
 	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, registry *prometheus.Registry, ledger *batch.Supervisor,
 ) *callers.Supervisor {
-	place := callers.Settings{Instance: s.Instance.ID, StopTimeout: s.Process.StopTimeout}
+	place := callers.Settings{
+		Instance: s.Instance.ID, StopTimeout: s.Process.StopTimeout,
+		MaxBodyBytes: s.Limits.BodyBytes, MaxHeaderBytes: s.Limits.HeaderBytes, MaxDeadline: s.Limits.MaxDeadline,
+	}
 	return callers.New(
 		tree, place, l.Callers, route.Submissions, callers.NewMetrics(registry), callers.RegisterJobs(ledger.Commands),
 	)
@@ -150,7 +157,10 @@
 	tree *supervise.Tree, s settings.Settings, l *Listeners, events *supervise.Ring[message.Event],
 	registry *prometheus.Registry, shutdowner fx.Shutdowner, sched *scheduling.Supervisor,
 ) *operations.Supervisor {
-	place := operations.Settings{Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre}
+	place := operations.Settings{
+		Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre,
+		History: s.Limits.ExplanationHistory,
+	}
 	return operations.New(tree, place, l.Operations, events, registry, func() { _ = shutdowner.Shutdown() }, sched.Explains)
 }
 
--- a/platformapi/platformapi.go
+++ b/platformapi/platformapi.go
@@ -91,14 +91,14 @@
 
 // TaskReport is what a worker says of one task.
 type TaskReport struct {
-	Task       fleet.TaskID `json:"task"`
-	Attempt    int          `json:"attempt"`
-	Epoch      fleet.Epoch  `json:"epoch"`
-	State      TaskState    `json:"state"`
+	Task    fleet.TaskID `json:"task"`
+	Attempt int          `json:"attempt"`
+	Epoch   fleet.Epoch  `json:"epoch"`
+	State   TaskState    `json:"state"`
 	// Class and Resources are those of the StartTask.
-	Class     string          `json:"class"`
-	Resources fleet.Resources `json:"resources"`
-	Checkpoint string       `json:"checkpoint,omitempty"`
+	Class      string          `json:"class"`
+	Resources  fleet.Resources `json:"resources"`
+	Checkpoint string          `json:"checkpoint,omitempty"`
 	// ProgressMillis is the work done so far.
 	ProgressMillis int64  `json:"progress_ms"`
 	Throttled      bool   `json:"throttled"`
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -144,16 +144,6 @@
 		Default: time.Minute, Min: 100 * time.Millisecond, Max: time.Minute,
 		Field: func(s *Settings) any { return &s.Limits.MaxDeadline },
 	},
-	{
-		Name: "waiting_requests", Meaning: "requests that may wait in each partition held", Unit: "requests",
-		Default: 4096, Min: 1, Max: 65536,
-		Field: func(s *Settings) any { return &s.Limits.WaitingRequests },
-	},
-	{
-		Name: "request_keys", Meaning: "request keys remembered in each partition held", Unit: "keys",
-		Default: 65536, Min: 256, Max: 1 << 20,
-		Field: func(s *Settings) any { return &s.Limits.RequestKeys },
-	},
 	{
 		Name: "connection_max_age", Meaning: "age at which a pooled connection is replaced",
 		Default: time.Minute, Min: time.Second, Max: time.Hour,
@@ -161,7 +151,7 @@
 	},
 	{
 		Name: "explanation_history", Meaning: "events kept for `lacewingfork explain`", Unit: "events",
-		Default: 65536, Min: 1024, Max: 1 << 20,
+		Default: 8192, Min: 1024, Max: 1 << 16,
 		Field: func(s *Settings) any { return &s.Limits.ExplanationHistory },
 	},
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -67,8 +67,6 @@
 	BodyBytes          int64
 	HeaderBytes        int
 	MaxDeadline        time.Duration
-	WaitingRequests    int // in each partition held
-	RequestKeys        int // in each partition held
 	ConnectionMaxAge   time.Duration
 	ExplanationHistory int // events
 }
