Apply waiting registrations before a list of duties is answered

A dump taken right after a restart showed the duty as busy: the directory selects between registrations and list requests at random. Seen in 24 of 200 runs of TestPanickingDutyRestartsWithCleanState.

--- a/supervise/directory.go
+++ b/supervise/directory.go
@@ -47,6 +47,7 @@
 		case c := <-d.changes.Items():
 			applyChange(running, c)
 		case reply := <-d.lists.Items():
+			d.applyWaiting(running)
 			reply <- sortedEntries(running)
 		case request := <-dumps:
 			request.Answer(map[string]int{"duties": len(running)})
@@ -54,6 +55,19 @@
 	}
 }
 
+// applyWaiting brings a list up to date with the changes that were put before
+// it; select would otherwise pick between the two rings at random.
+func (d *Directory) applyWaiting(running map[string]entry) {
+	for {
+		select {
+		case c := <-d.changes.Items():
+			applyChange(running, c)
+		default:
+			return
+		}
+	}
+}
+
 // applyChange ignores the end of an earlier run of a duty that runs again.
 func applyChange(running map[string]entry, c directoryChange) {
 	if !c.gone {
