--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -65,6 +65,11 @@
 	return []supervise.Measured{r.submissions, r.completions, r.servers, r.usage, r.configuration, r.lease, r.release, r.explain, r.tasks}
 }
 
+// lineOpener opens the way to a backend server; dispatch.Supervisor is one.
+type lineOpener interface {
+	Open(server fleet.BackendServer, epoch fleet.Epoch) *dispatch.Line
+}
+
 // partitionDuty owns the work of one partition under one epoch. When its state
 // is lost by a failure the epoch ends: it refuses everything and asks for a
 // greater epoch, under which slots count as taken until a report shows them.
@@ -73,7 +78,7 @@
 	servers       []fleet.BackendServer
 	configuration message.ConfigurationInForce
 	rings         partitionRings
-	lines         *dispatch.Supervisor
+	lines         lineOpener
 	relinquish    *supervise.Ring[message.Relinquish]
 	events        *supervise.Ring[message.Event]
 	signals       *supervise.Ring[message.TaskSignal] // of the ledger duty
