Let the age of a usable list include its lag

The default age is now 4 s, and an age below the lag plus the 500 ms between two calls is a finding.

--- a/decision/lease/lease.go
+++ b/decision/lease/lease.go
@@ -48,7 +48,7 @@
 func DefaultSettings() Settings {
 	const ttl = 4 * time.Second
 	return Settings{
-		TTL: ttl, ListLag: 2 * time.Second, ListStale: 2 * time.Second,
+		TTL: ttl, ListLag: 2 * time.Second, ListStale: 4 * time.Second,
 		Margin: 200 * time.Millisecond, RenewEvery: ttl / 4,
 		ClaimStagger: 400 * time.Millisecond, ReleaseDelay: 250 * time.Millisecond,
 		RebalanceEvery: 2 * time.Second, RebalanceBatch: 2,
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -102,8 +102,8 @@
 			Field: func(s *Settings) any { return &s.Lease.ListLag },
 		},
 		{
-			Name: "list_age", Meaning: "age from which a snapshot of the list is stale; the same in the whole region",
-			Default: 2 * time.Second, Min: 100 * time.Millisecond, Max: time.Minute,
+			Name: "list_age", Meaning: "age from which a snapshot of the list is stale, its lag included; the same in the whole region",
+			Default: 4 * time.Second, Min: 100 * time.Millisecond, Max: time.Minute,
 			Field: func(s *Settings) any { return &s.Lease.ListAge },
 		},
 		{
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -107,11 +107,19 @@
 	return s, nil
 }
 
+// listPollAllowance is the time between two calls of the list watcher.
+const listPollAllowance = 500 * time.Millisecond
+
 // checkTogether reports values that are each in range but don't fit together.
 func (s Settings) checkTogether(doc *tomlfile.Document) {
 	if s.Lease.Margin > s.Lease.TTL/4 && !doc.Reported("lease.margin") && !doc.Reported("lease.ttl") {
 		doc.Report("lease.margin", "is more than a quarter of lease.ttl", "at most "+(s.Lease.TTL/4).String())
 	}
+	// Snapshots are dated by what they show and fetched every 500 ms, so a
+	// smaller age would call every one of them stale.
+	if s.Lease.ListAge < s.Lease.ListLag+listPollAllowance && !doc.Reported("lease.list_age") && !doc.Reported("lease.list_lag") {
+		doc.Report("lease.list_age", "is less than lease.list_lag and the time between two calls", "at least "+(s.Lease.ListLag+listPollAllowance).String())
+	}
 	host, _, err := net.SplitHostPort(s.Listen.Peers)
 	if err == nil && net.ParseIP(host).IsUnspecified() && s.Listen.AdvertisePeers == "" {
 		doc.Report("listen.advertise_peers", "is missing although listen.peers names no single address",
