--- /dev/null
+++ b/entry/batch/batch_test.go
@@ -0,0 +1,327 @@
+package batch
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/decision/task"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/platformapi"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	testRack   = fleet.PartitionID("accra-1/rack-0")
+	testServer = fleet.BackendServerID("w0")
+)
+
+// platform is a log, a worker and a partition duty in memory.
+type platform struct {
+	*Supervisor
+	appends *supervise.Ring[message.Append]
+	down    atomic.Bool
+	entries []message.LogEntry
+	next    int // entry that the reader reads next
+
+	mu       sync.Mutex // the runners call the worker
+	tasks    map[fleet.TaskID]*platformapi.TaskReport
+	doneAt   map[fleet.TaskID]time.Time
+	starts   map[fleet.TaskID]int
+	renewals int
+	commands *supervise.Ring[message.TaskCommand]
+	ended    atomic.Int32
+	restarts atomic.Int32
+}
+
+func newPlatform() *platform {
+	p := &platform{
+		appends: supervise.NewRing[message.Append]("appends", 64, supervise.Refuse),
+		tasks:   map[fleet.TaskID]*platformapi.TaskReport{}, doneAt: map[fleet.TaskID]time.Time{},
+		starts:   map[fleet.TaskID]int{},
+		commands: supervise.NewRing[message.TaskCommand]("commands", 64, supervise.Refuse),
+	}
+	p.Supervisor = NewRings(Settings{
+		Instance: "entry-0", Region: "accra", Workers: p, Appends: p.appends,
+		Rewinds: supervise.NewRing[message.Rewind]("rewinds", 1, supervise.DropOldest),
+	})
+	return p
+}
+
+// run plays the log writer and reader, the ownership duty, the watchers and a
+// partition duty that always has room, every 100 ms.
+func (p *platform) run(ctx context.Context) {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		p.serveLog(ctx)
+		p.serveTasks(ctx)
+		if n%10 == 0 {
+			now := time.Now()
+			_ = p.Supervisor.Snapshots.Put(ctx, message.ListSnapshot{SampledAt: now, BackendServers: []fleet.BackendServer{{
+				ID: testServer, Region: "accra", DataCentre: "accra-1", Rack: "rack-0", Capacity: fleet.Resources{Slots: 8},
+			}}})
+			_ = p.Configurations.Put(ctx, message.ConfigurationInForce{Version: 1, Value: &configuration.Configuration{
+				Teams: []configuration.Team{{Name: "dye", Share: 1, MaxJobs: 2}},
+			}})
+			_ = p.Signals.Put(ctx, message.TaskRoute{Partition: testRack, Epoch: 1, Commands: p.commands})
+			_ = p.Supervisor.Usage.Put(ctx, message.UsageReports{Reports: []message.UsageReport{{SampledAt: now, UsageReport: p.report(now)}}})
+		}
+		_ = p.Holdings.Put(ctx, message.Holdings{Own: []message.Holding{
+			{Partition: testRack, Epoch: 1, Until: time.Now().Add(4 * time.Second)},
+		}})
+	}
+}
+
+func (p *platform) serveLog(ctx context.Context) {
+	for {
+		select {
+		case a := <-p.appends.Items():
+			if !p.down.Load() {
+				p.entries = append(p.entries, message.LogEntry{Offset: fleet.Offset(len(p.entries)), ID: a.ID, Data: a.Data})
+			}
+			continue
+		case r := <-p.settings.Rewinds.Items():
+			p.next = int(r.From)
+			continue
+		default:
+		}
+		break
+	}
+	if p.down.Load() {
+		return
+	}
+	_ = p.Records.Put(ctx, message.LogRecords{
+		From: fleet.Offset(p.next), Next: fleet.Offset(len(p.entries)), Records: p.entries[p.next:], CaughtUp: true,
+	})
+	p.next = len(p.entries)
+}
+
+func (p *platform) serveTasks(ctx context.Context) {
+	for {
+		select {
+		case c := <-p.commands.Items():
+			switch c := c.(type) {
+			case message.TaskOffer:
+				_ = p.Signals.Put(ctx, message.TaskPlaced{
+					Task: c.Task, Attempt: c.Attempt, Partition: c.Partition, Epoch: c.Epoch, Server: testServer,
+				})
+			case message.TaskEnded:
+				p.ended.Add(1)
+			}
+			continue
+		default:
+		}
+		return
+	}
+}
+
+func (p *platform) report(now time.Time) platformapi.UsageReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := platformapi.UsageReport{BackendServer: testServer}
+	for id, t := range p.tasks {
+		if t.State == platformapi.TaskRunning && now.After(p.doneAt[id]) {
+			t.State = platformapi.TaskSucceeded
+		}
+		r.Tasks = append(r.Tasks, *t)
+	}
+	return r
+}
+
+// The worker's side.
+
+func (p *platform) Usage(context.Context, fleet.DataCentre) ([]platformapi.UsageReport, error) {
+	return nil, errors.New("not used")
+}
+
+func (p *platform) Start(_ context.Context, _ fleet.BackendServerID, s platformapi.StartTask) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.starts[s.Task]++
+	p.tasks[s.Task] = &platformapi.TaskReport{Task: s.Task, Attempt: s.Attempt, State: platformapi.TaskRunning}
+	p.doneAt[s.Task] = time.Now().Add(time.Duration(s.RunMillis) * time.Millisecond)
+	return nil
+}
+
+func (p *platform) Renew(context.Context, fleet.BackendServerID, fleet.PartitionID, fleet.Epoch, time.Duration) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.renewals++
+	return nil
+}
+
+func (p *platform) end(id fleet.TaskID, state platformapi.TaskState, checkpoint string) (platformapi.TaskReport, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.tasks[id]
+	if t == nil {
+		return platformapi.TaskReport{}, platformapi.ErrUnknown
+	}
+	if t.State == platformapi.TaskRunning {
+		t.State, t.Checkpoint = state, checkpoint
+	}
+	return *t, nil
+}
+
+func (p *platform) Checkpoint(_ context.Context, _ fleet.BackendServerID, id fleet.TaskID, _ int, _ fleet.Epoch) (platformapi.TaskReport, error) {
+	return p.end(id, platformapi.TaskCheckpointed, "saved")
+}
+
+func (p *platform) Throttle(context.Context, fleet.BackendServerID, fleet.TaskID, int, fleet.Epoch, bool) error {
+	return nil
+}
+
+func (p *platform) Stop(_ context.Context, _ fleet.BackendServerID, id fleet.TaskID, _ int, _ fleet.Epoch) (platformapi.TaskReport, error) {
+	return p.end(id, platformapi.TaskStopped, "")
+}
+
+// counts returns the starts by task and the number of renewals.
+func (p *platform) counts() (map[fleet.TaskID]int, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.starts), p.renewals
+}
+
+// command sends a command and returns its answer.
+func (p *platform) command(t *testing.T, make func(*supervise.Ring[message.JobReply]) message.JobCommand) message.JobReply {
+	t.Helper()
+	reply := supervise.NewRing[message.JobReply]("reply", 1, supervise.Refuse)
+	if err := p.Commands.Put(t.Context(), make(reply)); err != nil {
+		t.Fatal(err)
+	}
+	return <-reply.Items()
+}
+
+func (p *platform) submit(t *testing.T, id fleet.JobID, run time.Duration) message.JobOutcome {
+	t.Helper()
+	return p.command(t, func(r *supervise.Ring[message.JobReply]) message.JobCommand {
+		return message.SubmitJob{Reply: r, Job: task.Job{
+			ID: id, Team: "dye", Kind: "check", Tasks: 2, Resources: fleet.Resources{Slots: 1}, RunTime: run,
+		}}
+	}).Outcome
+}
+
+func (p *platform) view(t *testing.T, id fleet.JobID) task.JobView {
+	t.Helper()
+	return p.command(t, func(r *supervise.Ring[message.JobReply]) message.JobCommand {
+		return message.JobStatus{Reply: r, ID: id}
+	}).View
+}
+
+// inBubble runs a test against the duties under a synthetic clock.
+func inBubble(t *testing.T, test func(t *testing.T, p *platform)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		tree := supervise.NewTree("test", supervise.DefaultIntensity, func(e supervise.Event) {
+			p.restarts.Add(1)
+			if e.Kind != supervise.Restarted {
+				t.Errorf("event %+v", e)
+			}
+		})
+		p.Supervisor.Start(tree, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		wait.Go(func() { _ = tree.Serve(ctx) })
+		wait.Go(func() { p.run(ctx) })
+		time.Sleep(2 * time.Second)
+		test(t, p)
+		cancel()
+		wait.Wait()
+	})
+}
+
+// Guards against a path that is broken anywhere from the submission to the end
+// of the job, and against a repeat that makes a second job.
+func TestJobRunsToItsEnd(t *testing.T) {
+	inBubble(t, func(t *testing.T, p *platform) {
+		if got := p.submit(t, "a", 10*time.Second); got != message.JobAccepted {
+			t.Fatalf("submission was answered %q", got)
+		}
+		if got := p.submit(t, "a", 10*time.Second); got != message.JobRepeated {
+			t.Errorf("repeat was answered %q", got)
+		}
+		if got := p.submit(t, "a", 11*time.Second); got != message.JobConflict {
+			t.Errorf("another job with the identifier was answered %q", got)
+		}
+		p.submit(t, "b", time.Hour)
+		if got := p.submit(t, "c", time.Second); got != message.JobOverLimit {
+			t.Errorf("third job of a team with max_jobs 2 was answered %q", got)
+		}
+		time.Sleep(5 * time.Second)
+		_ = p.Signals.Put(t.Context(), message.EvictTask{Task: "a/1", Server: testServer})
+		time.Sleep(30 * time.Second)
+		starts, _ := p.counts()
+		if v := p.view(t, "a"); v.State != task.Finished || starts["a/0"] != 1 || starts["a/1"] != 2 {
+			t.Errorf("job is %+v after starts %v; want finished, the evicted task started twice", v, starts)
+		}
+		if p.ended.Load() != 3 {
+			t.Errorf("the partition duty was told of %d ends, want 3", p.ended.Load())
+		}
+		got := p.command(t, func(r *supervise.Ring[message.JobReply]) message.JobCommand {
+			return message.CancelJob{Reply: r, ID: "b"}
+		})
+		time.Sleep(5 * time.Second)
+		if v := p.view(t, "b"); got.Outcome != message.JobAccepted || v.State != task.CancelledState || v.Running != 0 {
+			t.Errorf("cancelled job is %+v after %q", v, got.Outcome)
+		}
+	})
+}
+
+// Guards against starts during an outage of the log, tasks that lose their
+// lease in it, and ends that are lost.
+func TestLogOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T, p *platform) {
+		p.submit(t, "before", 10*time.Minute)
+		time.Sleep(5 * time.Second)
+		p.down.Store(true)
+		_, before := p.counts()
+		if got := p.submit(t, "during", time.Second); got != message.JobUnconfirmed {
+			t.Errorf("submission in the outage was answered %q", got)
+		}
+		time.Sleep(time.Hour)
+		starts, renewals := p.counts()
+		if len(starts) != 2 {
+			t.Errorf("tasks %v were started, want the 2 from before the outage", starts)
+		}
+		if got := renewals - before; got < 3600/4 {
+			t.Errorf("%d renewals in an hour, want one every 3 s", got)
+		}
+		p.down.Store(false)
+		time.Sleep(30 * time.Second)
+		if v := p.view(t, "before"); v.State != task.Finished || v.Done != 2 {
+			t.Errorf("job is %+v after the outage, want finished", v)
+		}
+	})
+}
+
+// Guards against tasks that are started again or forgotten when the ledger
+// duty loses its state.
+func TestLedgerRestartAdoptsTasks(t *testing.T) {
+	inBubble(t, func(t *testing.T, p *platform) {
+		p.submit(t, "a", time.Minute)
+		time.Sleep(5 * time.Second)
+		_ = p.Commands.Put(t.Context(), message.ListJobs{Reply: nil}) // makes the ledger panic
+		time.Sleep(2 * time.Minute)
+		starts, _ := p.counts()
+		if v := p.view(t, "a"); v.State != task.Finished || starts["a/0"] != 1 || starts["a/1"] != 1 {
+			t.Errorf("job is %+v after starts %v, want finished after one start each", v, starts)
+		}
+		if n := p.restarts.Load(); n != 1 {
+			t.Errorf("%d duties were restarted, want the ledger", n)
+		}
+	})
+}
