--- a/decision/task/offer.go
+++ b/decision/task/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"lacewingfork.example/lacewingfork/fleet"
@@ -49,19 +50,22 @@
 		l.probe(now)
 		return
 	}
-	for _, id := range l.heldInOrder() {
-		l.offerFor(now, l.holdings[id])
+	for _, h := range l.toScan(now) {
+		l.offerFor(now, h)
 	}
 }
 
-// heldInOrder makes the plan independent of the order of a map.
-func (l *Ledger) heldInOrder() []fleet.PartitionID {
-	ids := make([]fleet.PartitionID, 0, len(l.holdings))
-	for id := range l.holdings {
-		ids = append(ids, id)
+// toScan returns the held partitions for which a task may be looked for now, in
+// an order that doesn't depend on that of a map.
+func (l *Ledger) toScan(now time.Time) []*holding {
+	var list []*holding
+	for _, h := range l.holdings {
+		if h.ready && !now.Before(h.scanAt) && now.Before(h.until) {
+			list = append(list, h)
+		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.SortFunc(list, func(a, b *holding) int { return strings.Compare(string(a.partition), string(b.partition)) })
+	return list
 }
 
 // probe makes one offer while the log is silent and no start is on its way.
@@ -69,18 +73,14 @@
 	if len(l.proposals) > 0 {
 		return
 	}
-	for _, id := range l.heldInOrder() {
-		h := l.holdings[id]
-		if h.ready && now.Before(h.until) && l.offerOne(now, h) {
+	for _, h := range l.toScan(now) {
+		if l.offerOne(now, h) {
 			return
 		}
 	}
 }
 
 func (l *Ledger) offerFor(now time.Time, h *holding) {
-	if !h.ready || now.Before(h.scanAt) || !now.Before(h.until) {
-		return
-	}
 	h.declined = slices.DeleteFunc(h.declined, func(d declined) bool { return !now.Before(d.until) })
 	for h.offers < l.settings.OffersPerPartition {
 		if !l.offerOne(now, h) {
--- a/decision/task/queue.go
+++ b/decision/task/queue.go
@@ -14,7 +14,9 @@
 // in their order.
 type jobQueue struct {
 	job        *job
+	hash       uint64              // of the job's identifier
 	partitions []fleet.PartitionID // that could hold a task, sorted
+	hashes     []uint64            // of partitions
 	firsts     map[fleet.PartitionID]*fifo
 }
 
@@ -78,11 +80,12 @@
 	}
 	q := l.queues[id]
 	if q == nil {
-		q = &jobQueue{job: j}
+		q = &jobQueue{job: j, hash: xxhash.Sum64String(string(id))}
 		l.queues[id] = q
 		l.teamQueues[j.spec.Team] = append(l.teamQueues[j.spec.Team], q)
 	}
-	q.partitions, q.firsts = l.couldHold(j.spec.Resources), map[fleet.PartitionID]*fifo{}
+	q.setPartitions(l.couldHold(j.spec.Resources))
+	q.firsts = map[fleet.PartitionID]*fifo{}
 	for i := range j.tasks {
 		if j.tasks[i].state == waiting && l.proposals[Ref{id, i}] == nil {
 			l.queueTask(Ref{id, i}, now, false)
@@ -145,7 +148,11 @@
 		}
 		head := f.items[0]
 		waited := now.Sub(head.since)
-		if waited >= l.settings.HandOver && waited >= time.Duration(q.rank(head.index, p))*l.settings.HandOver {
+		if waited < l.settings.HandOver {
+			continue
+		}
+		rounds := int(waited / l.settings.HandOver)
+		if rounds >= len(q.partitions) || rounds >= q.rank(head.index, p) {
 			return f
 		}
 	}
@@ -164,13 +171,20 @@
 	return false
 }
 
+func (q *jobQueue) setPartitions(partitions []fleet.PartitionID) {
+	q.partitions, q.hashes = partitions, make([]uint64, len(partitions))
+	for i, p := range partitions {
+		q.hashes[i] = xxhash.Sum64String(string(p))
+	}
+}
+
 // first returns the first partition in a task's order, or "" without any.
 func (q *jobQueue) first(index int) fleet.PartitionID {
 	var best fleet.PartitionID
 	var bestScore uint64
 	seed := q.seed(index)
-	for _, p := range q.partitions {
-		if s := score(seed, p); best == "" || s > bestScore {
+	for i, p := range q.partitions {
+		if s := score(seed, q.hashes[i]); best == "" || s > bestScore {
 			best, bestScore = p, s
 		}
 	}
@@ -180,10 +194,10 @@
 // rank returns the place of a partition in a task's order, from 0.
 func (q *jobQueue) rank(index int, of fleet.PartitionID) int {
 	seed := q.seed(index)
-	own := score(seed, of)
+	own := score(seed, xxhash.Sum64String(string(of)))
 	rank := 0
-	for _, p := range q.partitions {
-		if score(seed, p) > own {
+	for _, h := range q.hashes {
+		if score(seed, h) > own {
 			rank++
 		}
 	}
@@ -191,13 +205,13 @@
 }
 
 func (q *jobQueue) seed(index int) uint64 {
-	return xxhash.Sum64String(string(q.job.spec.ID)) + uint64(index)*0x9E3779B97F4A7C15
+	return q.hash + uint64(index)*0x9E3779B97F4A7C15
 }
 
 // score is the weight of rendezvous hashing; the finaliser is that of
 // splitmix64.
-func score(seed uint64, p fleet.PartitionID) uint64 {
-	z := seed ^ xxhash.Sum64String(string(p))
+func score(seed, partition uint64) uint64 {
+	z := seed ^ partition
 	z = (z ^ z>>30) * 0xBF58476D1CE4E5B9
 	z = (z ^ z>>27) * 0x94D049BB133111EB
 	return z ^ z>>31
--- a/decision/task/upkeep.go
+++ b/decision/task/upkeep.go
@@ -112,7 +112,8 @@
 // ownRank returns the best place that a held partition has in a job's order
 // over all listed partitions.
 func (l *Ledger) ownRank(id fleet.JobID) (int, bool) {
-	q := jobQueue{job: l.fold.jobs[id], partitions: l.couldHold(fleet.Resources{})}
+	q := jobQueue{job: l.fold.jobs[id], hash: xxhash.Sum64String(string(id))}
+	q.setPartitions(l.couldHold(fleet.Resources{}))
 	best, holds := 0, false
 	for _, p := range q.partitions {
 		if l.holdings[p] == nil {
