--- a/decision/partition/completion.go
+++ b/decision/partition/completion.go
@@ -9,13 +9,11 @@
 	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/decision/placement"
 	"lacewingfork.example/lacewingfork/decision/retry"
-	"lacewingfork.example/lacewingfork/fleet"
 )
 
 // Complete takes the end of a placement. Late, repeated and unknown ones are
 // ignored; the slots that they may stand for stay as they are counted.
 func (s *State) Complete(now time.Time, c Completion, out []Action) []Action {
-	s.lastSeen = now
 	place, known := s.byID[c.ID]
 	if !known {
 		return out
@@ -54,9 +52,6 @@
 	// Nothing runs on the server when nothing was written.
 	s.servers.End(now, r.server, r.long, c.SlotReleased || c.Result == NotWritten)
 	s.queue.Hold(r.team, -1)
-	if r.work.Class < fleet.Batch {
-		s.latencyCritical--
-	}
 	if c.Leaving {
 		s.servers.MarkLeaving(now, r.server)
 		s.breakers.Reset(int(r.server))
--- a/decision/partition/requests.go
+++ b/decision/partition/requests.go
@@ -20,7 +20,6 @@
 // Submit decides on a new request. A request whose ID is already known is
 // ignored: the ending of the first one is the ending of both.
 func (s *State) Submit(now time.Time, w Work, out []Action) []Action {
-	s.lastSeen = now
 	if _, known := s.byID[w.ID]; known {
 		return out
 	}
@@ -35,9 +34,14 @@
 	if s.servers.Capacity() == 0 {
 		return s.refuse(now, w.ID, outcome.NoCapacity, retryAfterNoServer, out)
 	}
-	r := request{work: w, estimate: operation, arrived: now, server: placement.NoServer, team: s.queue.Team(w.Team)}
-	s.need(now, 1)
+	r := request{
+		work: w, estimate: operation, arrived: now, server: placement.NoServer, team: s.queue.Team(w.Team),
+		service: s.relief.estimates.Service(w.Service),
+	}
 	kind := kindOf(&r)
+	if w.Class < fleet.Batch {
+		s.servers.Need(now, operation.Mean(), kind == admission.Long)
+	}
 	if s.queue.Backlog(kind) == 0 {
 		if server := s.choose(now, &r, kind); server != placement.NoServer {
 			return s.run(now, s.enter(r), server, out)
@@ -55,11 +59,6 @@
 	return admission.Short
 }
 
-// need tells the placement how many slots latency-critical requests could use.
-func (s *State) need(now time.Time, more int) {
-	s.servers.Need(now, s.latencyCritical+more+s.queue.Waiting(fleet.Urgent)+s.queue.Waiting(fleet.Normal))
-}
-
 // wait puts a request into the queue, or refuses it.
 func (s *State) wait(now time.Time, r request, kind admission.Kind, out []Action) []Action {
 	// A run that is started so late that it can't end in time would waste its
@@ -82,7 +81,6 @@
 // Cancel withdraws a request that waits. A running one runs to its end and
 // isn't tried again.
 func (s *State) Cancel(now time.Time, id fleet.RequestID, out []Action) []Action {
-	s.lastSeen = now
 	place, known := s.byID[id]
 	if !known {
 		return out
@@ -101,15 +99,13 @@
 }
 
 // Tick refuses waiting requests whose time has passed, starts attempts that
-// are due and carries on with relief. It is due at NextTick.
-func (s *State) Tick(now time.Time, out []Action) []Action {
-	out = s.drain(now, out)
-	return s.relieve(now, out)
-}
+// are due. It is due at NextTick. Relief goes on with usage reports only,
+// because only they show whether it is needed.
+func (s *State) Tick(now time.Time, out []Action) []Action { return s.drain(now, out) }
 
 // drain starts waiting requests while there is room.
 func (s *State) drain(now time.Time, out []Action) []Action {
-	s.lastSeen = now
+	s.drained = now
 	s.servers.Expire(now)
 	for h, ok := s.queue.Expired(now); ok; h, ok = s.queue.Expired(now) {
 		out = s.end(now, s.queue.Remove(h).Owner, outcome.DeadlineExceeded, 0, out)
@@ -144,9 +140,10 @@
 
 // choose returns the backend server for a request, or NoServer.
 func (s *State) choose(now time.Time, r *request, kind admission.Kind) placement.Index {
-	ask := placement.Request{Service: r.work.Service, Long: kind == admission.Long, Avoid: r.server}
+	ask := placement.Request{Long: kind == admission.Long, Avoid: r.server}
+	s.relief.costOf = r.service
 	r.long = ask.Long
-	return s.servers.Choose(now, ask, gate{s}, cost{s}, &s.weighed)
+	return s.servers.Choose(now, ask, gate{s}, cost{&s.relief}, &s.weighed)
 }
 
 // run places a request on a backend server.
@@ -160,9 +157,6 @@
 	s.servers.Start(server, r.long)
 	s.breakers.Started(int(server))
 	s.queue.Hold(r.team, 1)
-	if r.work.Class < fleet.Batch {
-		s.latencyCritical++
-	}
 	id := s.servers.ID(server)
 	s.explain(Decision{
 		At: now, Subject: string(r.work.ID), Verdict: VerdictRun, Server: id, Wait: now.Sub(r.arrived),
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -65,7 +66,11 @@
 
 func (c *cluster) scenario(ctx context.Context, out io.Writer) (Report, error) {
 	var report Report
-	t, err := newTraffic(c.callersAddresses(), loadRate*int(loadDuration.Seconds()))
+	b := newBalancer()
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go b.watch(watchCtx, c.addresses())
+	t, err := newTraffic(b, c.callersAddresses(), loadRate*int(loadDuration.Seconds()))
 	if err != nil {
 		return report, err
 	}
@@ -112,7 +117,7 @@
 		if err != nil {
 			return err
 		}
-		if b.end == endRefused && runs > 0 {
+		if strings.HasPrefix(b.end, endRefused) && runs > 0 {
 			report.RefusedThatRan++
 		}
 		if b.end == endAnswered && runs == 0 {
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -29,10 +29,6 @@
 )
 
 const (
-	// MaxBodyBytes bounds the body of a request.
-	MaxBodyBytes = 1 << 20
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 16 << 10
 	// readTimeout bounds the time that a caller takes to send its request.
 	readTimeout = 30 * time.Second
 	// idleTimeout closes connections that callers left open.
@@ -46,6 +42,11 @@
 type Settings struct {
 	Instance    fleet.InstanceID
 	StopTimeout time.Duration
+	// MaxBodyBytes and MaxHeaderBytes bound a request.
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	// MaxDeadline bounds the deadline whatever the configuration says.
+	MaxDeadline time.Duration
 }
 
 // Supervisor runs the server duty and the duty that keeps the configuration
@@ -57,11 +58,14 @@
 	metrics     *Metrics
 
 	Configurations *message.ConfigurationRing
-	configuration  atomic.Pointer[message.ConfigurationInForce]
-	stopping       atomic.Bool
-	sequence       atomic.Uint64
-	incarnation    string
-	server         *http.Server
+	// Wanted asks the configuration duty for the version in force; set before
+	// the tree serves.
+	Wanted        *supervise.Ring[message.ConfigurationWanted]
+	configuration atomic.Pointer[message.ConfigurationInForce]
+	stopping      atomic.Bool
+	sequence      atomic.Uint64
+	incarnation   string
+	server        *http.Server
 }
 
 // New adds the callers supervisor below root. register adds further routes,
@@ -82,7 +86,7 @@
 		add(router)
 	}
 	s.server = &http.Server{
-		Handler: router, MaxHeaderBytes: maxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Handler: router, MaxHeaderBytes: settings.MaxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 	}
 	tree := root.Child("callers", supervise.DefaultIntensity)
 	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
@@ -103,6 +107,7 @@
 // follow publishes the newest configuration to the decoding goroutines, which
 // read it without a lock.
 func (s *Supervisor) follow(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	_ = s.Wanted.Put(ctx, message.ConfigurationWanted{Ring: s.Configurations})
 	for {
 		select {
 		case <-ctx.Done():
--- a/entry/platform/platform_test.go
+++ b/entry/platform/platform_test.go
@@ -125,9 +125,9 @@
 
 func (f *fixture) expect(next fleet.Offset, want string) fleet.Offset {
 	f.Helper()
-	got, _, next := f.delivered(next)
-	if got != want {
-		f.Errorf("delivered %q, want %q", got, want)
+	got, truncated, next := f.delivered(next)
+	if got != want || truncated {
+		f.Errorf("delivered %q (truncated %t), want %q", got, truncated, want)
 	}
 	return next
 }
@@ -171,6 +171,37 @@
 	}
 }
 
+// Guards against more than 300 appends a second by seven writers at the target
+// size of 1,200 task starts a second.
+func TestAppendsAtTargetSize(t *testing.T) {
+	const writers, startsPerSecond, mostAppends, seconds = 7, 1200, 300, 10
+	run(t, standin.Retention{}, &panickingLog{}, func(f *fixture) {
+		f.start()
+		entries, next := 0, fleet.Offset(0)
+		deliver := func() {
+			var ids string
+			ids, _, next = f.delivered(next)
+			entries += strings.Count(ids, "start")
+		}
+		for range seconds * startsPerSecond / writers {
+			f.append("start")
+			f.wait(time.Second * writers / startsPerSecond)
+			deliver()
+		}
+		f.wait(time.Second)
+		deliver()
+		s := f.standin.Streams()[0]
+		if rate := writers * s.Appends / seconds; rate > mostAppends {
+			f.Errorf("%d appends a second, most is %d", rate, mostAppends)
+		} else {
+			f.Logf("%d appends a second", rate)
+		}
+		if entries != seconds*startsPerSecond/writers {
+			f.Errorf("%d entries were delivered", entries)
+		}
+	})
+}
+
 // Guards against a reader that hammers the log service in an outage, or whose
 // state cannot be seen then, and against one that comes back late.
 func TestReaderInOutage(t *testing.T) {
@@ -226,6 +257,25 @@
 	})
 }
 
+// Guards against a read that ended just before a rewind and is delivered as if
+// it came from the new offset.
+func TestRewindDropsFinishedRead(t *testing.T) {
+	fold := supervise.NewRing[message.LogRecords]("fold", 1, supervise.Refuse)
+	stream := Stream{Name: "s", From: 5, Folds: []*supervise.Ring[message.LogRecords]{fold}}
+	r := newReader(stream, newCallRing[readQuestion, platformapi.Batch]("calls"), nil)
+	r.retry = time.NewTimer(time.Hour)
+	defer r.endCall()
+	r.ask(t.Context())
+	r.rewind(2)
+	late := result[platformapi.Batch]{answer: platformapi.Batch{Next: 6, End: 6, Records: []platformapi.Record{{Offset: 5, Data: []byte(`[{"id":"x"}]`)}}}}
+	if err := r.take(t.Context(), late); err != nil || r.next != 2 {
+		t.Errorf("next %d, %v", r.next, err)
+	}
+	if depth := fold.Stats().Depth; depth != 0 {
+		t.Errorf("%d batches were delivered", depth)
+	}
+}
+
 // Guards against a call duty whose failure leaves the writer waiting or hides
 // that the append may have taken effect.
 func TestCallDutyPanics(t *testing.T) {
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -1,10 +1,11 @@
 package entry
 
 import (
-	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"lacewingfork.example/lacewingfork/decision/lease"
+	"lacewingfork.example/lacewingfork/entry/batch"
 	"lacewingfork.example/lacewingfork/entry/callers"
 	"lacewingfork.example/lacewingfork/entry/configuration"
 	"lacewingfork.example/lacewingfork/entry/dispatch"
@@ -16,8 +17,9 @@
 	"lacewingfork.example/lacewingfork/entry/routing"
 	"lacewingfork.example/lacewingfork/entry/scheduling"
 	"lacewingfork.example/lacewingfork/fleet"
-	"lacewingfork.example/lacewingfork/peerpb"
 	"lacewingfork.example/lacewingfork/platformapi"
+	ownershiprecords "lacewingfork.example/lacewingfork/records/ownership"
+	taskrecords "lacewingfork.example/lacewingfork/records/task"
 	"lacewingfork.example/lacewingfork/settings"
 	"lacewingfork.example/lacewingfork/supervise"
 )
@@ -30,10 +32,10 @@
 // own.
 var providers = fx.Options(
 	fx.Provide(
-		newOwnHints, newClients, newConfigurationRings, newOwnership,
-		newRouting, newPeers, newPlatform, dispatch.New, newScheduling, newCallers, newOperations, newStopper,
+		newOwnHints, newClients, newConfigurationRings, newOwnershipRings,
+		newRouting, newPeers, newPlatform, newDispatch, newBatch, newScheduling, newCallers, newOperations, newStopper,
 	),
-	fx.Invoke(startOwnership, startConfiguration, startRouting, startPlatform),
+	fx.Invoke(startOwnership, startConfiguration, startRouting, startBatch, startPlatform),
 )
 
 type ownHintsRing = *supervise.Ring[[]message.LoadHint]
@@ -62,16 +64,24 @@
 }
 
 func newPlatform(
-	clients platformClients, s settings.Settings, rings *configuration.Rings, owner *ownership.Duty,
-	route *routing.Duty, sched *scheduling.Supervisor, links *peers.Supervisor, ops *operations.Supervisor,
+	clients platformClients, s settings.Settings, rings *configuration.Rings, owner *ownership.Rings,
+	route *routing.Duty, sched *scheduling.Supervisor, links *peers.Supervisor, ops *operations.Supervisor, ledger *batch.Supervisor,
 ) *platform.Platform {
 	return platform.New(platform.Settings{
 		Log: clients.log, List: clients.list, Workers: clients.workers,
-		Streams: []platform.Stream{{
-			Name: streamConfiguration, Folds: []*supervise.Ring[message.LogRecords]{rings.Log}, Rewinds: rings.Rewinds,
-		}},
-		Snapshots: []*message.SnapshotRing{owner.Snapshots, route.Snapshots, sched.Snapshots, links.Snapshots, ops.Snapshots},
-		Usage:     []platform.UsageSubscription{{DataCentre: s.Instance.DataCentre, Ring: sched.Usage}},
+		Streams: []platform.Stream{
+			{Name: streamConfiguration, Folds: []*supervise.Ring[message.LogRecords]{rings.Log}, Rewinds: rings.Rewinds},
+			{
+				Name: ownershiprecords.Stream(s.Instance.Region), Folds: []*supervise.Ring[message.LogRecords]{owner.Log},
+				Rewinds: owner.Rewinds,
+			},
+			{
+				Name: taskrecords.Stream(s.Instance.Region), Folds: []*supervise.Ring[message.LogRecords]{ledger.Records},
+				Rewinds: ledger.Rewinds(),
+			},
+		},
+		Snapshots:   []*message.SnapshotRing{owner.Snapshots, route.Snapshots, sched.Snapshots, links.Snapshots, ops.Snapshots, ledger.Snapshots},
+		UsageRegion: &platform.UsageRegion{Region: s.Instance.Region, Rings: []*message.UsageRing{sched.Usage, ledger.Usage}},
 	})
 }
 
@@ -83,8 +93,12 @@
 	return &rings
 }
 
-func newOwnership(s settings.Settings) *ownership.Duty {
-	return ownership.New(s.Instance.ID, s.Instance.Region)
+// newOwnershipRings returns the rings of the lease duty; those that lead to
+// other duties are set when it is started.
+func newOwnershipRings() *ownership.Rings {
+	rings := ownership.NewRings()
+	rings.Rewinds = supervise.NewRing[message.Rewind]("ownership.rewinds", 1, supervise.DropOldest)
+	return &rings
 }
 
 func newRouting(s settings.Settings, hints ownHintsRing, events *supervise.Ring[message.Event]) *routing.Duty {
@@ -94,55 +108,97 @@
 
 func newPeers(
 	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, hints ownHintsRing,
-	rings *configuration.Rings,
+	rings *configuration.Rings, owner *ownership.Rings,
 ) *peers.Supervisor {
 	place := peers.Settings{Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre}
 	receivers := peers.Receivers{
 		Submissions: route.Submissions, Hints: route.Hints,
 		ConfigurationRequests: rings.Requests, ConfigurationOffers: rings.Offers,
-		Control: func(fleet.InstanceID, *peerpb.Frame) {},
+		PromiseRequests: owner.Requests, Promises: owner.Promises, GiveBacks: owner.GiveBacks,
 	}
 	return peers.New(tree, place, l.Peers, receivers, route.Links, hints)
 }
 
+func newDispatch(tree *supervise.Tree, s settings.Settings) *dispatch.Supervisor {
+	return dispatch.New(tree, s.Limits.ConnectionMaxAge)
+}
+
 func newScheduling(
-	tree *supervise.Tree, lines *dispatch.Supervisor, route *routing.Duty, owner *ownership.Duty,
-	events *supervise.Ring[message.Event],
+	tree *supervise.Tree, lines *dispatch.Supervisor, route *routing.Duty, owner *ownership.Rings,
+	events *supervise.Ring[message.Event], ledger *batch.Supervisor,
 ) *scheduling.Supervisor {
-	return scheduling.New(tree, lines, route.Partitions, owner.Relinquish, events)
+	return scheduling.New(tree, lines, route.Partitions, owner.Relinquish, events, ledger.Signals)
+}
+
+func newBatch(s settings.Settings, clients platformClients, events *supervise.Ring[message.Event]) *batch.Supervisor {
+	return batch.NewRings(batch.Settings{
+		Instance: s.Instance.ID, Region: s.Instance.Region, Workers: clients.workers, Events: events,
+		Rewinds: supervise.NewRing[message.Rewind]("batch.rewinds", 1, supervise.DropOldest),
+	})
+}
+
+func startBatch(tree *supervise.Tree, ledger *batch.Supervisor, p *platform.Platform) {
+	ledger.Start(tree, p.Appends())
 }
 
 func newCallers(
-	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, registry *prometheus.Registry,
+	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, registry *prometheus.Registry, ledger *batch.Supervisor,
 ) *callers.Supervisor {
-	place := callers.Settings{Instance: s.Instance.ID, StopTimeout: s.Process.StopTimeout}
-	var routes []func(*mux.Router)
-	return callers.New(tree, place, l.Callers, route.Submissions, callers.NewMetrics(registry), routes...)
+	place := callers.Settings{
+		Instance: s.Instance.ID, StopTimeout: s.Process.StopTimeout,
+		MaxBodyBytes: s.Limits.BodyBytes, MaxHeaderBytes: s.Limits.HeaderBytes, MaxDeadline: s.Limits.MaxDeadline,
+	}
+	return callers.New(
+		tree, place, l.Callers, route.Submissions, callers.NewMetrics(registry), callers.RegisterJobs(ledger.Commands),
+	)
 }
 
 func newOperations(
 	tree *supervise.Tree, s settings.Settings, l *Listeners, events *supervise.Ring[message.Event],
 	registry *prometheus.Registry, shutdowner fx.Shutdowner, sched *scheduling.Supervisor,
 ) *operations.Supervisor {
-	place := operations.Settings{Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre}
+	place := operations.Settings{
+		Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre,
+		History: s.Limits.ExplanationHistory,
+	}
 	return operations.New(tree, place, l.Operations, events, registry, func() { _ = shutdowner.Shutdown() }, sched.Explains)
 }
 
 func startOwnership(
-	tree *supervise.Tree, owner *ownership.Duty, route *routing.Duty, sched *scheduling.Supervisor, ops *operations.Supervisor,
+	tree *supervise.Tree, s settings.Settings, l *Listeners, owner *ownership.Rings, p *platform.Platform, links *peers.Supervisor,
+	route *routing.Duty, sched *scheduling.Supervisor, ops *operations.Supervisor, ledger *batch.Supervisor,
 ) {
-	owner.Subscribers = []*message.HoldingsRing{route.Holdings, sched.Holdings, ops.Holdings}
-	owner.Start(tree.Child("ownership", supervise.DefaultIntensity))
+	owner.Subscribers = []*message.HoldingsRing{route.Holdings, sched.Holdings, ops.Holdings, ledger.Holdings}
+	owner.Appends, owner.Events = p.Appends(), ops.Events
+	owner.SendRequests, owner.SendPromises, owner.SendGiveBacks = links.PromiseRequests, links.Promises, links.GiveBacks
+	duty := ownership.NewLeaseDuty(ownership.Settings{
+		Instance: fleet.Instance{
+			ID: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre,
+			PeerAddress: advertised(s.Listen, l),
+		},
+		Lease: leaseSettings(s.Lease),
+	}, *owner)
+	tree.Child("ownership", supervise.DefaultIntensity).Start(duty)
+}
+
+// leaseSettings keeps the proportions of the defaults for times that no
+// setting names.
+func leaseSettings(s settings.Lease) lease.Settings {
+	l := lease.DefaultSettings()
+	l.TTL, l.ListLag, l.ListStale, l.Margin = s.TTL, s.ListLag, s.ListAge, s.Margin
+	l.RenewEvery = s.TTL / 4
+	return l
 }
 
 func startConfiguration(
 	tree *supervise.Tree, s settings.Settings, rings *configuration.Rings, appends *platform.Platform,
 	route *routing.Duty, sched *scheduling.Supervisor, front *callers.Supervisor, ops *operations.Supervisor,
-	links *peers.Supervisor,
+	links *peers.Supervisor, ledger *batch.Supervisor,
 ) {
 	rings.Subscribers = []*message.ConfigurationRing{
-		route.Configurations, sched.Configurations, front.Configurations, ops.Configurations,
+		route.Configurations, sched.Configurations, front.Configurations, ops.Configurations, ledger.Configurations,
 	}
+	route.Wanted, sched.Wanted, front.Wanted, ops.Wanted = rings.Wanted, rings.Wanted, rings.Wanted, rings.Wanted
 	rings.Appends = appends.Appends()
 	rings.Asks = links.ConfigurationAsks
 	duty := configuration.New(configuration.DefaultSettings(s.Instance.ID), *rings)
--- a/standin/control.go
+++ b/standin/control.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"net"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -28,6 +29,9 @@
 	Key     int `json:"key"`
 }
 
+// controlRoutes serves what a test or demo drives the stand-in with; the bodies
+// are the types of this package as JSON. A PUT of faults replaces all earlier
+// ones of the same part, so an empty object lifts them.
 func (s *StandIn) controlRoutes(r *mux.Router) {
 	put, get, remove := http.MethodPut, http.MethodGet, http.MethodDelete
 	r.HandleFunc("/control/violations", s.serveViolations).Methods(get)
@@ -37,6 +41,7 @@
 	r.HandleFunc("/control/faults", s.serveFaults).Methods(get)
 	r.HandleFunc("/control/faults/log", s.serveLogFaults).Methods(put)
 	r.HandleFunc("/control/faults/list", s.serveListFaults).Methods(put)
+	r.HandleFunc("/control/faults/connections", s.serveSilence).Methods(http.MethodPost)
 	r.HandleFunc("/control/faults/backend-servers/{id}", s.serveBackendFaults).Methods(put)
 	r.HandleFunc("/control/instances", s.servePutInstance).Methods(put)
 	r.HandleFunc("/control/instances/{id}/leaving", s.serveInstanceLeaving).Methods(put)
@@ -52,6 +57,9 @@
 // BackendServers returns the counters of each backend server.
 func (s *StandIn) BackendServers() []BackendStats { return s.machines.stats() }
 
+// Streams returns the state of each stream, in the order of their names.
+func (s *StandIn) Streams() []StreamState { return s.log.states() }
+
 // Runs returns how often a request identifier and a request key ran.
 func (s *StandIn) Runs(requestID, key string) Runs {
 	s.machines.mu.Lock()
@@ -71,6 +79,10 @@
 	return s.machines.setFaults(id, f)
 }
 
+// SilenceConnections makes every open connection to the platform silent for
+// good; new ones work.
+func (s *StandIn) SilenceConnections() { s.listener.silenceOpen(nil) }
+
 // PutInstance registers an entry instance, or changes it.
 func (s *StandIn) PutInstance(i fleet.Instance) { s.registry.putInstance(i) }
 
@@ -85,7 +97,7 @@
 	}
 	b.Leaving = leaving
 	s.registry.putServer(b)
-	s.machines.setLeaving(id, leaving, s.settings.listLag())
+	s.machines.setLeaving(id, leaving)
 	return true
 }
 
@@ -104,7 +116,7 @@
 }
 
 func (s *StandIn) serveStreams(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.log.states())
+	writeJSON(w, s.Streams())
 }
 
 func (s *StandIn) serveRuns(w http.ResponseWriter, r *http.Request) {
@@ -135,6 +147,13 @@
 	}
 }
 
+// serveSilence spares the connection that the call came on.
+func (s *StandIn) serveSilence(w http.ResponseWriter, r *http.Request) {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	s.listener.silenceOpen(conn)
+	writeJSON(w, struct{}{})
+}
+
 func (s *StandIn) serveBackendFaults(w http.ResponseWriter, r *http.Request) {
 	var f BackendFaults
 	if !readJSON(w, r, &f) {
