--- a/decision/task/action.go
+++ b/decision/task/action.go
@@ -143,7 +143,7 @@
 	EventLogSilent   EventKind = "task_log_silent"
 	EventLogAnswers  EventKind = "task_log_answers"
 	EventRebuilt     EventKind = "task_state_rebuilt"
-	EventTooLarge    EventKind = "job_too_large"
+	EventStateLost   EventKind = "task_state_lost"
 	EventStartIgnore EventKind = "task_start_rejected"
 )
 
--- a/decision/task/fold_test.go
+++ b/decision/task/fold_test.go
@@ -202,6 +202,36 @@
 	})
 }
 
+// Guards against a region without batch work for ever after all instances were
+// down until the last snapshot was dropped, and against states that differ then.
+func TestStateLost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	settings := DefaultSettings("entry-0", simRegion)
+	a, b := NewLedger(now, settings), NewLedger(now, settings)
+	a.Truncated(now)
+	a.CaughtUp(now, 800)
+	a.Step(now)
+	now = now.Add(stateLostAfter)
+	a.CaughtUp(now, 800)
+	if !a.Step(now).Snapshot || a.Ready() {
+		t.Fatal("no snapshot was asked for, or the state was used before it was read back")
+	}
+	snapshot := a.Fold().Snapshot()
+	a.AppendParts(now, []Part{{Snapshot: "a", Count: 1}})
+	part := a.Step(now).Appends[0]
+	b.Truncated(now) // starts later, with another oldest record
+	for i, l := range []*Ledger{a, b} {
+		l.Read(now, Position{Offset: 800}, part.ID, part.Record)
+		if !l.Restore(now, snapshot) {
+			t.Fatalf("instance %d did not take the snapshot", i)
+		}
+		l.CaughtUp(now, 801)
+		if !l.Ready() || len(l.pending) > 0 {
+			t.Fatalf("instance %d is ready %v with %d pending appends", i, l.Ready(), len(l.pending))
+		}
+	}
+}
+
 // Guards against a team that starves, and against idle shares that nobody may
 // use.
 func TestTeamShares(t *testing.T) {
@@ -217,7 +247,7 @@
 		j.Resources, j.TeamLimit = fleet.Resources{Slots: 1}, 9
 		read(Record{Kind: JobSubmitted, Job: &j})
 	}
-	l.CaughtUp(now)
+	l.CaughtUp(now, next+1)
 	l.SetHoldings(now, []Holding{{"a/1", 1, now.Add(time.Hour)}})
 	count := map[fleet.Team]int{}
 	for range 3 { // the first 64 offers are answered, so that more follow
@@ -301,7 +331,7 @@
 			Resources: fleet.Resources{Slots: 1}, TeamLimit: n,
 		}})
 	}
-	l.CaughtUp(now)
+	l.CaughtUp(now, next+1)
 	l.SetHoldings(now, held)
 	for _, o := range l.Step(now).Offers { // no partition has room
 		l.Declined(now, o.Task, o.Attempt, o.Partition)
--- a/decision/task/ledger.go
+++ b/decision/task/ledger.go
@@ -56,7 +56,7 @@
 		HandOver: 2 * time.Second, ReadBack: 2 * time.Second,
 		TooLarge: 30 * time.Second, StartPatience: 20 * time.Second,
 		MaxCalls: 1024, CallsPerServer: 2, OffersPerPartition: 64,
-		SnapshotRecords: 50_000, SnapshotAge: 5 * time.Minute,
+		SnapshotRecords: 50_000, SnapshotAge: 2 * time.Minute,
 	}
 }
 
--- a/decision/task/read.go
+++ b/decision/task/read.go
@@ -14,6 +14,10 @@
 	// done is set once the fold is complete up to the newest record read.
 	done     bool
 	caughtUp bool
+	// missingSince is when no further record was there and no snapshot had
+	// come; lost is set once the state was given up.
+	missingSince time.Time
+	lost         bool
 	// tail holds the records read while a snapshot is still missing. The
 	// log's retention bounds it.
 	tail []entry
@@ -58,18 +62,27 @@
 	l.logAnswered(now)
 	if !l.rebuild.done {
 		l.rebuild.tail = append(l.rebuild.tail, entry{at, id, r})
+		if l.pending[id] != nil {
+			delete(l.pending, id)
+			l.nextPart(now)
+		}
 		return NotApplicable
 	}
 	return l.apply(now, entry{at, id, r})
 }
 
-// CaughtUp tells that no newer record was in the log.
-func (l *Ledger) CaughtUp(now time.Time) {
+// CaughtUp tells that no newer record was in the log, whose next offset is
+// given.
+func (l *Ledger) CaughtUp(now time.Time, next fleet.Offset) {
 	if !l.rebuild.begun {
 		return
 	}
 	l.logAnswered(now)
-	if l.rebuild.caughtUp || !l.rebuild.done {
+	if !l.rebuild.done {
+		l.giveUpState(now, next)
+		return
+	}
+	if l.rebuild.caughtUp {
 		return
 	}
 	l.rebuild.caughtUp = true
@@ -81,6 +94,34 @@
 	}
 }
 
+// stateLostAfter is how long a snapshot may be missing. It is longer than an
+// instance that has the state takes to write one while no records come.
+const stateLostAfter = 15 * time.Minute
+
+// giveUpState ends the wait for a snapshot that nobody will write: all
+// instances were down until the log's retention had dropped the last one. What
+// the remaining records say is written as a snapshot, and every instance takes
+// the first that is complete, its own or another's, so that their states stay
+// equal.
+func (l *Ledger) giveUpState(now time.Time, next fleet.Offset) {
+	if l.rebuild.missingSince.IsZero() {
+		l.rebuild.missingSince = now
+	}
+	if l.rebuild.lost || now.Sub(l.rebuild.missingSince) < stateLostAfter {
+		return
+	}
+	l.rebuild.lost = true
+	l.fold = NewFold()
+	for _, e := range l.rebuild.tail {
+		l.fold.Apply(e.at, e.record)
+	}
+	if at := (Position{Offset: next - 1}); at.After(l.fold.position) {
+		l.fold.position = at
+	}
+	l.event(Event{Kind: EventStateLost, Detail: fmt.Sprintf("no snapshot; %d records are left", len(l.rebuild.tail))})
+	l.out.Snapshot = true
+}
+
 // Restore takes a snapshot whose parts were all read. It reports false when
 // the snapshot is not needed or older than the oldest record read.
 func (l *Ledger) Restore(now time.Time, s Snapshot) bool {
--- a/decision/task/sim_test.go
+++ b/decision/task/sim_test.go
@@ -235,7 +235,7 @@
 		m.snapshot = nil
 	}
 	if m.read == len(s.log) && !s.logDown {
-		m.ledger.CaughtUp(s.now)
+		m.ledger.CaughtUp(s.now, fleet.Offset((len(s.log)+1)/2))
 	}
 	s.act(m, m.ledger.Step(s.now))
 }
--- a/entry/batch/batch.go
+++ b/entry/batch/batch.go
@@ -61,6 +61,10 @@
 	Signals        *supervise.Ring[message.TaskSignal]
 	Commands       *supervise.Ring[message.JobCommand]
 
+	// Wanted asks the configuration duty for the version in force when the
+	// ledger starts again; set before Start, nil to go without.
+	Wanted *supervise.Ring[message.ConfigurationWanted]
+
 	calls   *supervise.Ring[message.TaskCall]
 	results *supervise.Ring[message.TaskCallDone]
 }
--- a/entry/batch/commands.go
+++ b/entry/batch/commands.go
@@ -60,7 +60,7 @@
 	t, known := l.teams[c.Job.Team]
 	c.Job.TeamLimit = t.MaxJobs
 	switch view, exists := l.planner.Fold().View(c.Job.ID); {
-	case !l.planner.Ready():
+	case !l.planner.Ready() || l.teams == nil:
 		answer(c.Reply, message.JobNotReady, task.JobView{})
 	case exists:
 		answer(c.Reply, repeatOutcome(view, c.Job), view)
--- a/entry/batch/ledger.go
+++ b/entry/batch/ledger.go
@@ -18,7 +18,7 @@
 	*Supervisor
 	planner  *task.Ledger
 	stream   string
-	teams    map[fleet.Team]configuration.Team
+	teams    map[fleet.Team]configuration.Team // nil until a configuration is known
 	routes   map[fleet.PartitionID]message.TaskRoute
 	ended    []message.TaskEnded // not taken by their partition duty yet
 	parts    taskrecord.Assembler
@@ -47,6 +47,11 @@
 			return err
 		}
 	}
+	if s.Wanted != nil {
+		if err := s.Wanted.Put(ctx, message.ConfigurationWanted{Ring: s.Configurations}); err != nil {
+			return err
+		}
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -130,7 +135,7 @@
 		}
 	}
 	if batch.CaughtUp {
-		l.planner.CaughtUp(now)
+		l.planner.CaughtUp(now, batch.Next)
 	}
 }
 
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -199,6 +199,7 @@
 		route.Configurations, sched.Configurations, front.Configurations, ops.Configurations, ledger.Configurations,
 	}
 	route.Wanted, sched.Wanted, front.Wanted, ops.Wanted = rings.Wanted, rings.Wanted, rings.Wanted, rings.Wanted
+	ledger.Wanted = rings.Wanted
 	rings.Appends = appends.Appends()
 	rings.Asks = links.ConfigurationAsks
 	duty := configuration.New(configuration.DefaultSettings(s.Instance.ID), *rings)
