Test the routing duty; keep one table of request keys

The partition duty kept a key table of its own beside that of its decision; it now uses the decision's. The routing duty's rules on what is offered to another holder, expiry, circles and restart are shown by tests on a bubble's clock, which pass under the race detector.

--- /dev/null
+++ b/entry/routing/routing_test.go
@@ -0,0 +1,184 @@
+package routing
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// harness runs a routing duty that holds accra-1/r1 itself and reaches
+// accra-2/r1 over a link to e2.
+type harness struct {
+	duty *Duty
+	own  *supervise.Ring[message.Submission]
+	link *supervise.Ring[message.Submission]
+}
+
+func run(t *testing.T, test func(ctx context.Context, h *harness)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		ring := func(name string) *supervise.Ring[message.Submission] {
+			return supervise.NewRing[message.Submission](name, 4, supervise.Refuse)
+		}
+		h := &harness{own: ring("own"), link: ring("link")}
+		h.duty = New(Settings{Instance: "e1", Region: "accra", DataCentre: "accra-1"},
+			supervise.NewRing[[]message.LoadHint]("hints", 1, supervise.DropOldest),
+			supervise.NewRing[message.Event]("events", 1, supervise.DropOldest))
+		h.duty.Wanted = supervise.NewRing[message.ConfigurationWanted]("wanted", 4, supervise.Refuse)
+		tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
+		h.duty.Start(tree)
+		go func() { _ = tree.Serve(ctx) }()
+		h.feed(ctx)
+		synctest.Wait()
+		test(ctx, h)
+		cancel()
+	})
+}
+
+// feed tells the duty all that it follows; it does so again after a restart.
+func (h *harness) feed(ctx context.Context) {
+	server := func(id, dc string) fleet.BackendServer {
+		return fleet.BackendServer{
+			ID: fleet.BackendServerID(id), Region: "accra", DataCentre: fleet.DataCentre(dc), Rack: "r1", Capacity: fleet.Resources{Slots: 8},
+		}
+	}
+	_ = h.duty.Configurations.Put(ctx, message.ConfigurationInForce{Version: 1, Value: &configuration.Configuration{Limits: configuration.DefaultLimits}})
+	_ = h.duty.Snapshots.Put(ctx, message.ListSnapshot{BackendServers: []fleet.BackendServer{server("b1", "accra-1"), server("b2", "accra-2")}})
+	_ = h.duty.Holdings.Put(ctx, message.Holdings{Holders: map[fleet.PartitionID]message.HolderView{
+		"accra-1/r1": {Holder: "e1", Epoch: 1}, "accra-2/r1": {Holder: "e2", Epoch: 1},
+	}})
+	_ = h.duty.Partitions.Put(ctx, message.PartitionChange{Opened: &message.PartitionOpened{Partition: "accra-1/r1", Epoch: 1, Submissions: h.own}})
+	_ = h.duty.Links.Put(ctx, message.LinkChange{Peer: "e2", Forwards: h.link})
+}
+
+func (h *harness) submit(s message.Submission) *supervise.Ring[message.Answer] {
+	s.Reply = supervise.NewRing[message.Answer]("reply", 1, supervise.Refuse)
+	_ = h.duty.Submissions.Put(context.Background(), s)
+	synctest.Wait()
+	return s.Reply
+}
+
+func requestOf(id fleet.RequestID, idempotent bool) *message.Request {
+	return &message.Request{ID: id, Service: "planner", Operation: "layout", Idempotent: idempotent, Deadline: time.Now().Add(time.Second)}
+}
+
+// next takes the request from the holder that it was handed to.
+func (h *harness) next(t *testing.T) (s message.Submission, forwarded bool) {
+	t.Helper()
+	select {
+	case s = <-h.own.Items():
+		return s, false
+	case s = <-h.link.Items():
+		return s, true
+	default:
+		t.Fatal("no holder got the request")
+		return s, false
+	}
+}
+
+// Guards against a second run of a request that may have run, and against a
+// refusal although another holder could take the request.
+func TestWhatIsOfferedToAnotherHolder(t *testing.T) {
+	cases := []struct {
+		name       string
+		idempotent bool
+		submission message.Submission
+		answer     message.Answer
+		again      bool
+	}{
+		{name: "refused, not the holder any more", answer: message.Answer{Outcome: outcome.RefusedNotRun, Reason: outcome.NotHolder}, again: true},
+		{name: "refused for its quota", answer: message.Answer{Outcome: outcome.RefusedNotRun, Reason: outcome.Quota}},
+		{name: "link lost, idempotent", idempotent: true, answer: message.Answer{Outcome: outcome.Unknown, Reason: outcome.LinkLost}, again: true},
+		{name: "link lost, not idempotent", answer: message.Answer{Outcome: outcome.Unknown, Reason: outcome.LinkLost}},
+		{name: "unknown at the backend server", idempotent: true, answer: message.Answer{Outcome: outcome.Unknown, Reason: outcome.BackendTimeout}},
+		{name: "bound by its key", submission: message.Submission{Partition: "accra-1/r1"}, answer: message.Answer{Outcome: outcome.RefusedNotRun, Reason: outcome.NotHolder}},
+		{name: "forwarded by another instance", submission: message.Submission{Partition: "accra-1/r1", Forwarded: true}, answer: message.Answer{Outcome: outcome.RefusedNotRun, Reason: outcome.NotHolder}},
+		{name: "answered", answer: message.Answer{Outcome: outcome.Answered, Status: 200}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(ctx context.Context, h *harness) {
+				c.submission.Request = requestOf("q1", c.idempotent)
+				reply := h.submit(c.submission)
+				first, viaLink := h.next(t)
+				c.answer.ID = "q1"
+				first.Deliver(c.answer)
+				synctest.Wait()
+				if !c.again {
+					if a := <-reply.Items(); a.Outcome != c.answer.Outcome || a.Reason != c.answer.Reason {
+						t.Errorf("answer %+v", a)
+					}
+					return
+				}
+				second, secondViaLink := h.next(t)
+				if secondViaLink == viaLink {
+					t.Error("the same holder got the request again")
+				}
+				second.Deliver(message.Answer{ID: "q1", Outcome: outcome.Answered, Status: 200})
+				if a := <-reply.Items(); a.Outcome != outcome.Answered {
+					t.Errorf("answer %+v", a)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that waits for ever for a holder that is gone, and
+// against a late answer that reaches somebody.
+func TestDeadlineEndsARequestAndLateAnswersAreDropped(t *testing.T) {
+	run(t, func(_ context.Context, h *harness) {
+		reply := h.submit(message.Submission{Request: requestOf("q1", true)})
+		s, _ := h.next(t)
+		time.Sleep(time.Second + answerGrace + time.Millisecond)
+		if a := <-reply.Items(); a.Outcome != outcome.Unknown || a.Reason != outcome.BackendTimeout {
+			t.Errorf("answer %+v", a)
+		}
+		s.Deliver(message.Answer{ID: "q1", Outcome: outcome.Answered})
+		synctest.Wait()
+		if reply.Stats().Depth != 0 {
+			t.Error("the late answer was delivered")
+		}
+	})
+}
+
+// Guards against a forwarded request that travels in a circle, and against a
+// holder that is still used after its link went down.
+func TestWhoIsNeverAsked(t *testing.T) {
+	run(t, func(ctx context.Context, h *harness) {
+		circle := h.submit(message.Submission{Request: requestOf("q1", true), Partition: "accra-2/r1", Forwarded: true})
+		if a := <-circle.Items(); a.Outcome != outcome.RefusedNotRun || a.Reason != outcome.NotHolder {
+			t.Errorf("answer to a circle %+v", a)
+		}
+		_ = h.duty.Links.Put(ctx, message.LinkChange{Peer: "e2"})
+		synctest.Wait()
+		for _, id := range []fleet.RequestID{"q2", "q3", "q4"} {
+			h.submit(message.Submission{Request: requestOf(id, true)})
+			if _, viaLink := h.next(t); viaLink {
+				t.Error("a request was put on a link that is down")
+			}
+		}
+	})
+}
+
+// Guards against an instance that stays without holders after its routing duty
+// failed.
+func TestRestartedDutyRoutesAgain(t *testing.T) {
+	run(t, func(ctx context.Context, h *harness) {
+		_ = h.duty.Submissions.Put(ctx, message.Submission{}) // no request: the duty panics
+		time.Sleep(time.Second)
+		h.feed(ctx)
+		synctest.Wait()
+		h.submit(message.Submission{Request: requestOf("q1", true)})
+		h.next(t)
+		if wanted := h.duty.Wanted.Stats().Depth; wanted != 2 {
+			t.Errorf("the configuration was asked for %d times, want once for each run", wanted)
+		}
+	})
+}
--- a/entry/scheduling/keys.go
+++ b/entry/scheduling/keys.go
@@ -30,11 +30,8 @@
 	ended   bool
 }
 
-func newKeyedRequests(partition fleet.PartitionID, epoch fleet.Epoch) *keyedRequests {
-	return &keyedRequests{
-		table: requestkey.New(partition, epoch, 0),
-		first: map[fleet.RequestID]*firstUse{},
-	}
+func newKeyedRequests(table *requestkey.Table) *keyedRequests {
+	return &keyedRequests{table: table, first: map[fleet.RequestID]*firstUse{}}
 }
 
 // issue returns a new key as an answer.
--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -149,8 +149,9 @@
 		lines:    map[fleet.BackendServerID]*dispatch.Line{},
 		pending:  map[fleet.RequestID]*pending{},
 		attempts: map[fleet.TaskID]int{},
-		keys:     newKeyedRequests(d.holding.Partition, d.holding.Epoch),
 	}
+	w.state.SetLease(d.holding.Partition, d.holding.Epoch)
+	w.keys = newKeyedRequests(w.state.Keys())
 	w.openLines(d.servers)
 	return w
 }
