Test the callers' front end with bad input, keys, lost callers and a stop

Eleven kinds of bad input, a lying length and a broken chunk among them, get a clear refusal as not run and reach no backend server.

--- /dev/null
+++ b/entry/callers/callers_test.go
@@ -0,0 +1,202 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingfork.example/lacewingfork/callerapi"
+	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// frontEnd is a running front end whose submissions the test answers.
+type frontEnd struct {
+	*Supervisor
+	address string
+}
+
+func startFrontEnd(t *testing.T) *frontEnd {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
+	submissions := supervise.NewRing[message.Submission]("submissions", 8, supervise.Refuse)
+	s := New(tree, Settings{
+		Instance: "e1", StopTimeout: 5 * time.Second, MaxBodyBytes: 1 << 10, MaxHeaderBytes: 16 << 10, MaxDeadline: time.Minute,
+	}, listener, submissions, NewMetrics(prometheus.NewRegistry()))
+	s.Wanted = supervise.NewRing[message.ConfigurationWanted]("wanted", 1, supervise.DropOldest)
+	s.configuration.Store(&message.ConfigurationInForce{Version: 1, Value: &configuration.Configuration{
+		Limits: configuration.DefaultLimits,
+		Services: []configuration.Service{{Name: "planner", Operations: []configuration.Operation{
+			{Name: "layout", Idempotent: true, Deadline: time.Second}, {Name: "book", Deadline: time.Second},
+		}}},
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = tree.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return &frontEnd{s, listener.Addr().String()}
+}
+
+// answerAll gives every submission the same answer and counts them.
+func (f *frontEnd) answerAll(t *testing.T, a message.Answer) *int {
+	ctx, cancel := context.WithCancel(context.Background())
+	count, ended := new(int), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case s := <-f.submissions.Items():
+				if !s.Cancel {
+					*count++
+					a.ID = s.Request.ID
+					s.Deliver(a)
+				}
+			}
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-ended })
+	return count
+}
+
+// send writes raw bytes, so that a header can lie about the body. cutOff closes
+// the sending side, which net/http takes for a caller that went away once the
+// request is whole.
+func (f *frontEnd) send(t *testing.T, raw string, cutOff bool) *http.Response {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := fmt.Fprint(conn, raw); err != nil {
+		t.Fatal(err)
+	}
+	if half, ok := conn.(*net.TCPConn); ok && cutOff {
+		_ = half.CloseWrite()
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+func post(path string, body string, headers ...string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n%s\r\n%s", path, len(body), strings.Join(headers, ""), body)
+}
+
+// Guards against bad input that is passed on, that gets no clear refusal, or
+// that is called anything but not run.
+func TestBadInputIsRefusedAsNotRun(t *testing.T) {
+	const layout = "/v1/services/planner/layout"
+	cases := []struct {
+		name   string
+		raw    string
+		status int
+		reason outcome.Reason
+	}{
+		{"no such service", post("/v1/services/other/layout", "x"), 404, outcome.NoSuchService},
+		{"no such operation", post("/v1/services/planner/other", "x"), 404, outcome.NoSuchService},
+		{"key for no such service", post("/v1/keys/other", ""), 404, outcome.NoSuchService},
+		{"body over the limit", post(layout, strings.Repeat("x", 1<<10+1)), 413, outcome.BodyTooLarge},
+		{"deadline that is no number", post(layout, "x", "Lacewingfork-Deadline-Ms: soon\r\n"), 400, outcome.MalformedRequest},
+		{"deadline of zero", post(layout, "x", "Lacewingfork-Deadline-Ms: 0\r\n"), 400, outcome.MalformedRequest},
+		{"deadline over the limit", post(layout, "x", "Lacewingfork-Deadline-Ms: 999999999\r\n"), 400, outcome.MalformedRequest},
+		{"team name too long", post(layout, "x", "Lacewingfork-Team: "+strings.Repeat("t", 200)+"\r\n"), 400, outcome.MalformedRequest},
+		{"body shorter than its length", "POST " + layout + " HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf", 400, outcome.MalformedRequest},
+		{"broken chunk", "POST " + layout + " HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, outcome.MalformedRequest},
+		{"malformed key", post("/v1/services/planner/book", "x", "Idempotency-Key: nonsense\r\n"), 400, outcome.KeyInvalid},
+	}
+	f := startFrontEnd(t)
+	passed := f.answerAll(t, message.Answer{Outcome: outcome.Answered, Status: 200})
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			response := f.send(t, c.raw, strings.HasSuffix(c.raw, "half"))
+			header := response.Header
+			if response.StatusCode != c.status || header.Get(callerapi.HeaderReason) != string(c.reason) ||
+				header.Get(callerapi.HeaderOutcome) != outcome.RefusedNotRun.String() {
+				t.Errorf("got %d %q %q", response.StatusCode, header.Get(callerapi.HeaderOutcome), header.Get(callerapi.HeaderReason))
+			}
+		})
+	}
+	if *passed != 0 {
+		t.Errorf("%d bad requests were passed on", *passed)
+	}
+}
+
+// Guards against a refusal that is called not run although an earlier use of
+// the request key may have run.
+func TestRefusalOfAKeyedRequest(t *testing.T) {
+	const key = "1.YWNjcmEtMS9yMQ.3.c2wfoqo1.1dw26dhos2xk9.jqrmjt0at6tk"
+	for _, checked := range []bool{false, true} {
+		f := startFrontEnd(t)
+		f.answerAll(t, message.Answer{Outcome: outcome.RefusedNotRun, Reason: outcome.NoHolder, KeyChecked: checked})
+		want := outcome.Unknown
+		if checked {
+			want = outcome.RefusedNotRun
+		}
+		response := f.send(t, post("/v1/services/planner/book", "x", "Idempotency-Key: "+key+"\r\n"), false)
+		if got := response.Header.Get(callerapi.HeaderOutcome); got != want.String() {
+			t.Errorf("table consulted: %v, outcome %q, want %q", checked, got, want)
+		}
+	}
+}
+
+// Guards against a request that keeps waiting for a caller who went away.
+func TestCallerThatGoesAwayCancels(t *testing.T) {
+	f := startFrontEnd(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.address+"/v1/services/planner/layout", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	submitted := <-f.submissions.Items()
+	cancel()
+	if withdrawn := <-f.submissions.Items(); !withdrawn.Cancel || withdrawn.Request.ID != submitted.Request.ID {
+		t.Errorf("got %+v after the caller went away", withdrawn)
+	}
+}
+
+// Guards against a planned stop that cuts off a request in progress or accepts
+// new ones.
+func TestShutdownAnswersWhatIsInProgress(t *testing.T) {
+	f := startFrontEnd(t)
+	done := make(chan *http.Response, 1)
+	go func() { done <- f.send(t, post("/v1/services/planner/layout", "x"), false) }()
+	inProgress := <-f.submissions.Items()
+	f.Refuse()
+	if response := f.send(t, post("/v1/services/planner/layout", "x"), false); response.Header.Get(callerapi.HeaderReason) != string(outcome.Stopping) {
+		t.Errorf("new request while stopping: %d", response.StatusCode)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Shutdown(context.Background()) }()
+	inProgress.Deliver(message.Answer{ID: inProgress.Request.ID, Outcome: outcome.Answered, Status: 200, Server: fleet.BackendServerID("b1")})
+	if response := <-done; response.StatusCode != 200 {
+		t.Errorf("request in progress got %d", response.StatusCode)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
