Keep light load in its data centre

Both choices were drawn from the whole region, so an idle system sent every other request to another data centre and over a link. The first is now drawn from the own data centre; the other wins only when a tenth of its slots less is in use. The herd test still holds.

--- a/cmd/lacewingfork-entry/main.go
+++ b/cmd/lacewingfork-entry/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jessevdk/go-flags"
@@ -74,6 +75,6 @@
 		level = log.InfoLevel
 	}
 	return log.NewWithOptions(w, log.Options{
-		Formatter: log.JSONFormatter, ReportTimestamp: true, Level: level,
+		Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Level: level,
 	}).With("instance", s.Instance.ID)
 }
--- a/decision/routing/routing.go
+++ b/decision/routing/routing.go
@@ -2,10 +2,10 @@
 // entry instance: the holder.
 //
 // Policy: partitions of the caller's own region come first, because a request
-// to another region pays 16 ms and volume. Among them two are drawn at random
-// and the less loaded one wins, nearest first on a tie: load hints lag, and
-// always taking the least loaded would send every instance to the same
-// partition at once. The requests that this instance has sent since the last
+// to another region pays 16 ms and volume. Two of them are drawn at random, the
+// first from the own data centre, and the second wins only when it is clearly
+// less loaded: load hints lag, and always taking the least loaded would send
+// every instance to the same partition at once. The requests that this instance has sent since the last
 // hint are added to the hint. Another region is used only when no partition of
 // the own region is expected to meet the deadline and the byte budget allows.
 package routing
@@ -25,6 +25,10 @@
 	hintLifetime = 2 * time.Second
 	// regionRoundTrip is the time that a request to another region adds.
 	regionRoundTrip = 16 * time.Millisecond
+	// nearBias is how much of its slots a partition of another data centre
+	// must have in use less before it wins over one of the own. It keeps
+	// light load within the data centre.
+	nearBias = 0.1
 	// defaultExpectedWait is assumed for each waiting request beyond the
 	// free slots until a hint says more.
 	defaultExpectedWait = 5 * time.Millisecond
@@ -71,7 +75,9 @@
 	byID       map[fleet.PartitionID]*candidate
 	budget     *rate.Limiter
 	sentBytes  uint64
-	near, far  []*candidate // reachable, of the own region and of others
+	// Reachable candidates: of the own data centre, of the own region (with
+	// those), and of other regions.
+	local, near, far []*candidate
 }
 
 type candidate struct {
@@ -104,7 +110,7 @@
 func (s *State) SetCandidates(list []Candidate) {
 	known := s.byID
 	s.byID = make(map[fleet.PartitionID]*candidate, len(list))
-	s.near, s.far = s.near[:0], s.far[:0]
+	s.local, s.near, s.far = s.local[:0], s.near[:0], s.far[:0]
 	for _, c := range list {
 		entry := known[c.Partition]
 		if entry == nil || entry.Epoch != c.Epoch {
@@ -116,6 +122,9 @@
 		case !c.Reachable:
 		case c.Region == s.region:
 			s.near = append(s.near, entry)
+			if c.DataCentre == s.dataCentre {
+				s.local = append(s.local, entry)
+			}
 		default:
 			s.far = append(s.far, entry)
 		}
@@ -176,11 +185,11 @@
 
 // Choose returns the partition for a request, or the reason why there is none.
 func (s *State) Choose(now time.Time, need Need) (Candidate, outcome.Reason) {
-	best := s.pick(now, s.near, need)
+	best := s.pick(now, s.local, s.near, need)
 	if best != nil && best.meets(now, need.Deadline, 0) {
 		return best.Candidate, outcome.NoReason
 	}
-	remote := s.pick(now, s.far, need)
+	remote := s.pick(now, nil, s.far, need)
 	if remote != nil && remote.meets(now, need.Deadline, regionRoundTrip) {
 		if s.budget.AllowN(now, max(1, need.Bytes)) {
 			s.sentBytes += uint64(need.Bytes)
@@ -196,17 +205,21 @@
 	return best.Candidate, outcome.NoReason
 }
 
-// pick draws two candidates and takes the better; when both look saturated it
+// pick draws a candidate from each list and takes the better; when both look saturated it
 // takes the best of all, so that free slots elsewhere are not missed.
-func (s *State) pick(now time.Time, from []*candidate, need Need) *candidate {
+func (s *State) pick(now time.Time, first, from []*candidate, need Need) *candidate {
 	if len(from) == 0 {
 		return nil
 	}
+	if len(first) == 0 {
+		first = from
+	}
 	var best *candidate
-	for _, draw := range [2]uint64{need.Random, need.Random >> 32} {
-		if c := from[draw%uint64(len(from))]; need.allows(c) {
-			best = s.better(now, best, c)
-		}
+	if c := first[need.Random%uint64(len(first))]; need.allows(c) {
+		best = c
+	}
+	if c := from[(need.Random>>32)%uint64(len(from))]; need.allows(c) {
+		best = s.better(now, best, c)
 	}
 	if best != nil && best.load(now) < 1 {
 		return best
@@ -228,16 +241,16 @@
 		return b
 	}
 	loadA, loadB := a.load(now), b.load(now)
-	switch {
-	case loadA < loadB:
-		return a
-	case loadB < loadA:
-		return b
-	case b.DataCentre == s.dataCentre && a.DataCentre != s.dataCentre:
+	if a.DataCentre != s.dataCentre {
+		loadA += nearBias
+	}
+	if b.DataCentre != s.dataCentre {
+		loadB += nearBias
+	}
+	if loadB < loadA {
 		return b
-	default:
-		return a
 	}
+	return a
 }
 
 // load is the expected use of the partition's slots; 1 and more means that a
--- a/decision/routing/routing_test.go
+++ b/decision/routing/routing_test.go
@@ -123,6 +123,20 @@
 	})
 }
 
+// Guards against light load that leaves its data centre.
+func TestLightLoadStaysInTheDataCentre(t *testing.T) {
+	s := New("accra", "accra-1", 1000)
+	s.SetCandidates(partitions("accra", 6, 80))
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 20 {
+		c, _ := s.Choose(start, Need{Deadline: start.Add(time.Second), Random: random.Uint64()})
+		s.Sent(c.Partition)
+		if c.DataCentre != "accra-1" {
+			t.Fatalf("chose %s", c.Partition)
+		}
+	}
+}
+
 // Guards against a herd: with hints that lag, all choices going to the
 // partition that looked least loaded.
 func TestLaggingHintsDontDrawAHerd(t *testing.T) {
