--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -33,7 +33,10 @@
 type Line struct {
 	// Exchanges is the ring that the line's exchange duties read.
 	Exchanges *supervise.Ring[message.Exchange]
-	running   []supervise.Running
+	// Address is where the line leads; a backend server that returns at
+	// another address needs a new line.
+	Address string
+	running []supervise.Running
 }
 
 // Open starts an exchange duty for each slot of a backend server.
@@ -41,6 +44,7 @@
 	places := min(server.Capacity.Slots, server.Connections)
 	line := &Line{
 		Exchanges: supervise.NewRing[message.Exchange](fmt.Sprintf("dispatch.%s.exchanges", server.ID), places, supervise.Refuse),
+		Address:   server.Address,
 	}
 	for slot := range places {
 		line.running = append(line.running, s.tree.Start(supervise.Duty{
--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -310,7 +310,19 @@
 	}
 }
 
+// openLines opens a line to each listed backend server and closes those of
+// servers that are gone or have moved. An exchange in progress ends first.
 func (w *partitionWork) openLines(servers []fleet.BackendServer) {
+	listed := make(map[fleet.BackendServerID]string, len(servers))
+	for _, s := range servers {
+		listed[s.ID] = s.Address
+	}
+	for id, line := range w.lines {
+		if listed[id] != line.Address {
+			line.Close()
+			delete(w.lines, id)
+		}
+	}
 	for _, s := range servers {
 		if w.lines[s.ID] == nil {
 			w.lines[s.ID] = w.duty.lines.Open(s, w.duty.holding.Epoch)
