--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
+	"golang.org/x/sync/semaphore"
 
 	"lacewingfork.example/lacewingfork/callerapi"
 	"lacewingfork.example/lacewingfork/decision/outcome"
@@ -29,6 +30,10 @@
 )
 
 const (
+	// maxHeldBodyBytes bounds the bodies of all requests in progress. What 6
+	// other instances forward is bounded by theirs, so that an instance holds
+	// at most 7 times as much, 168 MiB of its 256 MiB.
+	maxHeldBodyBytes = 24 << 20
 	// readTimeout bounds the time that a caller takes to send its request.
 	readTimeout = 30 * time.Second
 	// idleTimeout closes connections that callers left open.
@@ -66,6 +71,8 @@
 	sequence      atomic.Uint64
 	incarnation   string
 	server        *http.Server
+	// bodies is what may be held of request bodies.
+	bodies *semaphore.Weighted
 }
 
 // New adds the callers supervisor below root. register adds further routes,
@@ -77,7 +84,7 @@
 	s := &Supervisor{
 		settings: settings, listener: listener, submissions: submissions, metrics: metrics,
 		Configurations: supervise.NewRing[message.ConfigurationInForce]("callers.configurations", 1, supervise.DropOldest),
-		incarnation:    randomHex(6),
+		incarnation:    randomHex(6), bodies: semaphore.NewWeighted(maxHeldBodyBytes),
 	}
 	router := mux.NewRouter()
 	router.HandleFunc(callerapi.PathServices+"{service}/{operation}", s.handleRequest).Methods(http.MethodPost)
@@ -141,6 +148,15 @@
 
 func (s *Supervisor) handleRequest(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
+	held := s.settings.MaxBodyBytes
+	if r.ContentLength >= 0 {
+		held = min(held, r.ContentLength)
+	}
+	if !s.bodies.TryAcquire(held) {
+		s.write(w, r, message.Refuse(s.nextID(), outcome.RingFull, time.Second))
+		return
+	}
+	defer s.bodies.Release(held)
 	request, refusal := s.decode(w, r)
 	if refusal != nil {
 		s.write(w, r, *refusal)
--- a/entry/callers/callers_test.go
+++ b/entry/callers/callers_test.go
@@ -179,6 +179,22 @@
 	}
 }
 
+// Guards against callers whose bodies fill the memory of an instance.
+func TestBodiesInProgressAreBounded(t *testing.T) {
+	f := startFrontEnd(t)
+	f.answerAll(t, message.Answer{Outcome: outcome.Answered, Status: 200})
+	if !f.bodies.TryAcquire(maxHeldBodyBytes) {
+		t.Fatal("bodies are held before the first request")
+	}
+	const layout = "/v1/services/planner/layout"
+	full := f.send(t, post(layout, "x"), false)
+	f.bodies.Release(maxHeldBodyBytes)
+	free := f.send(t, post(layout, "x"), false)
+	if full.Header.Get(callerapi.HeaderReason) != string(outcome.RingFull) || free.StatusCode != 200 {
+		t.Errorf("with no room: %d, with room: %d", full.StatusCode, free.StatusCode)
+	}
+}
+
 // Guards against a planned stop that cuts off a request in progress or accepts
 // new ones.
 func TestShutdownAnswersWhatIsInProgress(t *testing.T) {
