Keep one type of instance status and one way to wait

The status of an instance stood in the operations supervisor and in the command line, and four places waited with a timer and a context of their own. They now share operationsapi.Status and wait.For; no behaviour changes.

--- a/caller/retry.go
+++ b/caller/retry.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/internal/wait"
 )
 
 const (
@@ -86,7 +87,7 @@
 		if !local(end.reason) || n >= len(c.settings.Addresses) {
 			pause = max(pause, end.retryAfter)
 		}
-		if permanent(end.reason) || !fits(ctx, pause) || !c.budget.retry() || !sleep(ctx, pause) {
+		if permanent(end.reason) || !fits(ctx, pause) || !c.budget.retry() || !wait.For(ctx, pause) {
 			return nil, end.err(n, maybeRun)
 		}
 	}
@@ -98,17 +99,6 @@
 	return ctx.Err() == nil && time.Until(deadline) > pause
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // err is the end of a request after n attempts. A refusal of the last attempt
 // says nothing about an earlier one that may have run.
 func (e end) err(n int, maybeRun bool) error {
--- a/cmd/lacewingfork/internal/cli/cli_test.go
+++ b/cmd/lacewingfork/internal/cli/cli_test.go
@@ -16,6 +16,7 @@
 
 	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/wait"
 	"lacewingfork.example/lacewingfork/platformapi"
 	"lacewingfork.example/lacewingfork/standin"
 )
@@ -53,12 +54,12 @@
 	return fleet.Offset(len(l.records) - 1), nil
 }
 
-func (l *faultyLog) Read(ctx context.Context, _ string, from fleet.Offset, wait time.Duration) (platformapi.Batch, error) {
+func (l *faultyLog) Read(ctx context.Context, _ string, from fleet.Offset, patience time.Duration) (platformapi.Batch, error) {
 	end := l.dropped + fleet.Offset(len(l.records))
 	if from < l.dropped {
 		return platformapi.Batch{Oldest: l.dropped, Next: l.dropped, End: end}, platformapi.ErrTruncated
 	}
-	if from == end && !pause(ctx, wait) {
+	if from == end && !wait.For(ctx, patience) {
 		return platformapi.Batch{}, platformapi.ErrUnavailable
 	}
 	batch := platformapi.Batch{Next: end, End: end}
--- a/cmd/lacewingfork/internal/cli/restore.go
+++ b/cmd/lacewingfork/internal/cli/restore.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/operationsapi"
 	"lacewingfork.example/lacewingfork/platformapi"
 	"lacewingfork.example/lacewingfork/records"
 	entries "lacewingfork.example/lacewingfork/records/configuration"
@@ -55,7 +56,7 @@
 // nobodyHasAVersion makes sure that no instance still has a state, which it
 // would write to the log by itself.
 func (a *app) nobodyHasAVersion() error {
-	replies, err := askAll[instanceStatus](a, "/v1/status")
+	replies, err := askAll[operationsapi.Status](a, "/v1/status")
 	if err != nil {
 		return err
 	}
--- a/cmd/lacewingfork/internal/cli/state.go
+++ b/cmd/lacewingfork/internal/cli/state.go
@@ -11,6 +11,8 @@
 	"github.com/go-faster/errors"
 
 	"lacewingfork.example/lacewingfork/entry/message"
+	"lacewingfork.example/lacewingfork/internal/wait"
+	"lacewingfork.example/lacewingfork/operationsapi"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
@@ -161,13 +163,13 @@
 	started := time.Now()
 	defer c.app.progress("")
 	for {
-		var status instanceStatus
+		var status operationsapi.Status
 		err := c.app.call(http.MethodGet, c.Args.Address, "/v1/status", nil, &status)
 		if errors.Is(err, errNotSent) && c.app.ctx.Err() == nil {
 			return nil
 		}
 		c.app.progress("waiting until %s has stopped, %d s", c.Args.Address, int(time.Since(started).Seconds()))
-		if !pause(c.app.ctx, drainPause) {
+		if !wait.For(c.app.ctx, drainPause) {
 			return failf(Unknown, "%s is still stopping after %v", c.Args.Address, c.app.options.Timeout)
 		}
 	}
--- a/cmd/lacewingfork/internal/cli/status.go
+++ b/cmd/lacewingfork/internal/cli/status.go
@@ -3,34 +3,23 @@
 import (
 	"fmt"
 
-	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/operationsapi"
 )
 
-// instanceStatus is the body of GET /v1/status.
-type instanceStatus struct {
-	Instance             fleet.InstanceID    `json:"instance"`
-	Region               fleet.Region        `json:"region"`
-	DataCentre           fleet.DataCentre    `json:"data_centre"`
-	Ready                bool                `json:"ready"`
-	Draining             bool                `json:"draining"`
-	ConfigurationVersion int64               `json:"configuration_version"`
-	Partitions           []fleet.PartitionID `json:"partitions"`
-}
-
 type configStatus struct{ app *app }
 
 // statusAnswer is the JSON of config status.
 type statusAnswer struct {
 	// Version is the version in force: that of the log, or the newest one
 	// that an instance has when no log was given.
-	Version     int64                   `json:"version"`
-	Instances   []reply[instanceStatus] `json:"instances"`
-	Unconfirmed []string                `json:"unconfirmed"` // addresses
+	Version     int64                         `json:"version"`
+	Instances   []reply[operationsapi.Status] `json:"instances"`
+	Unconfirmed []string                      `json:"unconfirmed"` // addresses
 }
 
 // Execute implements flags.Commander.
 func (c *configStatus) Execute([]string) error {
-	replies, err := askAll[instanceStatus](c.app, "/v1/status")
+	replies, err := askAll[operationsapi.Status](c.app, "/v1/status")
 	if err != nil {
 		return err
 	}
@@ -63,7 +52,7 @@
 	return nil
 }
 
-func (c *configStatus) version(replies []reply[instanceStatus]) (int64, error) {
+func (c *configStatus) version(replies []reply[operationsapi.Status]) (int64, error) {
 	newest := int64(0)
 	for _, r := range replies {
 		newest = max(newest, r.Answer.ConfigurationVersion)
--- a/cmd/lacewingfork/internal/cli/stream.go
+++ b/cmd/lacewingfork/internal/cli/stream.go
@@ -9,6 +9,7 @@
 
 	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/wait"
 	"lacewingfork.example/lacewingfork/platformapi"
 	"lacewingfork.example/lacewingfork/records"
 	entries "lacewingfork.example/lacewingfork/records/configuration"
@@ -40,8 +41,8 @@
 }
 
 // step reads once and reports whether the end of the stream was reached.
-func (f *follower) step(ctx context.Context, wait time.Duration) (atEnd bool, err error) {
-	batch, err := f.log.Read(ctx, entries.Stream, f.next, wait)
+func (f *follower) step(ctx context.Context, poll time.Duration) (atEnd bool, err error) {
+	batch, err := f.log.Read(ctx, entries.Stream, f.next, poll)
 	if errors.Is(err, platformapi.ErrTruncated) {
 		f.fold, f.next = f.fold.Truncated(batch.Oldest), batch.Oldest
 		return false, nil
@@ -70,12 +71,12 @@
 
 // until reads until done reports true, and repeats failed reads until the
 // context ends; the error is then that of the last read.
-func (f *follower) until(ctx context.Context, wait time.Duration, done func(atEnd bool) bool) error {
+func (f *follower) until(ctx context.Context, poll time.Duration, done func(atEnd bool) bool) error {
 	pauses := backoff.NewExponentialBackOff()
 	pauses.MaxInterval = readRetryMost
 	pauses.Reset()
 	for {
-		atEnd, err := f.step(ctx, wait)
+		atEnd, err := f.step(ctx, poll)
 		if err == nil {
 			pauses.Reset()
 			if done(atEnd) {
@@ -83,24 +84,12 @@
 			}
 			continue
 		}
-		if !pause(ctx, pauses.NextBackOff()) {
+		if !wait.For(ctx, pauses.NextBackOff()) {
 			return err
 		}
 	}
 }
 
-// pause waits and reports false when the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // readAll reads the stream to its end.
 func (a *app) readAll() (*follower, error) {
 	f, err := a.follow()
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -15,8 +15,8 @@
 
 	"github.com/go-faster/errors"
 
-	"lacewingfork.example/lacewingfork/entry/operations"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/operationsapi"
 	"lacewingfork.example/lacewingfork/standin"
 )
 
@@ -155,7 +155,7 @@
 	for {
 		held, ready := 0, 0
 		for _, i := range c.instances {
-			var s operations.Status
+			var s operationsapi.Status
 			if call(http.MethodGet, "http://"+i.Operations+"/v1/status", nil, &s) == nil && s.Ready {
 				ready++
 				held += len(s.Partitions)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"lacewingfork.example/lacewingfork/internal/wait"
 	"lacewingfork.example/lacewingfork/load"
 	"lacewingfork.example/lacewingfork/standin"
 )
@@ -90,8 +91,8 @@
 		{stopAfter, "SIGTERM entry-2", func() error { report.Stop = c.instances[1].process.stop(); return nil }},
 	}
 	for _, step := range steps {
-		if err := sleep(ctx, step.after-time.Since(started)); err != nil {
-			return report, err
+		if !wait.For(ctx, step.after-time.Since(started)) {
+			return report, ctx.Err()
 		}
 		fmt.Fprintf(out, "%5.1f s  %s\n", time.Since(started).Seconds(), step.text)
 		if err := step.do(); err != nil {
@@ -127,14 +128,3 @@
 	report.Violations, err = c.violations()
 	return err
 }
-
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/entry/operations/operations.go
+++ b/entry/operations/operations.go
@@ -21,6 +21,7 @@
 
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/operationsapi"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
@@ -53,7 +54,7 @@
 	Wanted     *supervise.Ring[message.ConfigurationWanted]
 	explain    *supervise.Ring[message.ExplainQuery] // of the history duty
 	explainers []*supervise.Ring[message.ExplainQuery]
-	statuses   *supervise.Ring[*supervise.Ring[Status]]
+	statuses   *supervise.Ring[*supervise.Ring[operationsapi.Status]]
 	drained    *supervise.Ring[struct{}]
 }
 
@@ -77,7 +78,7 @@
 		Holdings:       supervise.NewRing[message.Holdings]("operations.holdings", 1, supervise.DropOldest),
 		Snapshots:      supervise.NewRing[message.ListSnapshot]("operations.snapshots", 1, supervise.DropOldest),
 		explain:        supervise.NewRing[message.ExplainQuery]("operations.explain", 16, supervise.Refuse),
-		statuses:       supervise.NewRing[*supervise.Ring[Status]]("operations.statuses", 16, supervise.Wait),
+		statuses:       supervise.NewRing[*supervise.Ring[operationsapi.Status]]("operations.statuses", 16, supervise.Wait),
 		drained:        supervise.NewRing[struct{}]("operations.drained", 1, supervise.DropOldest),
 	}
 	s.explainers = append([]*supervise.Ring[message.ExplainQuery]{s.explain}, explainers...)
@@ -159,8 +160,8 @@
 }
 
 // Status returns what the status duty knows.
-func (s *Supervisor) Status(ctx context.Context) (Status, error) {
-	reply := supervise.NewRing[Status]("operations.status", 1, supervise.Refuse)
+func (s *Supervisor) Status(ctx context.Context) (operationsapi.Status, error) {
+	reply := supervise.NewRing[operationsapi.Status]("operations.status", 1, supervise.Refuse)
 	return ask(ctx, s.statuses, reply, reply)
 }
 
--- a/entry/operations/status.go
+++ b/entry/operations/status.go
@@ -6,26 +6,13 @@
 
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/operationsapi"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
-// Status is the body of GET /v1/status.
-type Status struct {
-	Instance             fleet.InstanceID `json:"instance"`
-	Region               fleet.Region     `json:"region"`
-	DataCentre           fleet.DataCentre `json:"data_centre"`
-	Ready                bool             `json:"ready"`
-	Draining             bool             `json:"draining"`
-	ConfigurationVersion int64            `json:"configuration_version"`
-	// ListAge is the age of the newest instance list in milliseconds, or -1
-	// before the first.
-	ListAge    int64               `json:"list_age_ms"`
-	Partitions []fleet.PartitionID `json:"partitions"`
-}
-
 // statusDuty owns what readiness depends on.
 type statusDuty struct {
-	status     Status
+	status     operationsapi.Status
 	snapshotAt time.Time
 }
 
@@ -33,7 +20,7 @@
 // instance is ready once it has a configuration in force, until it drains. It
 // stays ready while the platform is out, because requests are still served.
 func (s *Supervisor) keepStatus(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
-	d := &statusDuty{status: Status{
+	d := &statusDuty{status: operationsapi.Status{
 		Instance: s.settings.Instance, Region: s.settings.Region, DataCentre: s.settings.DataCentre,
 	}}
 	_ = s.Wanted.Put(ctx, message.ConfigurationWanted{Ring: s.Configurations})
@@ -65,7 +52,7 @@
 	d.status.Partitions = partitions
 }
 
-func (d *statusDuty) now() Status {
+func (d *statusDuty) now() operationsapi.Status {
 	s := d.status
 	s.Ready = s.ConfigurationVersion > 0 && !s.Draining
 	s.ListAge = -1
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -11,6 +11,7 @@
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/entry/operations"
 	"lacewingfork.example/lacewingfork/entry/ownership"
+	"lacewingfork.example/lacewingfork/internal/wait"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
@@ -44,7 +45,7 @@
 // gracefully returns once nothing is in progress or the context ends.
 func (s *stopper) gracefully(ctx context.Context) {
 	s.operations.SetDraining()
-	s.pause(ctx, balancerNotice)
+	wait.For(ctx, balancerNotice)
 	s.releasePartitions(ctx)
 	if err := s.callers.Shutdown(ctx); err != nil {
 		s.log.Error("requests were cut off", "event", "stop_cut_requests", "error", err)
@@ -76,7 +77,7 @@
 		if err != nil || !hasPartitionDuty(states) {
 			return
 		}
-		s.pause(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 }
 
@@ -88,12 +89,3 @@
 	}
 	return false
 }
-
-func (s *stopper) pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
