--- a/cmd/lacewingfork-entry/main.go
+++ b/cmd/lacewingfork-entry/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -21,6 +22,15 @@
 	exitSettings = 2 // the command line or the settings are wrong
 )
 
+const (
+	// memoryLimit keeps the process below its 256 MB, with room for what the
+	// Go heap doesn't count.
+	memoryLimit = 208 << 20 // bytes
+	// gcPercent trades idle memory for fewer collections: the live heap of an
+	// instance is a few MB, so the default would collect many times a second.
+	gcPercent = 400
+)
+
 type options struct {
 	Settings string `long:"settings" value-name:"FILE" required:"true" description:"settings of the instance in TOML"`
 }
@@ -49,6 +59,8 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
+	debug.SetMemoryLimit(memoryLimit)
+	debug.SetGCPercent(gcPercent)
 	logger := newLogger(stderr, s)
 	listeners, err := entry.OpenListeners(s.Listen)
 	if err != nil {
