--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -200,7 +200,6 @@
 	}
 	route.Wanted, sched.Wanted, front.Wanted, ops.Wanted = rings.Wanted, rings.Wanted, rings.Wanted, rings.Wanted
 	ledger.Wanted = rings.Wanted
-	ledger.Wanted = rings.Wanted
 	rings.Appends = appends.Appends()
 	rings.Asks = links.ConfigurationAsks
 	duty := configuration.New(configuration.DefaultSettings(s.Instance.ID), *rings)
