--- a/decision/partition/scenario_test.go
+++ b/decision/partition/scenario_test.go
@@ -74,13 +74,17 @@
 	only(t, s.Complete(now, ended(next, Succeeded), nil), Deliver)
 }
 
-// Guards against a cancelled request that still gets its next attempt, and
-// against calling it not run when an attempt may have run.
+// Guards against a cancelled request that still gets its next attempt, against
+// calling it not run when an attempt may have run, and against a repeated
+// completion that ends it between attempts.
 func TestCancelBetweenAttempts(t *testing.T) {
 	for result, want := range map[Result]ActionKind{NotWritten: Refuse, Lost: GiveUp, Failed: Deliver} {
 		s, _ := openState(t, 2)
 		run := only(t, s.Submit(start, short("r"), nil), Run)
 		s.Complete(start, ended(run, result), nil)
+		if out := s.Complete(start, ended(run, Succeeded), nil); len(out) > 0 {
+			t.Errorf("a repeated completion between attempts led to %+v", out)
+		}
 		only(t, s.Cancel(start, "r", nil), want)
 		if next := s.NextTick(); !next.IsZero() {
 			t.Errorf("result %d: a tick is due at %v after the cancellation", result, next)
