decision/lease: search for members that join unseen

Cause: mutation trials on a scratch copy showed that the search could not tell whether a claimant has to be known to the other members: no drawn history let a member join while a holder was cut from the log, the list and the newcomer at once.

Change: the fault newcomer, and a fifth rule that a test switches off.

--- a/decision/lease/history_test.go
+++ b/decision/lease/history_test.go
@@ -25,6 +25,7 @@
 	listFreeze
 	listCut
 	islandCut // a member without the log and off the list
+	newcomer  // a member joins that another can't learn of by log or list
 	faultKinds
 )
 
@@ -91,6 +92,14 @@
 		if n.listedFor(w.now) > relistPause && !n.listCut {
 			w.during(&n.listCut, s.For)
 		}
+	case newcomer:
+		if len(w.nodes) < mostMembers && n.listedFor(w.now) > relistPause && !n.listCut {
+			w.during(&n.logCut, s.For+15*time.Second)
+			w.during(&n.listCut, s.For+15*time.Second)
+			if joined := w.join(); s.Other%2 == 0 {
+				w.cutPeers(n, joined, s.For+15*time.Second)
+			}
+		}
 	case islandCut:
 		w.during(&n.logCut, s.For+10*time.Second)
 		w.delist(n, s.For)
@@ -208,6 +217,7 @@
 		{"claimants ignore their promises", options{ignorePromises: true}, []fault{quiet, logCut, logOutage, kill, startNew}},
 		{"the holder does not look for itself on the list", options{ignoreOwnListing: true}, []fault{quiet, islandCut, delist, logCut}},
 		{"promises revive a lapsed lease", options{promisesRevive: true}, []fault{quiet, islandCut, delist, logCut, freeze, restartDuty}},
+		{"claimants need not be known to the other members", options{noIntroduction: true}, []fault{quiet, newcomer, listCut, logCut}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/decision/lease/lease.go
+++ b/decision/lease/lease.go
@@ -68,6 +68,7 @@
 	ignorePromises   bool // acquisitions ignore the member's own promises
 	ignoreOwnListing bool // the holder does not look for itself on the list
 	promisesRevive   bool // promises revive a lapsed lease
+	noIntroduction   bool // claimants need not be known to the other members
 }
 
 // MemberKey is one run of a member. A later run has a greater incarnation and
--- a/decision/lease/rules.go
+++ b/decision/lease/rules.go
@@ -127,7 +127,7 @@
 	case m.now.Sub(m.list.selfSince) < m.settings.W()+m.settings.Margin:
 		return "this instance has not been on the list for W yet"
 	}
-	if p := m.notKnownTo(); p != "" {
+	if p := m.notKnownTo(); p != "" && !m.options.noIntroduction {
 		return "instance " + string(p) + " has not known this instance for TTL yet"
 	}
 	return ""
