Measure the slopes of each role against the target size

A list of 5,400 servers kept a state for each added server in the stand-in, by calculation over 2 GB; configured servers are now added as one state.

--- a/decision/lease/measure_test.go
+++ b/decision/lease/measure_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -112,8 +113,10 @@
 	}
 }
 
-func settledMember(b *testing.B) (*world, *Member) {
-	w := newWorld(1, targetMembers, targetPartitions)
+func settledMember(b *testing.B) (*world, *Member) { return settledMemberOf(b, targetPartitions) }
+
+func settledMemberOf(b *testing.B, partitions int) (*world, *Member) {
+	w := newWorld(1, targetMembers, partitions)
 	w.runTo(settled)
 	if w.validShare() != 1 {
 		b.Fatalf("not settled: %v", w.validShare())
@@ -142,6 +145,19 @@
 	}
 }
 
+// BenchmarkTickByPartitions is BenchmarkTick against the region's partitions.
+func BenchmarkTickByPartitions(b *testing.B) {
+	for _, n := range []int{14, 54, 108, 216, 540} {
+		b.Run(fmt.Sprintf("partitions=%d", n), func(b *testing.B) {
+			w, m := settledMemberOf(b, n)
+			now := w.local(w.nodes[0])
+			for b.Loop() {
+				m.Tick(now)
+			}
+		})
+	}
+}
+
 // BenchmarkRecords is the cost of reading back one renewal at the target size.
 func BenchmarkRecords(b *testing.B) {
 	w, m := settledMember(b)
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -41,6 +41,15 @@
 
 // addBackendServer opens a listener and puts the server on the list.
 func (s *StandIn) addBackendServer(b fleet.BackendServer) (fleet.BackendServer, error) {
+	b, err := s.openBackendServer(b)
+	if err == nil {
+		s.registry.putServer(b)
+	}
+	return b, err
+}
+
+// openBackendServer opens a listener and serves it.
+func (s *StandIn) openBackendServer(b fleet.BackendServer) (fleet.BackendServer, error) {
 	if _, exists := s.registry.server(b.ID); exists {
 		return b, errors.Errorf("backend server %q exists", b.ID)
 	}
@@ -59,7 +68,6 @@
 	server := newHTTPServer(s.machines.backendRouter(b.ID))
 	s.machines.add(b, listener, func() { _ = server.Close() })
 	s.serve(server, listener)
-	s.registry.putServer(b)
 	return b, nil
 }
 
--- a/standin/registry.go
+++ b/standin/registry.go
@@ -63,6 +63,14 @@
 	r.record(time.Now())
 }
 
+// loadServer adds a server without a new state of the list; backdate shows it.
+// A state for each of 5,400 configured servers would take over 2 GB.
+func (r *registry) loadServer(b fleet.BackendServer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.servers[b.ID] = b
+}
+
 func (r *registry) removeServer(id fleet.BackendServerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -73,9 +73,11 @@
 
 func (s *StandIn) addConfigured() error {
 	for _, server := range s.settings.backendServers() {
-		if _, err := s.addBackendServer(server); err != nil {
+		opened, err := s.openBackendServer(server)
+		if err != nil {
 			return err
 		}
+		s.registry.loadServer(opened)
 	}
 	for _, instance := range s.settings.Instances {
 		s.registry.putInstance(instance.instance())
