Send the instance list only when it has changed

Cause: BenchmarkIdleInstance (default settings, before this change) showed 4.9 KB/s for a list of 9 backend servers, 25.5 KB/s for 54 and 75.3 KB/s for 162: about 0.23 KB for each server and call, twice a second. 5,400 servers take 1.28 MB a call (BenchmarkDecodeList). The budget is 3 KB/s.

Change: the client names the entity tag of the list that it has; the answer 304 carries the list's age in a header, because the age decides on leases. The stand-in tags each state of the list and compresses lists and usage reports above 1,400 bytes when the client takes gzip.

Conclusion: the traffic of the list now follows its changes.

--- a/platformapi/calls.go
+++ b/platformapi/calls.go
@@ -73,13 +73,6 @@
 	return nil
 }
 
-// List returns the instance list.
-func (c *Client) List(ctx context.Context) (Snapshot, error) {
-	var s Snapshot
-	err := c.do(ctx, request{method: http.MethodGet, path: []string{"v1", "instances"}}, &s)
-	return s, err
-}
-
 // Usage returns the newest report of each worker in a data centre.
 func (c *Client) Usage(ctx context.Context, dataCentre fleet.DataCentre) ([]UsageReport, error) {
 	var answer UsageAnswer
--- a/platformapi/client.go
+++ b/platformapi/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -48,6 +49,7 @@
 	timeout   time.Duration
 	transport *http.Transport
 	http      *http.Client
+	list      atomic.Pointer[taggedList]
 }
 
 var (
@@ -76,7 +78,6 @@
 		MaxIdleConnsPerHost:    idleConnections,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		DisableCompression:     true,
 	}
 	return &Client{
 		base: base, timeout: s.CallTimeout, transport: transport,
@@ -100,56 +101,82 @@
 	contentType string
 	body        []byte
 	extra       time.Duration // added to the call timeout
+	knownTag    string        // entity tag of the answer that the client has
 }
 
-// do sends the call once: net/http repeats a POST by itself only when no byte of
-// it was written. It decodes a successful answer into answer, unless that
+// answer is what came back to one call.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// decode reads the body of a successful answer into the value, unless that is
+// nil.
+func (a answer) decode(into any) error {
+	if a.status < 200 || a.status > 299 {
+		return decodeError(a.status, a.body)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(a.body, into); err != nil {
+		return errors.Wrapf(ErrUnavailable, "answer is not valid JSON (%v)", err)
+	}
+	return nil
+}
+
+// do sends the call and decodes a successful answer into the value, unless that
 // is nil. Every error wraps one of the package's errors.
-func (c *Client) do(ctx context.Context, r request, answer any) error {
+func (c *Client) do(ctx context.Context, r request, into any) error {
+	got, err := c.call(ctx, r)
+	if err != nil {
+		return err
+	}
+	return got.decode(into)
+}
+
+// call sends the call once: net/http repeats a POST by itself only when no byte
+// of it was written.
+func (c *Client) call(ctx context.Context, r request) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+r.extra)
 	defer cancel()
-	status, body, err := c.roundTrip(ctx, r)
+	got, err := c.roundTrip(ctx, r)
 	if err != nil {
 		// The other idle connections lead to the same place and may be as
 		// silent as the one that failed, so the next call opens a fresh one.
 		c.transport.CloseIdleConnections()
-		return &callError{call: r.method + " " + r.path[len(r.path)-1], cause: err}
-	}
-	if status < 200 || status > 299 {
-		return decodeError(status, body)
-	}
-	if answer == nil {
-		return nil
-	}
-	if err := json.Unmarshal(body, answer); err != nil {
-		return errors.Wrapf(ErrUnavailable, "answer is not valid JSON (%v)", err)
+		return answer{}, &callError{call: r.method + " " + r.path[len(r.path)-1], cause: err}
 	}
-	return nil
+	return got, nil
 }
 
-func (c *Client) roundTrip(ctx context.Context, r request) (int, []byte, error) {
+func (c *Client) roundTrip(ctx context.Context, r request) (answer, error) {
 	target := c.base.JoinPath(escaped(r.path)...)
 	target.RawQuery = r.query.Encode()
 	req, err := http.NewRequestWithContext(ctx, r.method, target.String(), bytes.NewReader(r.body))
 	if err != nil {
-		return 0, nil, err
+		return answer{}, err
 	}
 	if r.contentType != "" {
 		req.Header.Set("Content-Type", r.contentType)
 	}
+	if r.knownTag != "" {
+		req.Header.Set("If-None-Match", r.knownTag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, nil, err
+		return answer{}, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "read answer")
+		return answer{}, errors.Wrap(err, "read answer")
 	}
 	if len(body) > maxAnswerBytes {
-		return 0, nil, errors.Errorf("answer is longer than %d bytes", maxAnswerBytes)
+		return answer{}, errors.Errorf("answer is longer than %d bytes", maxAnswerBytes)
 	}
-	return resp.StatusCode, body, nil
+	return answer{resp.StatusCode, resp.Header, body}, nil
 }
 
 func escaped(segments []string) []string {
--- a/standin/registry.go
+++ b/standin/registry.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -23,10 +24,14 @@
 	history  []listState
 	faults   ListFaults
 	frozenAt time.Time
+	// startedAt and changes make up the tags of states.
+	startedAt int64
+	changes   int
 }
 
 type listState struct {
 	since     time.Time
+	tag       string // names this state among all of all stand-ins
 	instances []fleet.Instance
 	servers   []fleet.BackendServer
 }
@@ -37,6 +42,7 @@
 		instances: map[fleet.InstanceID]fleet.Instance{},
 		servers:   map[fleet.BackendServerID]fleet.BackendServer{},
 		history:   []listState{{}},
+		startedAt: time.Now().UnixNano(),
 	}
 }
 
@@ -102,8 +108,10 @@
 }
 
 func (r *registry) record(since time.Time) {
+	r.changes++
 	r.history = append(r.history, listState{
 		since:     since,
+		tag:       fmt.Sprintf("%q", fmt.Sprintf("%x-%d", r.startedAt, r.changes)),
 		instances: sortedByID(r.instances),
 		servers:   sortedByID(r.servers),
 	})
@@ -140,7 +148,8 @@
 	return now.Add(-r.lag - time.Duration(r.faults.LagMillis)*time.Millisecond)
 }
 
-func (r *registry) snapshot() platformapi.Snapshot {
+// snapshot returns the list as it is shown now, and its entity tag.
+func (r *registry) snapshot() (platformapi.Snapshot, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -154,7 +163,7 @@
 	r.forget(now)
 	return platformapi.Snapshot{
 		AgeMillis: ageMillis(now.Sub(shown)), Instances: state.instances, BackendServers: state.servers,
-	}
+	}, state.tag
 }
 
 // historyAge is more than any lag that a test sets.
--- a/standin/routes.go
+++ b/standin/routes.go
@@ -1,11 +1,13 @@
 package standin
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -122,14 +124,22 @@
 	if !s.withstandOutage(w, r, s.registry.currentFaults().Outage) {
 		return
 	}
-	list := s.registry.snapshot()
+	list, tag := s.registry.snapshot()
 	s.machines.noteShown(list.BackendServers)
-	writeJSON(w, list)
+	if tag != "" {
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.Header().Set(platformapi.HeaderListAge, strconv.FormatInt(list.AgeMillis, 10))
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+	}
+	writeCompressed(w, r, list)
 }
 
 func (s *StandIn) serveUsage(w http.ResponseWriter, r *http.Request) {
 	reports := s.machines.usage(fleet.DataCentre(pathVar(r, "data_centre")))
-	writeJSON(w, platformapi.UsageAnswer{Reports: reports})
+	writeCompressed(w, r, platformapi.UsageAnswer{Reports: reports})
 }
 
 func workerVar(r *http.Request) fleet.BackendServerID {
@@ -205,6 +215,23 @@
 
 func writeJSON(w http.ResponseWriter, body any) { writeStatus(w, http.StatusOK, body) }
 
+// minCompressed is the body size from which compression saves a packet.
+const minCompressed = 1400
+
+// writeCompressed writes a long body in gzip when the client takes it.
+func writeCompressed(w http.ResponseWriter, r *http.Request, body any) {
+	data, err := json.Marshal(body)
+	if err != nil || len(data) < minCompressed || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		writeJSON(w, body)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_, _ = z.Write(data)
+	_ = z.Close()
+}
+
 func writeStatus(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -242,7 +242,7 @@
 			}
 		}
 		time.Sleep(time.Second) // the bubble's clock; the lag is 500 ms
-		list := f.registry.snapshot()
+		list, _ := f.registry.snapshot()
 		if len(list.Instances) != 1 || !list.Instances[0].Leaving || len(list.BackendServers) != 8 {
 			t.Errorf("list: %+v", list)
 		}
