--- a/demo/idle_bench_test.go
+++ b/demo/idle_bench_test.go
@@ -99,7 +99,7 @@
 
 // startIdle starts a stand-in with racks of 9 backend servers in the region of
 // the instances and others elsewhere, and waits until every rack is held.
-func startIdle(b *testing.B, bin string, instances, racks, others int) *idleInstance {
+func startIdle(b *testing.B, bin string, instances, racks, others int) []*idleInstance {
 	s := standin.DefaultSettings()
 	s.Regions = []standin.Region{
 		{Name: "accra", DataCentres: []standin.DataCentre{{Name: "accra-1", Racks: racks, BackendServers: 9}}},
@@ -111,15 +111,13 @@
 	}
 	b.Cleanup(platform.Close)
 	c := &cluster{bin: bin, work: b.TempDir(), platform: platform.Address()}
-	var first *idleInstance
+	var all []*idleInstance
 	for n := range instances {
 		i := &idleInstance{
 			Log: newRelay(b, c.platform), List: newRelay(b, c.platform), Workers: newRelay(b, c.platform),
 		}
 		i.start(b, c, fmt.Sprintf("entry-%d", n+1))
-		if first == nil {
-			first = i
-		}
+		all = append(all, i)
 	}
 	if err := c.publish(); err != nil {
 		b.Fatal(err)
@@ -127,7 +125,7 @@
 	if err := c.ready(b.Context(), racks); err != nil {
 		b.Fatal(err)
 	}
-	return first
+	return all
 }
 
 func (i *idleInstance) start(b *testing.B, c *cluster, id string) {
@@ -176,21 +174,26 @@
 	}
 }
 
-// BenchmarkIdleInstance measures the first of some idle entry instances with
-// the default settings: processor time, resident memory, and the bytes on its
-// connections to the platform and on the links that others dialled to it. The
-// figures are medians of three windows; run it with -benchtime 1x.
-func BenchmarkIdleInstance(b *testing.B) {
+func buildPrograms(b *testing.B) string {
 	bin := b.TempDir()
 	build := exec.Command("go", "build", "-o", bin+"/", "../cmd/lacewingfork", "../cmd/lacewingfork-entry")
 	if out, err := build.CombinedOutput(); err != nil {
 		b.Fatalf("%v: %s", err, out)
 	}
+	return bin
+}
+
+// BenchmarkIdleInstance measures the first of some idle entry instances with
+// the default settings: processor time, resident memory, and the bytes on its
+// connections to the platform and on the links that others dialled to it. The
+// figures are medians of three windows; run it with -benchtime 1x.
+func BenchmarkIdleInstance(b *testing.B) {
+	bin := buildPrograms(b)
 	for _, c := range []struct{ instances, racks, servers int }{
 		{1, 1, 9}, {1, 6, 54}, {1, 18, 162}, {1, 36, 324}, {1, 18, 5400}, {2, 36, 324}, {3, 54, 486},
 	} {
 		b.Run(fmt.Sprintf("instances=%d/partitions=%d/listed=%d", c.instances, c.racks, c.servers), func(b *testing.B) {
-			i := startIdle(b, bin, c.instances, c.racks, c.servers/9-c.racks)
+			i := startIdle(b, bin, c.instances, c.racks, c.servers/9-c.racks)[0]
 			windows := map[string][]float64{}
 			for b.Loop() {
 				for range idleWindows {
--- a/platformapi/decode_bench_test.go
+++ b/platformapi/decode_bench_test.go
@@ -1,8 +1,11 @@
 package platformapi_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"lacewingfork.example/lacewingfork/fleet"
@@ -19,7 +22,7 @@
 	for i := range servers {
 		s.BackendServers = append(s.BackendServers, fleet.BackendServer{
 			ID:      fleet.BackendServerID(fmt.Sprintf("la-plata-rack-%03d-server-%d", i/10, i%10)),
-			Address: "10.0.0.1:8000", Region: "pampeana", DataCentre: "la-plata", Rack: fleet.Rack(fmt.Sprintf("rack-%03d", i/10)),
+			Address: fmt.Sprintf("10.%d.%d.%d:8000", i/2500%250, i/250%250, i%250), Region: "pampeana", DataCentre: "la-plata", Rack: fleet.Rack(fmt.Sprintf("rack-%03d", i/10)),
 			Capacity:    fleet.Resources{Slots: 8, MilliCPU: 64_000, MemoryMiB: 250_000, Accelerators: 2},
 			Connections: 64,
 		})
@@ -29,15 +32,17 @@
 
 func usageOf(servers, tasks int) platformapi.UsageAnswer {
 	var answer platformapi.UsageAnswer
+	random := rand.New(rand.NewPCG(20261204, 1)) // equal values would compress too well
 	for _, b := range listOf(servers).BackendServers {
 		r := platformapi.UsageReport{
-			BackendServer: b.ID, AgeMillis: 1234, RequestSlots: 4, Connections: 8, MilliCPU: 32_000, MemoryMiB: 120_000,
-			Latencies: map[fleet.Service]int64{"planner": 10_000, "checks": 20_000},
+			BackendServer: b.ID, AgeMillis: random.Int64N(2000), RequestSlots: random.IntN(9), Connections: random.IntN(64),
+			MilliCPU: random.Int64N(64_000), MemoryMiB: random.Int64N(250_000),
+			Latencies: map[fleet.Service]int64{"planner": random.Int64N(50_000), "checks": random.Int64N(50_000)},
 		}
 		for t := range tasks {
 			r.Tasks = append(r.Tasks, platformapi.TaskReport{
-				Task: fleet.TaskID(fmt.Sprintf("regrind-2026-12-04-000123/%d", t)), Attempt: 1, Epoch: 300,
-				State: platformapi.TaskRunning, Class: "full-regrind", ProgressMillis: 1_000_000,
+				Task: fleet.TaskID(fmt.Sprintf("regrind-2026-12-04-%06d/%d", random.IntN(25_000), t)), Attempt: 1, Epoch: 300,
+				State: platformapi.TaskRunning, Class: "full-regrind", ProgressMillis: random.Int64N(1e7),
 				Resources: fleet.Resources{Slots: 1, MilliCPU: 2000, MemoryMiB: 8000},
 			})
 		}
@@ -60,9 +65,18 @@
 			}
 		}
 		b.ReportMetric(float64(len(data)), "bytes")
+		b.ReportMetric(float64(compressed(data)), "gzip-bytes")
 	})
 }
 
+func compressed(data []byte) int {
+	var out bytes.Buffer
+	z := gzip.NewWriter(&out)
+	_, _ = z.Write(data)
+	_ = z.Close()
+	return out.Len()
+}
+
 // BenchmarkDecodeList decodes the instance list; 5,400 is the target size.
 func BenchmarkDecodeList(b *testing.B) {
 	for _, n := range []int{65, 540, 1080, 5400} {
