Send load hints only when they changed

Cause: every instance sends the hints of all its partitions to every other instance each second: 531 bytes for 16 partitions (BenchmarkFrame), 18 KB/s to the 34 others of the target size, against a budget of 3 KB/s.

Ruled out: a longer pause between frames, because a hint counts for 2 s; a flag in the frame, which needs a new version of the protocol.

Change: a connection keeps what it has carried and sends the difference; the accepting end merges it and hands the whole list to the routing duty each second as before. Both forget it with the connection.

Conclusion: idle partitions cost no hints; those under load still do.

--- a/entry/peers/acceptor.go
+++ b/entry/peers/acceptor.go
@@ -41,11 +41,16 @@
 		},
 	})
 	defer sender.Cancel()
+	hints := heardHints{}
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
 			return errors.Wrap(err, "receive frame")
 		}
+		if changed := frame.GetLoadHints(); changed != nil {
+			_ = a.supervisor.receivers.Hints.Put(stream.Context(), message.PeerHints{Peer: peer, Hints: hints.merge(changed)})
+			continue
+		}
 		a.dispatch(stream.Context(), peer, frame, replies)
 	}
 }
@@ -76,8 +81,6 @@
 		_ = receivers.Submissions.Put(ctx, message.Submission{
 			Cancel: true, Request: &message.Request{ID: fleet.RequestID(body.Cancel.Id)},
 		})
-	case *peerpb.Frame_LoadHints:
-		_ = receivers.Hints.Put(ctx, message.PeerHints{Peer: peer, Hints: decodeHints(body.LoadHints)})
 	case *peerpb.Frame_ConfigurationRequest:
 		_ = receivers.ConfigurationRequests.Put(ctx, message.ConfigurationRequest{
 			Version: body.ConfigurationRequest.Version, Offset: fleet.Offset(body.ConfigurationRequest.Offset),
--- a/entry/peers/link.go
+++ b/entry/peers/link.go
@@ -118,7 +118,7 @@
 		link: l, close: rpc.Close, stream: stream,
 		received: supervise.NewRing[*peerpb.Frame](fmt.Sprintf("link.%s.received", l.peer.ID), forwardCapacity, supervise.Wait),
 		broken:   supervise.NewRing[error](fmt.Sprintf("link.%s.broken", l.peer.ID), 1, supervise.DropOldest),
-		pending:  map[fleet.RequestID]message.Submission{}, heardAt: time.Now(),
+		pending:  map[fleet.RequestID]message.Submission{}, hints: sentHints{}, heardAt: time.Now(),
 	}
 	settings := l.supervisor.settings
 	hello := &peerpb.Hello{
@@ -144,6 +144,7 @@
 	received *supervise.Ring[*peerpb.Frame]
 	broken   *supervise.Ring[error]
 	pending  map[fleet.RequestID]message.Submission
+	hints    sentHints
 	heardAt  time.Time
 	beats    uint64
 	forwards uint64
@@ -180,7 +181,7 @@
 		case sub := <-l.forwards.Items():
 			err = s.forward(sub)
 		case frame := <-l.controls.Items():
-			err = s.stream.Send(frame)
+			err = s.control(frame)
 		case frame := <-s.received.Items():
 			s.take(ctx, frame)
 		case err = <-s.broken.Items():
@@ -196,6 +197,14 @@
 	}
 }
 
+// control sends a control frame; of load hints only what changed.
+func (s *session) control(frame *peerpb.Frame) error {
+	if all := frame.GetLoadHints(); all != nil {
+		frame = s.hints.changes(all)
+	}
+	return s.stream.Send(frame)
+}
+
 // forward notes the request before it is written: after a failed write some
 // of it may have arrived.
 func (s *session) forward(sub message.Submission) error {
