--- a/entry/scheduling/memory_bench_test.go
+++ b/entry/scheduling/memory_bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lacewingfork.example/lacewingfork/decision/outcome"
+	"lacewingfork.example/lacewingfork/decision/requestkey"
 	"lacewingfork.example/lacewingfork/entry/dispatch"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
@@ -79,7 +80,7 @@
 			var bytes float64
 			for b.Loop() {
 				before := inUse()
-				k := newKeyedRequests("accra-1/rack-1", 3)
+				k := newKeyedRequests(requestkey.New("accra-1/rack-1", 3, 0))
 				for i := range c.keys {
 					id := fleet.RequestID(fmt.Sprintf("%032x", i))
 					key := k.issue(id).Key
