Expect a wait in a partition without a known free slot

Right after a takeover a partition expected no wait, because nothing ran and nothing waited, and would have attracted work for slots that it can't use yet.

It now expects the lag of a usage report, 5 s. The expected run time of waiting work is kept above zero, since an empty backlog stands for an empty queue.

--- a/decision/partition/requests.go
+++ b/decision/partition/requests.go
@@ -13,6 +13,10 @@
 // partition: the list shows a new one within about 2 s.
 const retryAfterNoServer = 2 * time.Second
 
+// leastRun keeps the expected run time of waiting work above zero, because an
+// empty backlog stands for an empty queue.
+const leastRun = time.Microsecond
+
 // maxRetrying bounds the requests that wait for another attempt; those beyond
 // end with what the last attempt brought.
 const maxRetrying = 256
@@ -66,7 +70,7 @@
 	// a refusal before half of it has passed.
 	left := r.work.Deadline.Sub(now)
 	item := admission.Item{
-		Class: min(r.work.Class, fleet.Batch), Kind: kind, Team: r.team, Run: r.estimate.Mean(), Arrived: now,
+		Class: min(r.work.Class, fleet.Batch), Kind: kind, Team: r.team, Run: max(r.estimate.Mean(), leastRun), Arrived: now,
 		Until: r.work.Deadline.Add(-min(r.estimate.Likely(now), left/2)),
 	}
 	handle, refusal := s.queue.Push(now, item, s.slotsFor(kind))
--- a/decision/partition/scenario_test.go
+++ b/decision/partition/scenario_test.go
@@ -92,6 +92,18 @@
 	}
 }
 
+// Guards against a new holder that attracts work because it expects no wait,
+// while it knows of no free slot.
+func TestExpectedWaitAfterTheTakeover(t *testing.T) {
+	s, list := openState(t, 1)
+	if wait := s.ExpectedWait(start); wait != 0 {
+		t.Errorf("expected wait with a free slot is %v", wait)
+	}
+	if wait := New(start, list, testConfiguration).ExpectedWait(start); wait != unknownWait {
+		t.Errorf("expected wait right after the takeover is %v", wait)
+	}
+}
+
 // Guards against explanations that miss what was weighed or why a request was
 // refused, and against a history that grows.
 func TestExplain(t *testing.T) {
--- a/decision/partition/state.go
+++ b/decision/partition/state.go
@@ -141,13 +141,21 @@
 	return s.servers.Free(), s.servers.Capacity(), s.queue.Len() + len(s.retrying)
 }
 
+// unknownWait is what a partition expects that has no slot known to be usable:
+// the lag of a usage report, which shows what is free after a takeover.
+const unknownWait = 5 * time.Second
+
 // ExpectedWait returns what an urgent short request submitted now would wait.
 func (s *State) ExpectedWait(time.Time) time.Duration {
 	if s.servers.Free() > 0 && s.queue.Backlog(admission.Short) == 0 {
 		return 0
 	}
+	slots := s.slotsFor(admission.Short)
+	if slots <= 0 {
+		return unknownWait
+	}
 	item := admission.Item{Class: fleet.Urgent, Kind: admission.Short, Team: admission.Unlisted}
-	return s.queue.Wait(item, s.slotsFor(admission.Short))
+	return s.queue.Wait(item, slots)
 }
 
 // slotsFor returns how many slots waiting work of a kind may expect to use, or
