--- a/decision/partition/sim_test.go
+++ b/decision/partition/sim_test.go
@@ -184,50 +184,6 @@
 	return time.Duration(float64(median) * math.Exp(0.125) * (499 + 100) / 500)
 }
 
-// queued is a baseline: one queue, first in, first out, no admission. It sees
-// exact counts of all servers.
-type queued struct {
-	random bool // choose a random server with a free slot, else the least loaded
-	queue  []*job
-}
-
-func (q *queued) submit(w *world, j *job) {
-	j.admitted = true
-	q.queue = append(q.queue, j)
-	q.drain(w)
-}
-
-func (q *queued) ended(w *world, j *job, _ Result) {
-	j.answered = true
-	q.drain(w)
-}
-
-func (q *queued) cancel(_ *world, j *job) {
-	if i := slices.Index(q.queue, j); i >= 0 {
-		q.queue = slices.Delete(q.queue, i, i+1)
-		j.refused = true
-	}
-}
-
-func (q *queued) drain(w *world) {
-	for len(q.queue) > 0 {
-		first := w.random.IntN(w.servers)
-		best := -1
-		for k := range w.servers {
-			i := (first + k) % w.servers
-			if w.busy[i] < slotsPerServer && (best < 0 || !q.random && w.busy[i] < w.busy[best]) {
-				best = i
-			}
-		}
-		if best < 0 {
-			return
-		}
-		j := q.queue[0]
-		q.queue = q.queue[1:]
-		w.start(j, best)
-	}
-}
-
 // lacewing is the policy of this repository: one State for each rack, with two
 // choices between racks by exact load.
 type lacewing struct {
