Keep whole answers over failed retries; adopt tasks without reports

The partition duty replaced a server's whole answer by the refusal of a retry, so a request that had run could be answered as not run. And a new holder knew the tasks of a former one only from usage reports: with reports out it counted their room as free once the longest deadline had passed. The first whole answer now stays, and the ledger passes on what its fold shows as running.

After: TestWholeAnswerOutlivesAFailedRetry and TestAdoptedTaskKeepsItsRoomWithoutReports pass under the race detector.

--- a/decision/task/view.go
+++ b/decision/task/view.go
@@ -73,3 +73,35 @@
 	}
 	return c
 }
+
+// RunningAttempt is an attempt that has room on a backend server.
+type RunningAttempt struct {
+	Task      Ref
+	Attempt   int
+	Server    fleet.BackendServerID
+	Kind      string
+	Resources fleet.Resources
+}
+
+// Running returns the attempts on the backend servers of a partition that is
+// held under the epoch. It reports false until all that former holders started
+// is known.
+func (l *Ledger) Running(partition fleet.PartitionID, epoch fleet.Epoch) ([]RunningAttempt, bool) {
+	h := l.holdings[partition]
+	if h == nil || h.epoch != epoch || !h.ready {
+		return nil, false
+	}
+	var running []RunningAttempt
+	for _, s := range h.servers {
+		for ref, u := range s.runs {
+			j, _ := l.fold.find(ref)
+			if j == nil {
+				continue
+			}
+			running = append(running, RunningAttempt{
+				Task: ref, Attempt: u.attempt, Server: s.id, Kind: j.spec.Kind, Resources: j.spec.Resources,
+			})
+		}
+	}
+	return running, true
+}
--- a/entry/batch/ledger.go
+++ b/entry/batch/ledger.go
@@ -20,7 +20,8 @@
 	stream   string
 	teams    map[fleet.Team]configuration.Team // nil until a configuration is known
 	routes   map[fleet.PartitionID]message.TaskRoute
-	ended    []message.TaskEnded // not taken by their partition duty yet
+	adopted  map[fleet.PartitionID]fleet.Epoch // whose running attempts were passed on
+	ended    []message.TaskEnded               // not taken by their partition duty yet
 	parts    taskrecord.Assembler
 	waiting  map[fleet.JobID][]waiter
 	counters counters
@@ -39,7 +40,7 @@
 	l := &ledger{
 		Supervisor: s, planner: task.NewLedger(time.Now(), s.plannerSettings()),
 		stream: taskrecord.Stream(s.settings.Region),
-		routes: map[fleet.PartitionID]message.TaskRoute{}, waiting: map[fleet.JobID][]waiter{},
+		routes: map[fleet.PartitionID]message.TaskRoute{}, adopted: map[fleet.PartitionID]fleet.Epoch{}, waiting: map[fleet.JobID][]waiter{},
 	}
 	defer l.answerAll()
 	if s.settings.Rewinds != nil {
@@ -189,9 +190,33 @@
 		}
 	case message.TaskRoute:
 		l.routes[s.Partition] = s
+		l.adopt(s)
 	}
 }
 
+// adopt tells a partition duty of a new epoch what runs on its backend servers.
+// Reports tell it too, but while they are out it would count the room as free
+// once the longest deadline has passed. A route is repeated until this worked.
+func (l *ledger) adopt(route message.TaskRoute) {
+	if l.adopted[route.Partition] == route.Epoch {
+		return
+	}
+	running, known := l.planner.Running(route.Partition, route.Epoch)
+	if !known {
+		return
+	}
+	for _, a := range running {
+		err := route.Commands.Put(context.Background(), message.TaskAdopted{
+			Task: a.Task.ID(), Attempt: a.Attempt, Partition: route.Partition, Epoch: route.Epoch,
+			Server: a.Server, Kind: a.Kind, Resources: a.Resources,
+		})
+		if err != nil {
+			return
+		}
+	}
+	l.adopted[route.Partition] = route.Epoch
+}
+
 // ledgerState is the ledger's part of the state dump.
 type ledgerState struct {
 	Ready     bool        `json:"ready"`
--- a/entry/message/task.go
+++ b/entry/message/task.go
@@ -7,8 +7,8 @@
 )
 
 // TaskCommand goes from the ledger duty to a partition duty. Its ring refuses
-// when full; the ledger repeats a TaskEnded, and an offer counts as not made.
-// It is one of TaskOffer and TaskEnded.
+// when full; the ledger repeats a TaskEnded and a TaskAdopted, and an offer
+// counts as not made. It is one of TaskOffer, TaskEnded and TaskAdopted.
 type TaskCommand interface{ taskCommand() }
 
 // TaskOffer asks for room for one attempt of a task. The partition duty answers
@@ -38,8 +38,21 @@
 	Server    fleet.BackendServerID
 }
 
-func (TaskOffer) taskCommand() {}
-func (TaskEnded) taskCommand() {}
+// TaskAdopted says that an attempt which a former holder started may run on
+// Server. Its room is taken until TaskEnded or until a report lacks it.
+type TaskAdopted struct {
+	Task      fleet.TaskID
+	Attempt   int
+	Partition fleet.PartitionID
+	Epoch     fleet.Epoch
+	Server    fleet.BackendServerID
+	Kind      string
+	Resources fleet.Resources
+}
+
+func (TaskOffer) taskCommand()   {}
+func (TaskEnded) taskCommand()   {}
+func (TaskAdopted) taskCommand() {}
 
 // TaskSignal goes from the scheduling duties to the ledger duty. Its ring
 // refuses when full. It is one of TaskPlaced, TaskDeclined, EvictTask,
--- a/entry/scheduling/actions.go
+++ b/entry/scheduling/actions.go
@@ -60,14 +60,14 @@
 		}
 	}
 	if p != nil {
-		p.answer = message.Refuse(a.ID, outcome.LeaseLapsed, 0)
+		p.keep(message.Refuse(a.ID, outcome.LeaseLapsed, 0))
 	}
 	return w.state.Complete(time.Now(), partition.Completion{
 		ID: a.ID, Server: a.Server, Attempt: a.Attempt, Result: partition.NotWritten, SlotReleased: true,
 	}, actions)
 }
 
-// deliver passes on the answer of the last exchange.
+// deliver passes on the last whole answer.
 func (w *partitionWork) deliver(id fleet.RequestID) {
 	if p := w.pending[id]; p != nil {
 		w.finish(id, p.answer)
--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -125,7 +125,16 @@
 // pending is a request that the partition has accepted and not yet answered.
 type pending struct {
 	submission message.Submission
-	answer     message.Answer // of the last exchange
+	answer     message.Answer
+}
+
+// keep takes the answer of an exchange. A whole answer stays until a later one
+// replaces it: the decision may deliver a server's failure after a retry that
+// brought nothing.
+func (p *pending) keep(a message.Answer) {
+	if a.Outcome == outcome.Answered || p.answer.Outcome != outcome.Answered {
+		p.answer = a
+	}
 }
 
 // partitionWork is the state of one run of a partition duty.
@@ -250,7 +259,7 @@
 func (w *partitionWork) complete(ctx context.Context, done message.ExchangeDone) {
 	w.inFlight--
 	if p := w.pending[done.Answer.ID]; p != nil {
-		p.answer = done.Answer
+		p.keep(done.Answer)
 	}
 	w.act(ctx, w.state.Complete(time.Now(), partition.Completion{
 		ID: done.Answer.ID, Server: done.Server, Attempt: done.Attempt, Result: resultOf(done),
--- a/entry/scheduling/partition_test.go
+++ b/entry/scheduling/partition_test.go
@@ -203,6 +203,36 @@
 	})
 }
 
+// Guards against a server's whole answer that is lost, or is called not run,
+// when the retry after it brought nothing.
+func TestWholeAnswerOutlivesAFailedRetry(t *testing.T) {
+	for _, second := range []message.Answer{{Outcome: outcome.RefusedNotRun}, {Outcome: outcome.Unknown}} {
+		p := &pending{}
+		p.keep(message.Answer{Outcome: outcome.Answered, Status: 500})
+		p.keep(second)
+		if p.answer.Outcome != outcome.Answered || p.answer.Status != 500 {
+			t.Errorf("kept %+v", p.answer)
+		}
+	}
+}
+
+// Guards against requests that take the room of a task which a former holder
+// started, while no report shows it.
+func TestAdoptedTaskKeepsItsRoomWithoutReports(t *testing.T) {
+	run(t, func(ctx context.Context, h *harness) {
+		_ = h.duty.rings.tasks.Put(ctx, message.TaskAdopted{
+			Task: "t1", Attempt: 1, Partition: "accra-1/r1", Epoch: 3, Server: "b1", Kind: "seam-watch",
+			Resources: fleet.Resources{Slots: 1, MilliCPU: 1000, MemoryMiB: 1000},
+		})
+		synctest.Wait()
+		h.submit("q1", "")
+		h.submit("q2", "")
+		if depth := h.exchanges.Stats().Depth; depth != 1 {
+			t.Errorf("%d requests run beside an adopted task on two slots, want 1", depth)
+		}
+	})
+}
+
 // Guards against a task whose room is freed by the late end of an earlier
 // attempt.
 func TestLateEndOfAnEarlierAttemptFreesNothing(t *testing.T) {
--- a/entry/scheduling/tasks.go
+++ b/entry/scheduling/tasks.go
@@ -15,9 +15,21 @@
 		w.offer(ctx, c)
 	case message.TaskEnded:
 		w.taskEnded(ctx, c)
+	case message.TaskAdopted:
+		w.adopt(ctx, c)
 	}
 }
 
+// adopt takes the room of an attempt that a former holder started.
+func (w *partitionWork) adopt(ctx context.Context, a message.TaskAdopted) {
+	if a.Epoch != w.lease.Epoch || a.Attempt < w.attempts[a.Task] {
+		return
+	}
+	w.attempts[a.Task] = a.Attempt
+	task := partition.RunningTask{Task: a.Task, Kind: a.Kind, Resources: a.Resources}
+	w.act(ctx, w.state.Adopt(time.Now(), a.Server, task, w.actions[:0]))
+}
+
 // offer declines while the partition may start nothing: under another epoch,
 // in a drain, or with a lease that has ended.
 func (w *partitionWork) offer(ctx context.Context, o message.TaskOffer) {
