entry: metrics for the users' measures

Cause: only requests and rings were measured; slot waits, run times, leases, batch tasks, the log and the instance list were visible in state dumps only.

Ruled out: collectors that read a duty's state when scraped, because no duty reads another's state; labels for partitions, servers, callers or the holder that claimed a lease, because their number grows with the fleet. Ended tasks are counted where the attempt was held, not in the fold, because a restart reads the whole stream again.

Change: one metrics.go in each supervisor's folder, built once in wiring.go. A lost lease carries a cause from a fixed set besides its reason in words, a run action says whether it takes a slot as long work, and an ended task its end. The tests of the scheduling and routing duties now also check counts.

The cost of the counting in the duties themselves was not measured.

--- a/decision/lease/lease.go
+++ b/decision/lease/lease.go
@@ -166,9 +166,24 @@
 	Until time.Time
 }
 
+// Cause is a stable word for the end of a lease.
+type Cause string
+
+// Causes of the end of a lease.
+const (
+	CauseLapsed   Cause = "lapsed"   // by time
+	CauseClaimed  Cause = "claimed"  // by another member under a newer epoch
+	CauseReleased Cause = "released" // read back from the log
+	CauseBalanced Cause = "balanced" // above the fair share
+	CauseRetaken  Cause = "retaken"  // by the same member under a greater epoch
+	CauseStopped  Cause = "stopped"  // by a planned stop
+	CauseLogGap   Cause = "log_gap"  // records are gone that were not read
+)
+
 // Lost is a lease that ended, with the reason in words.
 type Lost struct {
 	PartitionEpoch
+	Cause  Cause
 	Reason string
 }
 
--- a/decision/lease/member.go
+++ b/decision/lease/member.go
@@ -151,7 +151,7 @@
 	clear(m.signs)
 	clear(m.changed)
 	for p, l := range m.own {
-		m.lose(p, l, "records that were not read are gone from the log")
+		m.lose(p, l, CauseLogGap, "records that were not read are gone from the log")
 	}
 	return m.finish()
 }
@@ -235,7 +235,7 @@
 	m.changes++
 	epoch := c.Ends + 1
 	if l := m.own[c.Partition]; l != nil && l.Epoch < epoch {
-		m.lose(c.Partition, l, "claimed by "+string(r.Member.ID)+" under a newer epoch")
+		m.lose(c.Partition, l, CauseClaimed, "claimed by "+string(r.Member.ID)+" under a newer epoch")
 	}
 	delete(m.ended, c.Partition)
 	delete(m.releasing, c.Partition)
@@ -265,7 +265,7 @@
 	}
 	delete(m.ended, pe.Partition)
 	if l := m.own[pe.Partition]; l != nil && l.Epoch <= pe.Epoch {
-		m.lose(pe.Partition, l, "released")
+		m.lose(pe.Partition, l, CauseReleased, "released")
 		delete(m.ended, pe.Partition)
 	}
 }
@@ -301,7 +301,7 @@
 	l := m.own[pe.Partition]
 	held := l != nil && l.Epoch == pe.Epoch
 	if held {
-		m.lose(pe.Partition, l, "retaken under a greater epoch")
+		m.lose(pe.Partition, l, CauseRetaken, "retaken under a greater epoch")
 	}
 	return m.finish(), held
 }
@@ -313,7 +313,7 @@
 	m.stopping = true
 	for p, l := range m.own {
 		epoch := l.Epoch
-		m.lose(p, l, "planned stop")
+		m.lose(p, l, CauseStopped, "planned stop")
 		m.releaseAt(p, epoch, now.Add(m.settings.ReleaseDelay))
 	}
 	return m.finish()
@@ -339,11 +339,11 @@
 }
 
 // lose ends a lease in the member's own view.
-func (m *Member) lose(p fleet.PartitionID, l *ownLease, reason string) {
+func (m *Member) lose(p fleet.PartitionID, l *ownLease, cause Cause, reason string) {
 	delete(m.own, p)
 	m.ended[p] = m.now
 	m.granted = later(m.granted, l.until)
-	m.out.Lost = append(m.out.Lost, Lost{l.PartitionEpoch, reason})
+	m.out.Lost = append(m.out.Lost, Lost{l.PartitionEpoch, cause, reason})
 }
 
 func (m *Member) releaseAt(p fleet.PartitionID, epoch fleet.Epoch, due time.Time) {
--- a/decision/lease/rules.go
+++ b/decision/lease/rules.go
@@ -19,7 +19,7 @@
 			l.lapsed = true
 			continue
 		}
-		m.lose(p, l, "lapsed")
+		m.lose(p, l, CauseLapsed, "lapsed")
 	}
 }
 
--- a/decision/lease/tick.go
+++ b/decision/lease/tick.go
@@ -174,7 +174,7 @@
 	}
 	for _, p := range m.leastPreferred()[:excess] {
 		l := m.own[p]
-		m.lose(p, l, "released for balance")
+		m.lose(p, l, CauseBalanced, "released for balance")
 		m.releaseAt(p, l.Epoch, m.now.Add(s.ReleaseDelay))
 	}
 }
--- a/decision/partition/partition.go
+++ b/decision/partition/partition.go
@@ -122,7 +122,8 @@
 	ID         fleet.RequestID
 	Task       fleet.TaskID
 	Server     fleet.BackendServerID
-	Attempt    int // of a Run, from 1
+	Attempt    int  // of a Run, from 1
+	Long       bool // of a Run: it takes a slot as long work
 	Reason     outcome.Reason
 	RetryAfter time.Duration
 }
--- a/decision/partition/requests.go
+++ b/decision/partition/requests.go
@@ -161,7 +161,7 @@
 	s.explain(Decision{
 		At: now, Subject: string(r.work.ID), Verdict: VerdictRun, Server: id, Wait: now.Sub(r.arrived),
 	}, &s.weighed)
-	return append(out, Action{Kind: Run, ID: r.work.ID, Server: id, Attempt: r.attempt})
+	return append(out, Action{Kind: Run, ID: r.work.ID, Server: id, Attempt: r.attempt, Long: r.long})
 }
 
 // refuse ends a request that was never entered.
--- a/decision/partition/state.go
+++ b/decision/partition/state.go
@@ -141,6 +141,10 @@
 	return s.servers.Free(), s.servers.Capacity(), s.queue.Len() + len(s.retrying)
 }
 
+// UnknownSlots returns the slots that count as taken although nobody knows
+// whether they are: since a takeover or an exchange without an answer.
+func (s *State) UnknownSlots() int { return s.servers.Held() }
+
 // ExpectedWait returns what an urgent short request submitted now would wait.
 func (s *State) ExpectedWait(time.Time) time.Duration {
 	if s.servers.Free() > 0 && s.queue.Backlog(admission.Short) == 0 {
--- a/decision/task/action.go
+++ b/decision/task/action.go
@@ -153,5 +153,6 @@
 	Task    Ref
 	Server  fleet.BackendServerID
 	Attempt int
+	End     End // of EventEnded
 	Detail  string
 }
--- a/decision/task/run.go
+++ b/decision/task/run.go
@@ -112,7 +112,7 @@
 	}
 	if s := l.servers[before.server]; s != nil {
 		if u := s.runs[r.Task]; u != nil && u.attempt == r.Attempt {
-			l.event(Event{Kind: kind, Task: r.Task, Server: before.server, Attempt: r.Attempt, Detail: detail})
+			l.event(Event{Kind: kind, Task: r.Task, Server: before.server, Attempt: r.Attempt, End: r.End, Detail: detail})
 			if u.phase != settled {
 				l.release(s.holding, r.Task, r.Attempt, s.id)
 			}
--- a/decision/task/view.go
+++ b/decision/task/view.go
@@ -60,7 +60,9 @@
 	Jobs       int `json:"jobs"`
 	EndedJobs  int `json:"ended_jobs"`
 	Tasks      int `json:"tasks"`
+	Waiting    int `json:"waiting"` // of open jobs
 	Running    int `json:"running"`
+	Succeeded  int `json:"succeeded"` // of open jobs
 	Partitions int `json:"partitions"`
 }
 
@@ -70,6 +72,10 @@
 	for _, j := range f.jobs {
 		c.Tasks += len(j.tasks)
 		c.Running += j.running
+		if j.state == Open {
+			c.Waiting += j.spec.Tasks - j.running - j.done
+			c.Succeeded += j.done
+		}
 	}
 	return c
 }
--- a/entry/batch/act.go
+++ b/entry/batch/act.go
@@ -93,6 +93,7 @@
 }
 
 func (l *ledger) explain(ctx context.Context, now time.Time, e task.Event) {
+	l.settings.Metrics.happened(e)
 	if l.settings.Events == nil {
 		return
 	}
--- a/entry/batch/batch.go
+++ b/entry/batch/batch.go
@@ -46,6 +46,8 @@
 	Appends *supervise.Ring[message.Append]
 	Rewinds *message.RewindRing
 	Events  *supervise.Ring[message.Event]
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Supervisor holds the input rings of the ledger duty, for those that feed it.
--- a/entry/batch/ledger.go
+++ b/entry/batch/ledger.go
@@ -24,6 +24,8 @@
 	parts    taskrecord.Assembler
 	waiting  map[fleet.JobID][]waiter
 	counters counters
+	// countedAt is when the gauges were set last.
+	countedAt time.Time
 }
 
 // counters are for the state dump.
@@ -61,6 +63,7 @@
 		now := time.Now()
 		l.expire(now)
 		l.act(ctx, now, l.planner.Step(now))
+		l.countTasks(now)
 		timer.Reset(l.pause(now))
 	}
 }
--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -146,6 +146,12 @@
 	return nil
 }
 
+// reject answers a call that did not become a request.
+func (s *Supervisor) reject(w http.ResponseWriter, r *http.Request, refusal message.Answer) {
+	s.metrics.reject(refusal.Reason)
+	s.write(w, r, refusal)
+}
+
 func (s *Supervisor) handleRequest(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	held := s.settings.MaxBodyBytes
@@ -153,13 +159,13 @@
 		held = min(held, r.ContentLength)
 	}
 	if !s.bodies.TryAcquire(held) {
-		s.write(w, r, message.Refuse(s.nextID(), outcome.RingFull, time.Second))
+		s.reject(w, r, message.Refuse(s.nextID(), outcome.RingFull, time.Second))
 		return
 	}
 	defer s.bodies.Release(held)
 	request, refusal := s.decode(w, r)
 	if refusal != nil {
-		s.write(w, r, *refusal)
+		s.reject(w, r, *refusal)
 		return
 	}
 	answer := s.submitKeyed(r.Context(), request)
--- a/entry/callers/metrics.go
+++ b/entry/callers/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/entry/message"
 )
 
@@ -13,6 +14,7 @@
 type Metrics struct {
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	rejected *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -27,8 +29,12 @@
 			Help:    "Time from the whole request of a caller to its answer.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 18),
 		}, []string{"service", "class"}),
+		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingfork_requests_rejected_total",
+			Help: "Calls refused before they became a request of a known service, by reason.",
+		}, []string{"reason"}),
 	}
-	registry.MustRegister(m.requests, m.seconds)
+	registry.MustRegister(m.requests, m.seconds, m.rejected)
 	return m
 }
 
@@ -36,3 +42,5 @@
 	m.requests.WithLabelValues(string(r.Service), r.Class.String(), a.Outcome.String(), string(a.Reason)).Inc()
 	m.seconds.WithLabelValues(string(r.Service), r.Class.String()).Observe(took.Seconds())
 }
+
+func (m *Metrics) reject(reason outcome.Reason) { m.rejected.WithLabelValues(string(reason)).Inc() }
--- a/entry/configuration/duty.go
+++ b/entry/configuration/duty.go
@@ -45,6 +45,8 @@
 	// SnapshotStagger spreads the instances' attempts, so that mostly one of
 	// them appends.
 	SnapshotStagger time.Duration
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // DefaultSettings returns settings for a log that retains records for an hour
@@ -193,6 +195,7 @@
 		return
 	}
 	*d.published = message.ConfigurationInForce{Version: state.Version, Value: state.InForce.Value}
+	d.settings.Metrics.inForce(state.Version)
 	for _, subscriber := range d.rings.Subscribers {
 		_ = subscriber.Put(ctx, *d.published)
 	}
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -21,6 +21,8 @@
 type Supervisor struct {
 	tree   *supervise.Tree
 	maxAge time.Duration // of a connection
+	// Metrics is set before the tree serves; nil counts nothing.
+	Metrics *Metrics
 }
 
 // New adds the dispatch supervisor below root. Connections older than maxAge
@@ -51,7 +53,9 @@
 			Name:  fmt.Sprintf("%s@%d/slot-%d", server.ID, epoch, slot),
 			Rings: slotRings(slot, line.Exchanges),
 			Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
-				return newExchanger(server, s.maxAge).run(ctx, line.Exchanges, dumps)
+				e := newExchanger(server, s.maxAge)
+				e.metrics = s.Metrics
+				return e.run(ctx, line.Exchanges, dumps)
 			},
 		}))
 	}
--- a/entry/dispatch/exchange.go
+++ b/entry/dispatch/exchange.go
@@ -48,6 +48,7 @@
 	connection *connection
 	carried    uint64
 	crossed    uint64
+	metrics    *Metrics
 }
 
 func newExchanger(server fleet.BackendServer, maxAge time.Duration) *exchanger {
@@ -85,6 +86,7 @@
 	started := time.Now()
 	defer func() {
 		done.Duration = time.Since(started)
+		e.metrics.ran(x.Request, done)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 		defer cancel()
 		_ = x.Done.Put(ctx, done)
@@ -194,6 +196,7 @@
 	defer func() { _ = response.Body.Close() }()
 	if id := response.Header.Get(HeaderRequestID); id != string(x.Request.ID) {
 		e.crossed++
+		e.metrics.answerCrossed()
 		return message.Answer{}, errCrossed
 	}
 	body, err := readWhole(response)
--- /dev/null
+++ b/entry/dispatch/metrics.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingfork.example/lacewingfork/entry/message"
+)
+
+// Metrics of the exchanges with backend servers. A nil Metrics counts nothing.
+type Metrics struct {
+	runTime *prometheus.HistogramVec
+	crossed prometheus.Counter
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		runTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "lacewingfork_backend_run_seconds",
+			Help:    "Time of an exchange with a backend server whose request was written, by service and class.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 18),
+		}, []string{"service", "class"}),
+		crossed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lacewingfork_crossed_answers_total",
+			Help: "Answers of backend servers that carried another request's identifier and were dropped.",
+		}),
+	}
+	registry.MustRegister(m.runTime, m.crossed)
+	return m
+}
+
+func (m *Metrics) ran(r *message.Request, done message.ExchangeDone) {
+	if m != nil && done.Written {
+		m.runTime.WithLabelValues(string(r.Service), r.Class.String()).Observe(done.Duration.Seconds())
+	}
+}
+
+func (m *Metrics) answerCrossed() {
+	if m != nil {
+		m.crossed.Inc()
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,7 +28,11 @@
 
 // New returns the application of one entry instance.
 func New(s settings.Settings, listeners *Listeners, logger *log.Logger) *fx.App {
-	return fx.New(
+	return fx.New(options(s, listeners, logger))
+}
+
+func options(s settings.Settings, listeners *Listeners, logger *log.Logger) fx.Option {
+	return fx.Options(
 		fx.NopLogger,
 		fx.StopTimeout(s.Process.StopTimeout+stopAllowance),
 		fx.Supply(s, listeners, logger),
--- a/entry/ownership/actions.go
+++ b/entry/ownership/actions.go
@@ -52,6 +52,7 @@
 // publish hands the whole view to the subscribers; the newest wins. Each gets
 // a map of its own.
 func (d *duty) publish(ctx context.Context, now time.Time) {
+	d.settings.Metrics.holds(len(d.member.Leases(now)))
 	for _, subscriber := range d.rings.Subscribers {
 		_ = subscriber.Put(ctx, d.holdings(now))
 	}
@@ -71,6 +72,7 @@
 func (d *duty) explain(ctx context.Context, a *lease.Actions) {
 	d.counters.Acquired += uint64(len(a.Acquired))
 	d.counters.Lost += uint64(len(a.Lost))
+	d.settings.Metrics.changed(a)
 	if d.rings.Events == nil {
 		return
 	}
--- a/entry/ownership/duty.go
+++ b/entry/ownership/duty.go
@@ -40,6 +40,8 @@
 type Settings struct {
 	Instance fleet.Instance
 	Lease    lease.Settings
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Rings joins the lease duty with others.
--- a/entry/peers/link.go
+++ b/entry/peers/link.go
@@ -246,6 +246,7 @@
 	sub, ok := s.pending[a.ID]
 	if !ok {
 		s.unknown++
+		s.link.supervisor.Metrics.answerUnmatched()
 		return
 	}
 	delete(s.pending, a.ID)
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -75,6 +75,8 @@
 	listener  net.Listener
 	receivers Receivers
 	links     *supervise.Ring[message.LinkChange]
+	// Metrics is set before the tree serves; nil counts nothing.
+	Metrics *Metrics
 
 	Snapshots *message.SnapshotRing
 	OwnHints  *supervise.Ring[[]message.LoadHint]
--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -50,6 +50,8 @@
 	Usage     []UsageSubscription
 	// UsageRegion is nil when only the data centres of Usage are watched.
 	UsageRegion *UsageRegion
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Platform holds the rings of the duties before and while they run.
@@ -86,8 +88,8 @@
 	for _, stream := range p.settings.Streams {
 		duties = append(duties, readerDuties(stream, p.settings.Log)...)
 	}
-	duties = append(duties, writerDuties(p.appends, p.settings.Streams, p.settings.Log)...)
-	duties = append(duties, listDuties(p.settings.List, p.settings.Snapshots)...)
+	duties = append(duties, writerDuties(p.appends, p.settings.Streams, p.settings.Log, p.settings.Metrics)...)
+	duties = append(duties, listDuties(p.settings.List, p.settings.Snapshots, p.settings.Metrics)...)
 	for _, dataCentre := range dataCentres(p.settings.Usage) {
 		duties = append(duties, usageDuties(p.settings.Workers, dataCentre, p.settings.Usage)...)
 	}
--- a/entry/platform/watcher.go
+++ b/entry/platform/watcher.go
@@ -25,10 +25,17 @@
 // watcher calls the platform at regular times, with one call in progress at
 // most, and hands each answer to deliver.
 type watcher[A any] struct {
-	every   time.Duration
-	calls   *callRing[struct{}, A]
+	every  time.Duration
+	calls  *callRing[struct{}, A]
+	handle handler[A]
+	state  watcherState
+}
+
+// handler takes what a watcher learns.
+type handler[A any] struct {
 	deliver func(ctx context.Context, sentAt time.Time, answer A)
-	state   watcherState
+	// tick runs before each call; nil for none.
+	tick func(now time.Time)
 }
 
 // watcherState is the watcher's part of the state dump.
@@ -41,19 +48,19 @@
 	LastError string    `json:"last_error,omitempty"`
 }
 
-// watcherDuties returns a watcher and its call duty. build makes the function
-// that delivers answers, with clean state for each run of the duty.
+// watcherDuties returns a watcher and its call duty. build makes the handler
+// of answers, with clean state for each run of the duty.
 func watcherDuties[A any](
 	name string, every time.Duration,
 	ask func(context.Context) (A, error),
-	build func() func(context.Context, time.Time, A),
+	build func() handler[A],
 ) []supervise.Duty {
 	calls := newCallRing[struct{}, A](name + ".calls")
 	return []supervise.Duty{
 		{
 			Name: name,
 			Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
-				w := &watcher[A]{every: every, calls: calls, deliver: build()}
+				w := &watcher[A]{every: every, calls: calls, handle: build()}
 				return w.run(ctx, dumps)
 			},
 		},
@@ -78,7 +85,10 @@
 			return ctx.Err()
 		case request := <-dumps:
 			request.Answer(w.state)
-		case <-ticker.C:
+		case now := <-ticker.C:
+			if w.handle.tick != nil {
+				w.handle.tick(now)
+			}
 			if busy {
 				w.state.Skipped++
 				continue
@@ -105,16 +115,17 @@
 	}
 	w.state.InARow = 0
 	w.state.LastSent = got.sentAt
-	w.deliver(ctx, got.sentAt, got.answer)
+	w.handle.deliver(ctx, got.sentAt, got.answer)
 }
 
 // listDuties follow the instance list. A snapshot that is older than the one
 // before is dropped, so that membership never goes back in time.
-func listDuties(list platformapi.InstanceList, rings []*message.SnapshotRing) []supervise.Duty {
+func listDuties(list platformapi.InstanceList, rings []*message.SnapshotRing, metrics *Metrics) []supervise.Duty {
 	return watcherDuties("list-watcher", listEvery, list.List,
-		func() func(context.Context, time.Time, platformapi.Snapshot) {
+		func() handler[platformapi.Snapshot] {
 			var newest time.Time
-			return func(ctx context.Context, sentAt time.Time, s platformapi.Snapshot) {
+			started := time.Now()
+			deliver := func(ctx context.Context, sentAt time.Time, s platformapi.Snapshot) {
 				snapshot := message.ListSnapshot{
 					SampledAt: sampledAt(sentAt, s.AgeMillis),
 					Instances: s.Instances, BackendServers: s.BackendServers,
@@ -123,10 +134,19 @@
 					return
 				}
 				newest = snapshot.SampledAt
+				metrics.listAged(time.Since(newest))
 				for _, ring := range rings {
 					_ = ring.Put(ctx, snapshot)
 				}
 			}
+			tick := func(now time.Time) {
+				if newest.IsZero() {
+					metrics.listAged(now.Sub(started))
+				} else {
+					metrics.listAged(now.Sub(newest))
+				}
+			}
+			return handler[platformapi.Snapshot]{deliver: deliver, tick: tick}
 		})
 }
 
@@ -136,8 +156,8 @@
 		return workers.Usage(ctx, dataCentre)
 	}
 	return watcherDuties("usage-watcher/"+string(dataCentre), usageEvery, ask,
-		func() func(context.Context, time.Time, []platformapi.UsageReport) {
-			return func(ctx context.Context, sentAt time.Time, reports []platformapi.UsageReport) {
+		func() handler[[]platformapi.UsageReport] {
+			return handler[[]platformapi.UsageReport]{deliver: func(ctx context.Context, sentAt time.Time, reports []platformapi.UsageReport) {
 				dated := message.UsageReports{DataCentre: dataCentre}
 				for _, r := range reports {
 					dated.Reports = append(dated.Reports, message.UsageReport{
@@ -149,7 +169,7 @@
 						_ = s.Ring.Put(ctx, dated)
 					}
 				}
-			}
+			}}
 		})
 }
 
--- a/entry/platform/writer.go
+++ b/entry/platform/writer.go
@@ -44,7 +44,7 @@
 type appendRing = callRing[appendQuestion, fleet.Offset]
 
 // writerDuties returns the log writer and a call duty for each stream.
-func writerDuties(appends *supervise.Ring[message.Append], streams []Stream, log platformapi.Log) []supervise.Duty {
+func writerDuties(appends *supervise.Ring[message.Append], streams []Stream, log platformapi.Log, metrics *Metrics) []supervise.Duty {
 	var calls []*appendRing
 	var duties []supervise.Duty
 	for _, stream := range streams {
@@ -58,7 +58,9 @@
 		Name:  "log-writer",
 		Rings: []supervise.Measured{appends},
 		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
-			return newWriter(streams, calls).run(ctx, appends, dumps)
+			w := newWriter(streams, calls)
+			w.metrics = metrics
+			return w.run(ctx, appends, dumps)
 		},
 	})
 }
@@ -69,6 +71,7 @@
 	streams []*streamWriter
 	replies *supervise.Ring[result[fleet.Offset]]
 	flush   *time.Timer
+	metrics *Metrics
 }
 
 // streamWriter is the writer's state of one stream.
@@ -118,7 +121,9 @@
 		case a := <-appends.Items():
 			w.add(a, time.Now())
 		case got := <-w.replies.Items():
-			w.streams[got.tag].finish(got)
+			s := w.streams[got.tag]
+			w.metrics.appended(s.state.Stream, time.Since(got.sentAt), got.err)
+			s.finish(got)
 		case <-w.flush.C:
 		}
 		w.flushDue(ctx, time.Now())
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -58,7 +58,9 @@
 	Hints          *supervise.Ring[message.PeerHints]
 	// Wanted asks the configuration duty for the version in force; set before
 	// the tree serves.
-	Wanted   *supervise.Ring[message.ConfigurationWanted]
+	Wanted *supervise.Ring[message.ConfigurationWanted]
+	// Metrics is set before the tree serves; nil counts nothing.
+	Metrics  *Metrics
 	answers  *supervise.Ring[message.Answer]
 	ownHints *supervise.Ring[[]message.LoadHint]
 	events   *supervise.Ring[message.Event]
@@ -200,7 +202,9 @@
 	reason := outcome.NoHolder
 	for len(f.tried) < maxAttempts {
 		var chosen routing.Candidate
+		before := r.state.RegionBytes()
 		chosen, reason = r.choose(f)
+		r.Metrics.sentToRegion(r.state.RegionBytes() - before)
 		if reason != outcome.NoReason {
 			break
 		}
@@ -261,16 +265,21 @@
 	f := r.inFlight[a.ID]
 	if f == nil {
 		r.late++
+		r.Metrics.answerLate()
 		return
 	}
 	r.remove(f)
 	r.state.Ended(f.partition, hintOf(a))
 	if r.mayReroute(f, a) {
 		r.rerouted++
+		r.Metrics.rerouted(a.Reason)
 		r.place(ctx, f)
 		return
 	}
-	f.submission.Deliver(a)
+	if !f.submission.Deliver(a) {
+		r.late++
+		r.Metrics.answerLate()
+	}
 }
 
 // mayReroute allows another holder only when the request was not run, or may
--- a/entry/routing/routing_test.go
+++ b/entry/routing/routing_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/entry/message"
@@ -16,9 +18,10 @@
 // harness runs a routing duty that holds accra-1/r1 itself and reaches
 // accra-2/r1 over a link to e2.
 type harness struct {
-	duty *Duty
-	own  *supervise.Ring[message.Submission]
-	link *supervise.Ring[message.Submission]
+	duty     *Duty
+	registry *prometheus.Registry
+	own      *supervise.Ring[message.Submission]
+	link     *supervise.Ring[message.Submission]
 }
 
 func run(t *testing.T, test func(ctx context.Context, h *harness)) {
@@ -27,11 +30,12 @@
 		ring := func(name string) *supervise.Ring[message.Submission] {
 			return supervise.NewRing[message.Submission](name, 4, supervise.Refuse)
 		}
-		h := &harness{own: ring("own"), link: ring("link")}
+		h := &harness{own: ring("own"), link: ring("link"), registry: prometheus.NewRegistry()}
 		h.duty = New(Settings{Instance: "e1", Region: "accra", DataCentre: "accra-1"},
 			supervise.NewRing[[]message.LoadHint]("hints", 1, supervise.DropOldest),
 			supervise.NewRing[message.Event]("events", 1, supervise.DropOldest))
 		h.duty.Wanted = supervise.NewRing[message.ConfigurationWanted]("wanted", 4, supervise.Refuse)
+		h.duty.Metrics = NewMetrics(h.registry)
 		tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
 		h.duty.Start(tree)
 		go func() { _ = tree.Serve(ctx) }()
@@ -69,6 +73,23 @@
 	return &message.Request{ID: id, Service: "planner", Operation: "layout", Idempotent: idempotent, Deadline: time.Now().Add(time.Second)}
 }
 
+// counted sums a counter over its labels.
+func (h *harness) counted(t *testing.T, name string) (sum float64) {
+	t.Helper()
+	families, err := h.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == name {
+				sum += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return sum
+}
+
 // next takes the request from the holder that it was handed to.
 func (h *harness) next(t *testing.T) (s message.Submission, forwarded bool) {
 	t.Helper()
@@ -125,6 +146,9 @@
 				if a := <-reply.Items(); a.Outcome != outcome.Answered {
 					t.Errorf("answer %+v", a)
 				}
+				if n := h.counted(t, "lacewingfork_reroutes_total"); n != 1 {
+					t.Errorf("%v reroutes were counted", n)
+				}
 			})
 		})
 	}
@@ -145,6 +169,9 @@
 		if reply.Stats().Depth != 0 {
 			t.Error("the late answer was delivered")
 		}
+		if late := h.counted(t, "lacewingfork_late_answers_total"); late != 1 {
+			t.Errorf("%v late answers were counted", late)
+		}
 	})
 }
 
--- a/entry/scheduling/actions.go
+++ b/entry/scheduling/actions.go
@@ -56,6 +56,7 @@
 		})
 		if err == nil {
 			w.inFlight++
+			w.duty.metrics.started(a, p.submission.Request.Class, p.arrived)
 			return actions
 		}
 	}
--- /dev/null
+++ b/entry/scheduling/metrics.go
@@ -0,0 +1,102 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingfork.example/lacewingfork/decision/partition"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Metrics of the partition duties, summed over the partitions of the instance.
+// A nil Metrics counts nothing.
+type Metrics struct {
+	slotWait  *prometheus.HistogramVec
+	retries   *prometheus.CounterVec
+	slots     *prometheus.GaugeVec
+	evictions prometheus.Counter
+	throttles prometheus.Counter
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		slotWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "lacewingfork_slot_wait_seconds",
+			Help:    "Time from a request's arrival at its partition to its first slot, by class and by short or long work.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 18),
+		}, []string{"class", "length"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingfork_retries_total",
+			Help: "Attempts of requests after the first, by class.",
+		}, []string{"class"}),
+		slots: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "lacewingfork_slots",
+			Help: "Slots of the backend servers in the partitions held, by state: in_use, unknown or free.",
+		}, []string{"state"}),
+		evictions: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lacewingfork_evictions_total",
+			Help: "Evictions of batch tasks that the partitions asked for.",
+		}),
+		throttles: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lacewingfork_throttles_total",
+			Help: "Throttlings of batch tasks that the partitions asked for.",
+		}),
+	}
+	registry.MustRegister(m.slotWait, m.retries, m.slots, m.evictions, m.throttles)
+	return m
+}
+
+// started counts a run action of a request that arrived at a time.
+func (m *Metrics) started(a partition.Action, class fleet.Class, arrived time.Time) {
+	switch {
+	case m == nil:
+	case a.Attempt > 1:
+		m.retries.WithLabelValues(class.String()).Inc()
+	default:
+		length := "short"
+		if a.Long {
+			length = "long"
+		}
+		m.slotWait.WithLabelValues(class.String(), length).Observe(time.Since(arrived).Seconds())
+	}
+}
+
+func (m *Metrics) relieved(kind partition.ActionKind) {
+	switch {
+	case m == nil:
+	case kind == partition.EvictTask:
+		m.evictions.Inc()
+	case kind == partition.ThrottleTask:
+		m.throttles.Inc()
+	}
+}
+
+// slotCounts are what one partition duty adds to the slot gauges.
+type slotCounts struct{ inUse, unknown, free int }
+
+// move replaces what a partition duty added before.
+func (m *Metrics) move(before, after slotCounts) {
+	if m == nil || before == after {
+		return
+	}
+	m.slots.WithLabelValues("in_use").Add(float64(after.inUse - before.inUse))
+	m.slots.WithLabelValues("unknown").Add(float64(after.unknown - before.unknown))
+	m.slots.WithLabelValues("free").Add(float64(after.free - before.free))
+}
+
+// countSlots brings the gauges up to date with the partition's state.
+func (w *partitionWork) countSlots() {
+	free, capacity, _ := w.state.Load(time.Now())
+	now := slotCounts{unknown: w.state.UnknownSlots(), free: free}
+	now.inUse = max(0, capacity-now.unknown-free)
+	w.duty.metrics.move(w.counted, now)
+	w.counted = now
+}
+
+// uncountSlots removes the partition from the gauges.
+func (w *partitionWork) uncountSlots() {
+	w.duty.metrics.move(w.counted, slotCounts{})
+	w.counted = slotCounts{}
+}
--- a/entry/scheduling/partition.go
+++ b/entry/scheduling/partition.go
@@ -82,6 +82,7 @@
 	relinquish    *supervise.Ring[message.Relinquish]
 	events        *supervise.Ring[message.Event]
 	signals       *supervise.Ring[message.TaskSignal] // of the ledger duty
+	metrics       *Metrics
 	started       bool
 }
 
@@ -125,6 +126,7 @@
 // pending is a request that the partition has accepted and not yet answered.
 type pending struct {
 	submission message.Submission
+	arrived    time.Time
 	answer     message.Answer // of the last exchange
 }
 
@@ -139,6 +141,7 @@
 	attempts map[fleet.TaskID]int // of the tasks that have room here
 	inFlight int
 	draining bool
+	counted  slotCounts
 	actions  []partition.Action
 }
 
@@ -165,6 +168,7 @@
 			return nil
 		}
 		w.arm(timer)
+		w.countSlots()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -223,7 +227,7 @@
 	if !w.keys.admit(s) {
 		return
 	}
-	w.pending[r.ID] = &pending{submission: s}
+	w.pending[r.ID] = &pending{submission: s, arrived: time.Now()}
 	w.act(ctx, w.state.Submit(time.Now(), workOf(r), w.actions[:0]))
 }
 
@@ -332,6 +336,7 @@
 
 // abandon answers what the duty still holds when it ends or fails.
 func (w *partitionWork) abandon() {
+	w.uncountSlots()
 	for id, p := range w.pending {
 		w.keys.end(p.submission.Request, message.Unknown(id, outcome.DutyFailed))
 		p.submission.Deliver(message.Unknown(id, outcome.DutyFailed))
--- a/entry/scheduling/partition_test.go
+++ b/entry/scheduling/partition_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/entry/dispatch"
@@ -30,6 +32,7 @@
 	duty      *partitionDuty
 	exchanges *supervise.Ring[message.Exchange]
 	signals   *supervise.Ring[message.TaskSignal]
+	registry  *prometheus.Registry
 }
 
 func (h *harness) Open(fleet.BackendServer, fleet.Epoch) *dispatch.Line {
@@ -48,6 +51,7 @@
 		h := &harness{
 			exchanges: supervise.NewRing[message.Exchange]("exchanges", 2, supervise.Refuse),
 			signals:   supervise.NewRing[message.TaskSignal]("signals", 4, supervise.Refuse),
+			registry:  prometheus.NewRegistry(),
 		}
 		holding := message.Holding{Partition: server.Partition(), Epoch: 3, Until: time.Now().Add(leaseTime)}
 		h.duty = &partitionDuty{
@@ -56,6 +60,7 @@
 			relinquish:    supervise.NewRing[message.Relinquish]("relinquish", 1, supervise.Refuse),
 			events:        supervise.NewRing[message.Event]("events", 16, supervise.DropOldest),
 			signals:       h.signals,
+			metrics:       NewMetrics(h.registry),
 		}
 		tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
 		tree.Start(supervise.Duty{Name: "partition", Run: h.duty.run})
--- a/entry/scheduling/scheduling.go
+++ b/entry/scheduling/scheduling.go
@@ -41,6 +41,9 @@
 	// the tree serves.
 	Wanted *supervise.Ring[message.ConfigurationWanted]
 
+	// Metrics is set before the tree serves; nil counts nothing.
+	Metrics *Metrics
+
 	changes    *supervise.Ring[message.PartitionChange]
 	relinquish *supervise.Ring[message.Relinquish]
 	events     *supervise.Ring[message.Event]
@@ -146,7 +149,7 @@
 	d := &partitionDuty{
 		holding: h, servers: servers, configuration: m.configuration,
 		rings: newPartitionRings(h, slots), lines: m.lines,
-		relinquish: m.relinquish, events: m.events, signals: m.signals,
+		relinquish: m.relinquish, events: m.events, signals: m.signals, metrics: m.Metrics,
 	}
 	m.open[h.Partition] = d
 	m.tree.Start(supervise.Duty{Name: d.name(), Rings: d.rings.measured(), Run: d.run})
--- a/entry/scheduling/tasks.go
+++ b/entry/scheduling/tasks.go
@@ -63,6 +63,7 @@
 // again with the next usage report.
 func (w *partitionWork) relieve(ctx context.Context, a partition.Action) {
 	w.record(ctx, string(a.Task))
+	w.duty.metrics.relieved(a.Kind)
 	if a.Kind == partition.EvictTask {
 		_ = w.duty.signals.Put(ctx, message.EvictTask{Task: a.Task, Server: a.Server})
 		return
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -32,7 +32,7 @@
 // own.
 var providers = fx.Options(
 	fx.Provide(
-		newOwnHints, newClients, newConfigurationRings, newOwnershipRings,
+		newMetrics, newOwnHints, newClients, newConfigurationRings, newOwnershipRings,
 		newRouting, newPeers, newPlatform, newDispatch, newBatch, newScheduling, newCallers, newOperations, newStopper,
 	),
 	fx.Invoke(startOwnership, startConfiguration, startRouting, startBatch, startPlatform),
@@ -44,6 +44,29 @@
 	return supervise.NewRing[[]message.LoadHint]("peers.own-hints", 1, supervise.DropOldest)
 }
 
+// metrics are the metrics of every supervisor but operations.
+type metrics struct {
+	batch         *batch.Metrics
+	callers       *callers.Metrics
+	configuration *configuration.Metrics
+	dispatch      *dispatch.Metrics
+	ownership     *ownership.Metrics
+	peers         *peers.Metrics
+	platform      *platform.Metrics
+	routing       *routing.Metrics
+	scheduling    *scheduling.Metrics
+}
+
+func newMetrics(registry *prometheus.Registry) metrics {
+	return metrics{
+		batch: batch.NewMetrics(registry), callers: callers.NewMetrics(registry),
+		configuration: configuration.NewMetrics(registry), dispatch: dispatch.NewMetrics(registry),
+		ownership: ownership.NewMetrics(registry), peers: peers.NewMetrics(registry),
+		platform: platform.NewMetrics(registry), routing: routing.NewMetrics(registry),
+		scheduling: scheduling.NewMetrics(registry),
+	}
+}
+
 // platformClients are the clients of the platform's three interfaces.
 type platformClients struct {
 	log     platformapi.Log
@@ -64,11 +87,11 @@
 }
 
 func newPlatform(
-	clients platformClients, s settings.Settings, rings *configuration.Rings, owner *ownership.Rings,
+	clients platformClients, m metrics, s settings.Settings, rings *configuration.Rings, owner *ownership.Rings,
 	route *routing.Duty, sched *scheduling.Supervisor, links *peers.Supervisor, ops *operations.Supervisor, ledger *batch.Supervisor,
 ) *platform.Platform {
 	return platform.New(platform.Settings{
-		Log: clients.log, List: clients.list, Workers: clients.workers,
+		Log: clients.log, List: clients.list, Workers: clients.workers, Metrics: m.platform,
 		Streams: []platform.Stream{
 			{Name: streamConfiguration, Folds: []*supervise.Ring[message.LogRecords]{rings.Log}, Rewinds: rings.Rewinds},
 			{
@@ -101,13 +124,15 @@
 	return &rings
 }
 
-func newRouting(s settings.Settings, hints ownHintsRing, events *supervise.Ring[message.Event]) *routing.Duty {
+func newRouting(s settings.Settings, m metrics, hints ownHintsRing, events *supervise.Ring[message.Event]) *routing.Duty {
 	place := routing.Settings{Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre}
-	return routing.New(place, hints, events)
+	duty := routing.New(place, hints, events)
+	duty.Metrics = m.routing
+	return duty
 }
 
 func newPeers(
-	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, hints ownHintsRing,
+	tree *supervise.Tree, m metrics, s settings.Settings, l *Listeners, route *routing.Duty, hints ownHintsRing,
 	rings *configuration.Rings, owner *ownership.Rings,
 ) *peers.Supervisor {
 	place := peers.Settings{Instance: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre}
@@ -116,23 +141,29 @@
 		ConfigurationRequests: rings.Requests, ConfigurationOffers: rings.Offers,
 		PromiseRequests: owner.Requests, Promises: owner.Promises, GiveBacks: owner.GiveBacks,
 	}
-	return peers.New(tree, place, l.Peers, receivers, route.Links, hints)
+	links := peers.New(tree, place, l.Peers, receivers, route.Links, hints)
+	links.Metrics = m.peers
+	return links
 }
 
-func newDispatch(tree *supervise.Tree, s settings.Settings) *dispatch.Supervisor {
-	return dispatch.New(tree, s.Limits.ConnectionMaxAge)
+func newDispatch(tree *supervise.Tree, m metrics, s settings.Settings) *dispatch.Supervisor {
+	lines := dispatch.New(tree, s.Limits.ConnectionMaxAge)
+	lines.Metrics = m.dispatch
+	return lines
 }
 
 func newScheduling(
-	tree *supervise.Tree, lines *dispatch.Supervisor, route *routing.Duty, owner *ownership.Rings,
+	tree *supervise.Tree, m metrics, lines *dispatch.Supervisor, route *routing.Duty, owner *ownership.Rings,
 	events *supervise.Ring[message.Event], ledger *batch.Supervisor,
 ) *scheduling.Supervisor {
-	return scheduling.New(tree, lines, route.Partitions, owner.Relinquish, events, ledger.Signals)
+	sched := scheduling.New(tree, lines, route.Partitions, owner.Relinquish, events, ledger.Signals)
+	sched.Metrics = m.scheduling
+	return sched
 }
 
-func newBatch(s settings.Settings, clients platformClients, events *supervise.Ring[message.Event]) *batch.Supervisor {
+func newBatch(s settings.Settings, m metrics, clients platformClients, events *supervise.Ring[message.Event]) *batch.Supervisor {
 	return batch.NewRings(batch.Settings{
-		Instance: s.Instance.ID, Region: s.Instance.Region, Workers: clients.workers, Events: events,
+		Instance: s.Instance.ID, Region: s.Instance.Region, Workers: clients.workers, Events: events, Metrics: m.batch,
 		Rewinds: supervise.NewRing[message.Rewind]("batch.rewinds", 1, supervise.DropOldest),
 	})
 }
@@ -142,14 +173,14 @@
 }
 
 func newCallers(
-	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, registry *prometheus.Registry, ledger *batch.Supervisor,
+	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, m metrics, ledger *batch.Supervisor,
 ) *callers.Supervisor {
 	place := callers.Settings{
 		Instance: s.Instance.ID, StopTimeout: s.Process.StopTimeout,
 		MaxBodyBytes: s.Limits.BodyBytes, MaxHeaderBytes: s.Limits.HeaderBytes, MaxDeadline: s.Limits.MaxDeadline,
 	}
 	return callers.New(
-		tree, place, l.Callers, route.Submissions, callers.NewMetrics(registry), callers.RegisterJobs(ledger.Commands),
+		tree, place, l.Callers, route.Submissions, m.callers, callers.RegisterJobs(ledger.Commands),
 	)
 }
 
@@ -165,7 +196,7 @@
 }
 
 func startOwnership(
-	tree *supervise.Tree, s settings.Settings, l *Listeners, owner *ownership.Rings, p *platform.Platform, links *peers.Supervisor,
+	tree *supervise.Tree, m metrics, s settings.Settings, l *Listeners, owner *ownership.Rings, p *platform.Platform, links *peers.Supervisor,
 	route *routing.Duty, sched *scheduling.Supervisor, ops *operations.Supervisor, ledger *batch.Supervisor,
 ) {
 	owner.Subscribers = []*message.HoldingsRing{route.Holdings, sched.Holdings, ops.Holdings, ledger.Holdings}
@@ -176,7 +207,7 @@
 			ID: s.Instance.ID, Region: s.Instance.Region, DataCentre: s.Instance.DataCentre,
 			PeerAddress: advertised(s.Listen, l),
 		},
-		Lease: leaseSettings(s.Lease),
+		Lease: leaseSettings(s.Lease), Metrics: m.ownership,
 	}, *owner)
 	tree.Child("ownership", supervise.DefaultIntensity).Start(duty)
 }
@@ -191,7 +222,7 @@
 }
 
 func startConfiguration(
-	tree *supervise.Tree, s settings.Settings, rings *configuration.Rings, appends *platform.Platform,
+	tree *supervise.Tree, m metrics, s settings.Settings, rings *configuration.Rings, appends *platform.Platform,
 	route *routing.Duty, sched *scheduling.Supervisor, front *callers.Supervisor, ops *operations.Supervisor,
 	links *peers.Supervisor, ledger *batch.Supervisor,
 ) {
@@ -202,7 +233,9 @@
 	ledger.Wanted = rings.Wanted
 	rings.Appends = appends.Appends()
 	rings.Asks = links.ConfigurationAsks
-	duty := configuration.New(configuration.DefaultSettings(s.Instance.ID), *rings)
+	folding := configuration.DefaultSettings(s.Instance.ID)
+	folding.Metrics = m.configuration
+	duty := configuration.New(folding, *rings)
 	tree.Child("configuration", supervise.DefaultIntensity).Start(duty)
 }
 
