decision/task: count a job's failed attempts and evictions

Cause: callerapi.JobStatus has failed and evictions, which always were 0.

Ruled out: sums over the tasks, because the tasks of an ended job are dropped; counting tasks instead of attempts, because a task that failed and then succeeded would count twice or not at all. Lost attempts don't count as failed: nobody knows their result.

Measured: go test -race ./decision/task ./records/task ./entry/batch ./entry/callers passes.

Conclusion: job status shows failures and evictions; equal records still give equal states.

--- a/callerapi/callerapi.go
+++ b/callerapi/callerapi.go
@@ -44,7 +44,9 @@
 	Parameters string `json:"parameters,omitempty"`
 }
 
-// JobStatus is a job with what became of it. The counts are tasks.
+// JobStatus is a job with what became of it. Waiting, Running and Succeeded
+// count tasks; Failed and Evictions count attempts, of which a task can have
+// several.
 type JobStatus struct {
 	Job
 	State     string `json:"state,omitempty"` // waiting, running, succeeded, failed, cancelled or set-aside
--- a/decision/task/failure.go
+++ b/decision/task/failure.go
@@ -48,6 +48,7 @@
 }
 
 func (f *Fold) fail(j *job, t *task, r Record) {
+	j.failed++
 	more := t.extra()
 	more.failures++
 	more.failedOn = addOnce(more.failedOn, t.server)
--- a/decision/task/fold.go
+++ b/decision/task/fold.go
@@ -39,6 +39,9 @@
 	tasks    []task // nil once the job has ended and nothing runs
 	running  int
 	done     int
+	// failed and evictions count attempts.
+	failed    int
+	evictions int
 	// failedOn lists the servers on which tasks failed while no task of the
 	// job had succeeded.
 	failedOn []uint32
@@ -218,6 +221,7 @@
 	f.team(j.spec.Team).slots -= slotsOf(j.spec)
 	if r.Kind == Evicted {
 		t.extra().checkpoint = r.Checkpoint
+		j.evictions++
 	} else {
 		f.applyEnd(j, t, r)
 	}
--- a/decision/task/fold_test.go
+++ b/decision/task/fold_test.go
@@ -338,3 +338,33 @@
 	}
 	return l, now
 }
+
+// Guards against failures and evictions that are not counted, are counted again
+// when their record is read again, or are lost with a snapshot or the job's
+// end.
+func TestFailuresAndEvictionsAreCounted(t *testing.T) {
+	h := &history{Fold: NewFold()}
+	h.submit("j", 2)
+	h.attempt("j", 0, "w0", Failed)
+	h.attempt("j", 0, "w1", Lost)
+	h.attempt("j", 0, "w1", Failed)
+	evicted := Record{Task: Ref{"j", 1}, Attempt: 1, Partition: "a/1", Epoch: 1, Server: "w0"}
+	evicted.Kind = Started
+	h.add(evicted)
+	evicted.Kind, evicted.Checkpoint = Evicted, "c1"
+	h.add(evicted)
+	if v := h.add(evicted); v != WrongAttempt {
+		t.Fatalf("the repeated eviction was %v", v)
+	}
+	check := func(state JobState, f *Fold) {
+		t.Helper()
+		if v, _ := f.View("j"); v.State != state || v.Failed != 2 || v.Evictions != 1 {
+			t.Errorf("%v job with %d failures and %d evictions, want %v, 2 and 1", v.State, v.Failed, v.Evictions, state)
+		}
+	}
+	check(Open, h.Fold)
+	check(Open, Restore(h.Snapshot()))
+	h.add(Record{Kind: Cancelled, Task: Ref{Job: "j"}})
+	check(CancelledState, h.Fold)
+	check(CancelledState, Restore(h.Snapshot()))
+}
--- a/decision/task/snapshot.go
+++ b/decision/task/snapshot.go
@@ -37,7 +37,10 @@
 	State    JobState
 	Reason   string
 	Done     int
-	FailedOn []fleet.BackendServerID
+	// Failed and Evictions count attempts.
+	Failed    int
+	Evictions int
+	FailedOn  []fleet.BackendServerID
 	// Tasks is empty for a job that has ended.
 	Tasks []TaskSnapshot
 }
@@ -79,7 +82,7 @@
 func (f *Fold) jobSnapshot(j *job) JobSnapshot {
 	s := JobSnapshot{
 		Spec: j.spec, Sequence: j.sequence, State: j.state, Reason: j.reason,
-		Done: j.done, FailedOn: f.serverNames(j.failedOn),
+		Done: j.done, Failed: j.failed, Evictions: j.evictions, FailedOn: f.serverNames(j.failedOn),
 	}
 	if j.tasks != nil {
 		s.Tasks = make([]TaskSnapshot, len(j.tasks))
@@ -127,6 +130,7 @@
 
 func (f *Fold) restoreJob(s JobSnapshot) {
 	j := &job{spec: s.Spec, sequence: s.Sequence, state: s.State, reason: s.Reason, done: s.Done}
+	j.failed, j.evictions = s.Failed, s.Evictions
 	j.failedOn = f.serverNumbers(s.FailedOn)
 	if len(s.Tasks) > 0 {
 		j.tasks = make([]task, len(s.Tasks))
--- a/decision/task/view.go
+++ b/decision/task/view.go
@@ -16,6 +16,9 @@
 	Waiting int
 	Running int
 	Done    int
+	// Failed and Evictions count attempts of tasks that ended so.
+	Failed    int
+	Evictions int
 }
 
 // View returns a job's state. It reports false for a job that was never
@@ -29,7 +32,10 @@
 }
 
 func (j *job) view() JobView {
-	v := JobView{Job: j.spec, State: j.state, Reason: j.reason, Running: j.running, Done: j.done}
+	v := JobView{
+		Job: j.spec, State: j.state, Reason: j.reason, Running: j.running, Done: j.done,
+		Failed: j.failed, Evictions: j.evictions,
+	}
 	if j.state == Open {
 		v.Waiting = j.spec.Tasks - j.running - j.done
 	}
--- a/entry/callers/jobs.go
+++ b/entry/callers/jobs.go
@@ -188,6 +188,7 @@
 			RunMillis: v.Job.RunTime.Milliseconds(), Parameters: v.Job.Parameters,
 		},
 		State: v.State.String(), Waiting: v.Waiting, Running: v.Running, Succeeded: v.Done, Reason: v.Reason,
+		Failed: v.Failed, Evictions: v.Evictions,
 	}
 	switch {
 	case v.State == task.Finished:
--- a/records/task/record_test.go
+++ b/records/task/record_test.go
@@ -1,6 +1,7 @@
 package task
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"reflect"
@@ -240,3 +241,32 @@
 		b.ReportMetric(float64(bytes), "snapshot-bytes")
 	})
 }
+
+// Guards against a snapshot that loses the counts of a job, and against one
+// written before there were counts that is no longer read.
+func TestSnapshotCounts(t *testing.T) {
+	for name, c := range map[string]struct {
+		jobs              string
+		failed, evictions int
+	}{
+		"with counts":    {`[{"job":{"id":"j"},"seq":1,"f":3,"ev":2}]`, 3, 2},
+		"without counts": {`[{"job":{"id":"j"},"seq":1,"st":1,"done":4}]`, 0, 0},
+	} {
+		var w wireState
+		if err := json.Unmarshal([]byte(`{"offset":7,"jobs":`+c.jobs+`}`), &w); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		parts, err := EncodeSnapshot("s", decodeState(w))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var a Assembler
+		s, err := a.Add(parts[0])
+		if err != nil || s == nil || len(s.Jobs) != 1 {
+			t.Fatalf("%s: %+v, %v", name, s, err)
+		}
+		if j := s.Jobs[0]; j.Failed != c.failed || j.Evictions != c.evictions {
+			t.Errorf("%s: %d failures and %d evictions", name, j.Failed, j.Evictions)
+		}
+	}
+}
--- a/records/task/state.go
+++ b/records/task/state.go
@@ -41,13 +41,15 @@
 
 // wireJobs is a job with its tasks.
 type wireJobs struct {
-	Spec     wireJob                 `json:"job"`
-	Sequence uint64                  `json:"seq"`
-	State    uint8                   `json:"st,omitempty"`
-	Reason   string                  `json:"r,omitempty"`
-	Done     int                     `json:"done,omitempty"`
-	FailedOn []fleet.BackendServerID `json:"on,omitempty"`
-	Tasks    []wireTask              `json:"t,omitempty"`
+	Spec      wireJob                 `json:"job"`
+	Sequence  uint64                  `json:"seq"`
+	State     uint8                   `json:"st,omitempty"`
+	Reason    string                  `json:"r,omitempty"`
+	Done      int                     `json:"done,omitempty"`
+	Failed    int                     `json:"f,omitempty"`
+	Evictions int                     `json:"ev,omitempty"`
+	FailedOn  []fleet.BackendServerID `json:"on,omitempty"`
+	Tasks     []wireTask              `json:"t,omitempty"`
 }
 
 func encodeState(s task.Snapshot) wireState {
@@ -62,7 +64,7 @@
 	for i, j := range s.Jobs {
 		out := wireJobs{
 			Spec: encodeJob(j.Spec), Sequence: j.Sequence, State: uint8(j.State), Reason: j.Reason,
-			Done: j.Done, FailedOn: j.FailedOn, Tasks: make([]wireTask, len(j.Tasks)),
+			Done: j.Done, Failed: j.Failed, Evictions: j.Evictions, FailedOn: j.FailedOn, Tasks: make([]wireTask, len(j.Tasks)),
 		}
 		for k, t := range j.Tasks {
 			out.Tasks[k] = wireTask(t)
@@ -85,7 +87,7 @@
 	for _, j := range w.Jobs {
 		out := task.JobSnapshot{
 			Spec: decodeJob(j.Spec), Sequence: j.Sequence, State: task.JobState(j.State), Reason: j.Reason,
-			Done: j.Done, FailedOn: j.FailedOn,
+			Done: j.Done, Failed: j.Failed, Evictions: j.Evictions, FailedOn: j.FailedOn,
 		}
 		for _, t := range j.Tasks {
 			out.Tasks = append(out.Tasks, task.TaskSnapshot(t))
