Test failures of holders, the log, operators, servers and tasks with processes

Nothing ran entry instances as processes under failures except the demo, which asserts only sums, never freezes a process and never takes the log away.

The package failure builds two commands once, runs three entry instances of a region against an in-process stand-in, sends 100 requests a second through a stand-in for the balancer, and checks after each failure that nothing was over capacity, that answers were whole, that no key ran twice and that refused bookings had not run.

--- /dev/null
+++ b/failure/site_test.go
@@ -0,0 +1,221 @@
+package failure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lacewingfork.example/lacewingfork/entry/operations"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/operator"
+	"lacewingfork.example/lacewingfork/operator/examples"
+	"lacewingfork.example/lacewingfork/standin"
+)
+
+const (
+	// takeoverTarget bounds the time from the loss of a holder, or from when
+	// the members may claim its partitions, until others hold them.
+	takeoverTarget = 10 * time.Second
+	// configurationTarget bounds the time until an accepted configuration is
+	// in force on every instance.
+	configurationTarget = 3 * time.Second
+	listLag             = 300 * time.Millisecond
+	instances           = 3
+	partitions          = 3
+)
+
+// site is one deployment: a region of two data centres with three racks and
+// three entry instances.
+type site struct {
+	t         *testing.T
+	dir       string
+	standIn   *standin.StandIn
+	instances []*instance
+	asked     http.Client
+}
+
+// newSite starts a deployment, publishes the first configuration and waits
+// until every instance holds a partition.
+func newSite(t *testing.T) *site {
+	t.Helper()
+	t.Parallel()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
+	settings := standin.DefaultSettings()
+	settings.ListLagMillis, settings.UsageLagMillis = listLag.Milliseconds(), 500
+	settings.Regions = []standin.Region{{Name: "accra", DataCentres: []standin.DataCentre{
+		{Name: "accra-1", Racks: 2, BackendServers: 3}, {Name: "accra-2", Racks: 1, BackendServers: 3},
+	}}}
+	platform, err := standin.Start(settings, standin.ListenTCP)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(platform.Close)
+	s := &site{t: t, dir: t.TempDir(), standIn: platform, asked: http.Client{Timeout: time.Second}}
+	for n := range instances {
+		i := &instance{
+			ID: fmt.Sprintf("entry-%d", n+1), DataCentre: fmt.Sprintf("accra-%d", n%2+1), Platform: platform.Address(),
+			Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operations: "127.0.0.1:0",
+		}
+		s.instances = append(s.instances, i)
+		s.start(i)
+	}
+	t.Cleanup(s.showLogs)
+	if code, out := s.publish(0, "operator", 1); code != 0 {
+		t.Fatalf("first publication: exit code %d: %s", code, out)
+	}
+	await(t, "a partition on every instance", func() bool { return s.spread(s.instances...) })
+	return s
+}
+
+// start runs the process of an instance and puts it on the platform's list.
+func (s *site) start(i *instance) {
+	s.t.Helper()
+	i.run(s.t, s.dir)
+	s.standIn.PutInstance(fleet.Instance{
+		ID: fleet.InstanceID(i.ID), PeerAddress: i.Peers, Region: "accra", DataCentre: fleet.DataCentre(i.DataCentre),
+	})
+}
+
+func (s *site) showLogs() {
+	if !s.t.Failed() {
+		return
+	}
+	for _, i := range s.instances {
+		s.t.Logf("last lines of %s:\n%s", i.ID, i.logTail())
+	}
+}
+
+// status asks an instance; ok is false when it does not answer.
+func (s *site) status(i *instance) (status operations.Status, ok bool) {
+	return status, s.get("http://"+i.Operations+"/v1/status", &status) == nil
+}
+
+func (s *site) get(url string, answer any) error {
+	response, err := s.asked.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", url, response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(answer)
+}
+
+// holdings says which of the instances hold what, by their own word.
+func (s *site) holdings(of ...*instance) map[fleet.PartitionID]string {
+	held := map[fleet.PartitionID]string{}
+	for _, i := range of {
+		status, _ := s.status(i)
+		for _, p := range status.Partitions {
+			held[p] = i.ID
+		}
+	}
+	return held
+}
+
+// spread reports whether the instances hold every partition, each at least one.
+func (s *site) spread(of ...*instance) bool {
+	held := s.holdings(of...)
+	return len(held) == partitions && len(slices.Compact(slices.Sorted(maps.Values(held)))) == len(of)
+}
+
+// holder returns an instance with a partition that it holds, and the other
+// instances.
+func (s *site) holder() (holder *instance, partition fleet.PartitionID, others []*instance) {
+	s.t.Helper()
+	holder, others = s.instances[0], s.instances[1:]
+	status, ok := s.status(holder)
+	if !ok || len(status.Partitions) == 0 {
+		s.t.Fatalf("%s holds no partition", holder.ID)
+	}
+	return holder, status.Partitions[0], others
+}
+
+// command runs the operators' command line.
+func (s *site) command(arguments ...string) (code int, output string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	all := []string{"--log", "http://" + s.standIn.Address(), "--json"}
+	for _, i := range s.instances {
+		all = append(all, "--callers", i.Callers, "--operations", i.Operations)
+	}
+	cmd := exec.CommandContext(ctx, filepath.Join(programs, "lacewingfork"), append(all, arguments...)...)
+	var stderr strings.Builder
+	cmd.Stderr = &stderr
+	out, _ := cmd.Output()
+	return cmd.ProcessState.ExitCode(), string(out) + stderr.String()
+}
+
+// publish publishes a configuration with a limit by which it can be told from
+// others.
+func (s *site) publish(replaces int64, by string, evictions int, more ...string) (code int, output string) {
+	c := examples.Asante()
+	c.AllRegions = c.AllRegions[:1]
+	c.Limits.EvictionsPerMinute = evictions
+	text, err := operator.Text(c)
+	if err != nil {
+		s.t.Error(err)
+		return -1, ""
+	}
+	path := filepath.Join(s.dir, by+".toml")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		s.t.Error(err)
+		return -1, ""
+	}
+	arguments := []string{"config", "publish", path, "--replaces", fmt.Sprint(replaces), "--operator", by}
+	return s.command(append(arguments, more...)...)
+}
+
+// appends counts the appends to a stream.
+func (s *site) appends(stream string) int {
+	for _, state := range s.standIn.Streams() {
+		if state.Stream == stream {
+			return state.Appends
+		}
+	}
+	return 0
+}
+
+// awaitVersion waits until the instances report a version, and asserts the
+// target from the moment that began.
+func (s *site) awaitVersion(version int64, began time.Time, of ...*instance) {
+	s.t.Helper()
+	await(s.t, fmt.Sprintf("version %d on every instance", version), func() bool {
+		for _, i := range of {
+			if status, ok := s.status(i); !ok || status.ConfigurationVersion < version {
+				return false
+			}
+		}
+		return true
+	})
+	took := time.Since(began)
+	s.t.Logf("version %d in force everywhere after %v", version, took)
+	if took > configurationTarget {
+		s.t.Errorf("version %d came into force after %v, the target is %v", version, took, configurationTarget)
+	}
+}
+
+// slots is what all backend servers use now.
+func (s *site) slots() int {
+	total := 0
+	for _, b := range s.standIn.BackendServers() {
+		total += b.Slots
+	}
+	return total
+}
+
+// on reports whether a backend server belongs to a partition.
+func on(server fleet.BackendServerID, p fleet.PartitionID) bool {
+	return strings.HasPrefix(string(server), strings.ReplaceAll(string(p), "/", "-")+"-")
+}
