--- /dev/null
+++ b/failure/traffic_test.go
@@ -0,0 +1,233 @@
+package failure
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lacewingfork.example/lacewingfork/caller"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/load"
+	"lacewingfork.example/lacewingfork/standin"
+)
+
+// Ends of a request.
+const (
+	answered = "answered"
+	refused  = "refused as not run"
+	unknown  = "outcome unknown"
+	wrong    = "wrong or partial answer"
+)
+
+const (
+	rate         = 100 // requests a second
+	mostInFlight = 256
+	deadline     = 5 * time.Second
+	checkEvery   = 200 * time.Millisecond
+)
+
+// sent is one request and how it ended.
+type sent struct {
+	at     time.Time
+	key    string // empty when the request is idempotent or got no key
+	end    string
+	reason string
+	server fleet.BackendServerID
+}
+
+// request is what a test asks for.
+type request struct {
+	operation  fleet.Operation
+	key        string
+	idempotent bool
+	run        time.Duration
+	deadline   time.Duration
+}
+
+type runKey struct{}
+
+// do sends one request. The backend servers of the stand-in answer with the
+// hash of the body that they got.
+func do(client *caller.Client, r request, body string) sent {
+	s := sent{at: time.Now(), key: r.key}
+	ctx := context.WithValue(context.Background(), runKey{}, r.run)
+	ask := caller.Request{
+		Service: "stitch-planner", Operation: r.operation, Idempotent: r.idempotent,
+		Deadline: r.deadline, Key: r.key, Body: []byte(body),
+	}
+	var err error
+	if !r.idempotent && r.key == "" {
+		s.key, err = client.Key(ctx, ask.Service)
+		ask.Key = s.key
+	}
+	var answer *caller.Answer
+	if err == nil {
+		answer, err = client.Do(ctx, ask)
+	}
+	var notRun *caller.RefusedError
+	switch {
+	case errors.As(err, &notRun):
+		s.end, s.reason = refused, err.Error()
+	case err != nil:
+		s.end, s.reason = unknown, err.Error()
+	default:
+		s.end, s.server = answered, answer.Server
+		if !whole(answer, body) {
+			s.end, s.reason = wrong, fmt.Sprintf("status %d, body %.200q", answer.Status, answer.Body)
+		}
+	}
+	return s
+}
+
+func whole(answer *caller.Answer, body string) bool {
+	var got standin.RunAnswer
+	sum := sha256.Sum256([]byte(body))
+	return answer.Status == http.StatusOK && json.Unmarshal(answer.Body, &got) == nil &&
+		got.BodySHA256 == hex.EncodeToString(sum[:]) && got.BackendServer == answer.Server
+}
+
+// traffic sends a mix of requests through a stand-in for the balancer.
+type traffic struct {
+	client *caller.Client
+	ctx    context.Context
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+
+	mu  sync.Mutex
+	all []sent
+}
+
+// load starts traffic of 100 requests a second: mostly short layouts, some
+// bookings that must run once, some longer dye checks.
+func (s *site) load() *traffic {
+	s.t.Helper()
+	b := s.newBalancer()
+	tr := &traffic{client: s.client(b, s.instances[0])}
+	tr.ctx, tr.stop = context.WithCancel(context.Background())
+	b.look()
+	tr.done.Go(func() { b.watch(tr.ctx) })
+	tr.done.Go(func() {
+		load.Run(tr.ctx, load.Plan{Rate: rate, Duration: time.Hour, Workers: mostInFlight, Do: func(_ context.Context, n int) string {
+			r := do(tr.client, mix(n), fmt.Sprint("panel ", n))
+			tr.mu.Lock()
+			defer tr.mu.Unlock()
+			tr.all = append(tr.all, r)
+			return r.end
+		}})
+	})
+	s.t.Cleanup(func() { tr.end() })
+	s.awaitService(tr, "")
+	return tr
+}
+
+// client sends requests to an instance, unless the balancer chooses another.
+func (s *site) client(b *balancer, to *instance) *caller.Client {
+	client, err := caller.New(caller.Settings{Addresses: []string{to.Callers}, Team: "cutting", Transport: b})
+	must(s.t, err)
+	return client
+}
+
+func mix(n int) request {
+	switch {
+	case n%4 == 0:
+		return request{operation: "book-order", run: 40 * time.Millisecond, deadline: deadline}
+	case n%10 == 3:
+		return request{operation: "dye-check", idempotent: true, run: 800 * time.Millisecond, deadline: 2 * deadline}
+	default:
+		return request{operation: "layout", idempotent: true, run: 20 * time.Millisecond, deadline: deadline}
+	}
+}
+
+func (tr *traffic) count(selected func(sent) bool) int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return len(slices.DeleteFunc(slices.Clone(tr.all), func(s sent) bool { return !selected(s) }))
+}
+
+func answeredSince(t time.Time) func(sent) bool {
+	return func(s sent) bool { return s.end == answered && s.at.After(t) }
+}
+
+// end stops sending and waits for the requests in progress.
+func (tr *traffic) end() []sent {
+	tr.stop()
+	tr.done.Wait()
+	return tr.all
+}
+
+// checkPromises asserts what must hold after every failure.
+func (s *site) checkPromises(all []sent) {
+	s.t.Helper()
+	ends := map[string]int{}
+	for _, r := range all {
+		ends[r.end]++
+		if r.end == wrong {
+			s.t.Errorf("a caller got an answer that is not whole or not its own: %s", r.reason)
+		}
+		runs := s.standIn.Runs("", r.key).Key
+		if r.key != "" && (runs > 1 || r.end == refused && runs > 0 || r.end == answered && runs == 0) {
+			s.t.Errorf("a booking ran %d times and ended as %s %s", runs, r.end, r.reason)
+		}
+	}
+	s.t.Logf("requests: %v", ends)
+	if v := s.standIn.Violations(); v != (standin.Violations{}) {
+		s.t.Errorf("violations: %+v", v)
+	}
+}
+
+// balancer stands for the platform's balancer: it sends each request to an
+// instance that was ready when last asked, or to the address that the request
+// names while it was never asked to watch the instances.
+type balancer struct {
+	site  *site
+	base  *http.Transport
+	ready atomic.Pointer[[]string]
+	next  atomic.Uint64
+}
+
+func (s *site) newBalancer() *balancer {
+	b := &balancer{site: s, base: &http.Transport{MaxIdleConnsPerHost: mostInFlight}}
+	s.t.Cleanup(b.base.CloseIdleConnections)
+	return b
+}
+
+func (b *balancer) watch(ctx context.Context) {
+	for ; ctx.Err() == nil; time.Sleep(checkEvery) {
+		b.look()
+	}
+}
+
+func (b *balancer) look() {
+	var ready []string
+	for _, i := range b.site.instances {
+		if status, ok := b.site.status(i); ok && status.Ready {
+			ready = append(ready, i.Callers)
+		}
+	}
+	b.ready.Store(&ready)
+}
+
+// RoundTrip implements http.RoundTripper. It passes the run time in the context
+// to the backend servers.
+func (b *balancer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	if run, ok := r.Context().Value(runKey{}).(time.Duration); ok {
+		r.Header.Set(standin.HeaderRunMillis, strconv.FormatInt(run.Milliseconds(), 10))
+	}
+	if ready := b.ready.Load(); ready != nil {
+		if len(*ready) == 0 {
+			return nil, errors.New("no entry instance is ready")
+		}
+		r.URL.Host = (*ready)[b.next.Add(1)%uint64(len(*ready))]
+	}
+	return b.base.RoundTrip(r)
+}
