--- a/records/configuration/configuration_test.go
+++ b/records/configuration/configuration_test.go
@@ -1,6 +1,8 @@
 package configuration
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"reflect"
 	"strings"
@@ -12,6 +14,7 @@
 	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/findings"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/records"
 )
 
 // Guards against a fault that is not reported, has the wrong row, or hides the
@@ -153,4 +156,18 @@
 		}
 	}
 	b.ReportMetric(float64(len(text)), "bytes")
+	data, err := EncodePublication(configuration.Publication{ID: "publication-1", Replaces: 2999, Operator: "operator-1", Text: string(text)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	record, err := records.Encode([]records.Entry{{ID: "publication-1", Data: data}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(record)), "record-bytes")
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	_, _ = z.Write(text)
+	_ = z.Close()
+	b.ReportMetric(float64(packed.Len()), "gzip-bytes")
 }
