--- a/records/task/record_test.go
+++ b/records/task/record_test.go
@@ -187,8 +187,8 @@
 // BenchmarkAppendsPerSecond reports the appends a second of all writers against
 // their number and the time that they wait for more entries.
 func BenchmarkAppendsPerSecond(b *testing.B) {
-	for _, writers := range []int{7, 10, 15, 35} {
-		for _, wait := range []time.Duration{25 * time.Millisecond, 50 * time.Millisecond, 125 * time.Millisecond} {
+	for _, writers := range []int{7, 15, 24, 40} {
+		for _, wait := range []time.Duration{25 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond} {
 			b.Run(fmt.Sprintf("writers=%d/wait=%v", writers, wait), func(b *testing.B) {
 				appends := 0
 				for b.Loop() {
