--- a/failure/site_test.go
+++ b/failure/site_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"lacewingfork.example/lacewingfork/entry/operations"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/operationsapi"
 	"lacewingfork.example/lacewingfork/operator"
 	"lacewingfork.example/lacewingfork/operator/examples"
 	"lacewingfork.example/lacewingfork/records/configuration"
@@ -84,7 +84,7 @@
 }
 
 // status asks an instance; ok is false when it does not answer.
-func (s *site) status(i *instance) (status operations.Status, ok bool) {
+func (s *site) status(i *instance) (status operationsapi.Status, ok bool) {
 	return status, s.get("http://"+i.Operations+"/v1/status", &status) == nil
 }
 
