Scale reported service times to the usual mix of operations

A usage report gives the mean over all operations of a service, 20 ms and 800 ms runs alike, so a change of the mix looked like a slowdown of up to 4.

Tried first: scaling by the decaying mean of each operation. Now each operation has a slow mean, and a report is scaled by what the runs in its window usually take. Runs of a window that isn't known teach nothing.

--- a/decision/partition/completion.go
+++ b/decision/partition/completion.go
@@ -71,6 +71,8 @@
 	if c.Result == Succeeded || c.Result == Lost && c.Duration > r.estimate.Mean() {
 		before := r.estimate.Long()
 		r.estimate.Observe(now, c.Duration)
+		service := s.relief.estimates.Service(r.work.Service)
+		s.relief.sites[r.server].mix.add(now, service, s.relief.usual.add(service, r.estimate, c.Duration))
 		if r.estimate.Long() != before {
 			s.limitLong()
 		}
--- a/decision/partition/relief.go
+++ b/decision/partition/relief.go
@@ -16,6 +16,7 @@
 	sites     []site
 	// costOf is the service for which cost answers.
 	costOf interference.ServiceIndex
+	usual  usualMix
 	// present and tasks are reused.
 	present []interference.Present
 	tasks   []interference.Task
@@ -29,6 +30,7 @@
 	band  interference.Band
 	// present is what runs now, for the cost of a placement.
 	present []interference.Present
+	mix     *mix
 }
 
 // cost shows the estimates to the placement.
@@ -48,7 +50,7 @@
 	for len(r.sites) <= int(i) {
 		r.sites = append(r.sites, site{})
 	}
-	r.sites[i] = site{present: r.sites[i].present[:0]}
+	r.sites[i] = site{present: r.sites[i].present[:0], mix: &mix{}}
 }
 
 // recount derives what runs on a server now.
@@ -93,12 +95,17 @@
 		throttled := site.pressure.ThrottledAt(task.Task, u.SampledAt, s.throttled(i, task))
 		s.relief.present = s.relief.addPresent(s.relief.present, task.Kind, throttled)
 	}
-	worst := 0.0
+	worst, known := 0.0, false
 	for service, mean := range u.Latencies {
 		index := s.relief.estimates.Service(service)
-		worst = max(worst, s.relief.estimates.Observe(index, site.band, mean, s.relief.present))
+		unmixed := mean
+		if expected, seen := site.mix.expected(index, before, u.SampledAt); seen {
+			unmixed = s.relief.usual.unmixed(index, mean, expected)
+		}
+		known = known || unmixed > 0
+		worst = max(worst, s.relief.estimates.Observe(index, site.band, unmixed, s.relief.present))
 	}
-	if len(u.Latencies) > 0 {
+	if known {
 		site.pressure.Observe(u.SampledAt, worst)
 	}
 }
--- a/decision/partition/state.go
+++ b/decision/partition/state.go
@@ -78,7 +78,7 @@
 		queue:   admission.New(MaxWaiting),
 		servers: placement.New(MaxDeadline),
 		byID:    make(map[fleet.RequestID]int32),
-		relief:  relief{estimates: interference.NewEstimator()},
+		relief:  relief{estimates: interference.NewEstimator(), usual: newUsualMix()},
 	}
 	s.setConfiguration(c)
 	s.SetServers(now, servers, nil)
