--- a/entry/batch/ledger.go
+++ b/entry/batch/ledger.go
@@ -24,6 +24,7 @@
 	ended    []message.TaskEnded               // not taken by their partition duty yet
 	parts    taskrecord.Assembler
 	waiting  map[fleet.JobID][]waiter
+	list     message.ListFilter
 	counters counters
 	// countedAt is when the gauges were set last.
 	countedAt time.Time
@@ -82,7 +83,9 @@
 	case h := <-l.Holdings.Items():
 		l.takeHoldings(time.Now(), h)
 	case s := <-l.Snapshots.Items():
-		l.planner.SetServers(time.Now(), s.BackendServers)
+		if now := time.Now(); l.list.Due(now, s) {
+			l.planner.SetServers(now, s.BackendServers)
+		}
 	case u := <-l.Usage.Items():
 		for _, r := range u.Reports {
 			l.planner.Report(time.Now(), r.BackendServer, r.SampledAt, observations(r.Tasks))
--- a/entry/message/state.go
+++ b/entry/message/state.go
@@ -22,7 +22,9 @@
 // the list watcher to the duties that follow membership.
 type ListSnapshot struct {
 	// SampledAt is no later than the time the list was true.
-	SampledAt      time.Time
+	SampledAt time.Time
+	// Version changes with the list's content; 0 when that isn't known.
+	Version        uint64
 	Instances      []fleet.Instance
 	BackendServers []fleet.BackendServer
 }
--- a/entry/peers/peers.go
+++ b/entry/peers/peers.go
@@ -128,6 +128,7 @@
 
 func (s *Supervisor) manage(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 	links := map[fleet.InstanceID]managedLink{}
+	var list message.ListFilter
 	defer func() {
 		for _, l := range links {
 			l.running.Cancel()
@@ -138,7 +139,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case snapshot := <-s.Snapshots.Items():
-			s.reconcile(links, snapshot.Instances)
+			if list.Due(time.Now(), snapshot) {
+				s.reconcile(links, snapshot.Instances)
+			}
 		case hints := <-s.OwnHints.Items():
 			send(ctx, links, control{frame: encodeHints(hints)})
 		case ask := <-s.ConfigurationAsks.Items():
--- a/entry/platform/watcher.go
+++ b/entry/platform/watcher.go
@@ -125,6 +125,9 @@
 		func() handler[platformapi.Snapshot] {
 			var newest time.Time
 			started := time.Now()
+			var last platformapi.Snapshot
+			// Versions of an earlier run of the duty must not come again.
+			version := uint64(started.UnixNano())
 			deliver := func(ctx context.Context, sentAt time.Time, s platformapi.Snapshot) {
 				snapshot := message.ListSnapshot{
 					SampledAt: sampledAt(sentAt, s.AgeMillis),
@@ -134,6 +137,10 @@
 					return
 				}
 				newest = snapshot.SampledAt
+				if !sameRows(last.BackendServers, s.BackendServers) || !sameRows(last.Instances, s.Instances) {
+					version++
+				}
+				last, snapshot.Version = s, version
 				metrics.listAged(time.Since(newest))
 				for _, ring := range rings {
 					_ = ring.Put(ctx, snapshot)
@@ -150,6 +157,12 @@
 		})
 }
 
+// sameRows reports that two lists are one: the client returns the list that it
+// has when the platform says that it didn't change.
+func sameRows[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // usageDuties follow the usage reports of one data centre.
 func usageDuties(workers platformapi.Workers, dataCentre fleet.DataCentre, all []UsageSubscription) []supervise.Duty {
 	ask := func(ctx context.Context) ([]platformapi.UsageReport, error) {
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -105,6 +105,7 @@
 	announced     map[fleet.PartitionID]message.HolderView // by the holders' hints
 	racks         map[fleet.PartitionID]rack
 	configuration message.ConfigurationInForce
+	list          message.ListFilter
 	inFlight      map[fleet.RequestID]*flight
 	expiries      expiryHeap
 	late          uint64
@@ -156,8 +157,10 @@
 			r.holders = h.Holders
 			r.rebuild()
 		case s := <-d.Snapshots.Items():
-			r.setRacks(s.BackendServers)
-			r.rebuild()
+			if r.list.Due(time.Now(), s) {
+				r.setRacks(s.BackendServers)
+				r.rebuild()
+			}
 		case c := <-d.Configurations.Items():
 			r.configuration = c
 			r.state.SetBudget(time.Now(), c.Value.Limits.RegionBytesPerSecond)
--- a/entry/scheduling/scheduling.go
+++ b/entry/scheduling/scheduling.go
@@ -82,6 +82,7 @@
 	servers       map[fleet.PartitionID][]fleet.BackendServer
 	configuration message.ConfigurationInForce
 	holdings      message.Holdings
+	list          message.ListFilter
 }
 
 func (s *Supervisor) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
@@ -95,6 +96,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case snapshot := <-s.Snapshots.Items():
+			if !m.list.Due(time.Now(), snapshot) {
+				continue
+			}
 			m.setServers(ctx, snapshot)
 		case usage := <-s.Usage.Items():
 			m.passUsage(ctx, usage)
