--- a/entry/operations/operations.go
+++ b/entry/operations/operations.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
@@ -114,6 +115,9 @@
 	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	router.HandleFunc("/readyz", s.handleReady).Methods(http.MethodGet)
 	router.HandleFunc("/debug/state", s.handleState).Methods(http.MethodGet)
+	router.PathPrefix("/debug/pprof/profile").HandlerFunc(pprof.Profile)
+	router.PathPrefix("/debug/pprof/trace").HandlerFunc(pprof.Trace)
+	router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
 	router.HandleFunc("/v1/status", s.handleStatus).Methods(http.MethodGet)
 	router.HandleFunc("/v1/explain/{id:.+}", s.handleExplain).Methods(http.MethodGet)
 	router.HandleFunc("/v1/drain", s.handleDrain).Methods(http.MethodPost)
