--- a/cmd/lacewingfork-demo/main.go
+++ b/cmd/lacewingfork-demo/main.go
@@ -23,6 +23,7 @@
 
 type options struct {
 	Keep bool `long:"keep" description:"keep the directory with the settings and logs of the processes"`
+	Stay bool `long:"stay" description:"only start the system, print how to reach it and keep it running"`
 }
 
 func main() { os.Exit(run()) }
@@ -50,7 +51,14 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	report, err := demo.Run(ctx, demo.Settings{Bin: filepath.Dir(program), Work: work, Out: os.Stdout})
+	settings := demo.Settings{Bin: filepath.Dir(program), Work: work, Out: os.Stdout}
+	if o.Stay {
+		if err := demo.Stay(ctx, settings); err != nil {
+			return fail(err)
+		}
+		return 0
+	}
+	report, err := demo.Run(ctx, settings)
 	if err != nil {
 		return fail(err)
 	}
--- a/entry/batch/commands.go
+++ b/entry/batch/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lacewingfork.example/lacewingfork/decision/configuration"
 	"lacewingfork.example/lacewingfork/decision/task"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
@@ -59,13 +60,17 @@
 func (l *ledger) submit(now time.Time, c message.SubmitJob) {
 	t, known := l.teams[c.Job.Team]
 	c.Job.TeamLimit = t.MaxJobs
-	switch view, exists := l.planner.Fold().View(c.Job.ID); {
+	view, exists := l.planner.Fold().View(c.Job.ID)
+	l.complete(&c.Job, view, exists)
+	switch {
 	case !l.planner.Ready() || l.teams == nil:
 		answer(c.Reply, message.JobNotReady, task.JobView{})
 	case exists:
 		answer(c.Reply, repeatOutcome(view, c.Job), view)
 	case !known:
 		answer(c.Reply, message.JobUnknownTeam, task.JobView{})
+	case c.Job.Resources == fleet.Resources{}:
+		answer(c.Reply, message.JobUnknownKind, task.JobView{})
 	default:
 		job := c.Job
 		l.waiting[job.ID] = append(l.waiting[job.ID], waiter{reply: c.Reply, job: &job, until: now.Add(confirmWithin)})
@@ -73,6 +78,23 @@
 	}
 }
 
+// complete takes resources that the job doesn't name, and its run time, from its
+// kind. A repeat of a submission takes them from the job that it made, since
+// the kind may have changed.
+func (l *ledger) complete(job *task.Job, made task.JobView, exists bool) {
+	if job.Resources != (fleet.Resources{}) {
+		return
+	}
+	kind := l.kinds[job.Kind]
+	if exists {
+		kind = configuration.BatchKind{Resources: made.Job.Resources, ExpectedRunTime: made.Job.RunTime}
+	}
+	job.Resources = kind.Resources
+	if job.RunTime == 0 {
+		job.RunTime = kind.ExpectedRunTime
+	}
+}
+
 func repeatOutcome(view task.JobView, job task.Job) message.JobOutcome {
 	if task.SameSubmission(view.Job, job) {
 		return message.JobRepeated
--- a/entry/batch/ledger.go
+++ b/entry/batch/ledger.go
@@ -19,6 +19,7 @@
 	planner  *task.Ledger
 	stream   string
 	teams    map[fleet.Team]configuration.Team // nil until a configuration is known
+	kinds    map[string]configuration.BatchKind
 	routes   map[fleet.PartitionID]message.TaskRoute
 	adopted  map[fleet.PartitionID]fleet.Epoch // whose running attempts were passed on
 	ended    []message.TaskEnded               // not taken by their partition duty yet
@@ -172,6 +173,10 @@
 		l.teams[t.Name], shares[t.Name] = t, t.Share
 	}
 	l.planner.SetTeams(shares)
+	l.kinds = map[string]configuration.BatchKind{}
+	for _, k := range c.Value.Kinds {
+		l.kinds[k.Name] = k
+	}
 }
 
 func (l *ledger) takeSignal(now time.Time, signal message.TaskSignal) {
--- a/entry/message/task.go
+++ b/entry/message/task.go
@@ -164,6 +164,9 @@
 	JobOverLimit JobOutcome = "team-limit-reached"
 	// JobUnknownTeam means that the configuration in force has no such team.
 	JobUnknownTeam JobOutcome = "no-such-team"
+	// JobUnknownKind means that the job names no resources and the
+	// configuration in force has no such kind to take them from.
+	JobUnknownKind JobOutcome = "no-such-kind"
 	// JobNotFound means that no such job is known.
 	JobNotFound JobOutcome = "no-such-job"
 	// JobNotReady means that the ledger is not ready; nothing was done.
