Try: send backend servers' answers past the routing duty

An answer passes two rings after the partition duty; this sends it straight to the waiting goroutine, and the first of holder and routing duty to answer wins.

--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -125,8 +125,10 @@
 	partition  fleet.PartitionID
 	tried      []fleet.PartitionID
 	target     *supervise.Ring[message.Submission]
-	expires    time.Time
-	index      int // place in the expiry heap
+	// own answers the request unless the holder did so past this duty.
+	own     message.Submission
+	expires time.Time
+	index   int // place in the expiry heap
 }
 
 func (d *Duty) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
@@ -218,14 +220,13 @@
 		}
 		f.partition = chosen.Partition
 		f.tried = append(f.tried, chosen.Partition)
-		onward := s
+		onward, own := s.Via(r.answers)
 		onward.Partition = chosen.Partition
-		onward.Reply = r.answers
 		if err := target.Put(ctx, onward); err != nil {
 			reason = outcome.RingFull
 			continue
 		}
-		f.target = target
+		f.target, f.own = target, own
 		r.state.Sent(chosen.Partition)
 		r.inFlight[s.Request.ID] = f
 		heap.Push(&r.expiries, f)
@@ -273,13 +274,16 @@
 	}
 	r.remove(f)
 	r.state.Ended(f.partition, hintOf(a))
+	if a.Delivered {
+		return
+	}
 	if r.mayReroute(f, a) {
 		r.rerouted++
 		r.Metrics.rerouted(a.Reason)
 		r.place(ctx, f)
 		return
 	}
-	if !f.submission.Deliver(a) {
+	if !f.own.Deliver(a) {
 		r.late++
 		r.Metrics.answerLate()
 	}
@@ -336,7 +340,7 @@
 		f := r.expiries[0]
 		r.remove(f)
 		r.state.Ended(f.partition, routing.Hint{})
-		f.submission.Deliver(message.Unknown(f.submission.Request.ID, outcome.BackendTimeout))
+		f.own.Deliver(message.Unknown(f.submission.Request.ID, outcome.BackendTimeout))
 	}
 }
 
