--- a/entry/message/request.go
+++ b/entry/message/request.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"lacewingfork.example/lacewingfork/decision/outcome"
@@ -49,26 +48,6 @@
 	Cancel bool
 	// Reply takes the one answer. A full ring means that nobody waits.
 	Reply *supervise.Ring[Answer]
-	// direct is set on the way from the routing duty to the holder.
-	direct *direct
-}
-
-// direct leads a backend server's answer past the routing duty, which only
-// hears of it, to whoever waits. The first of the two that answers wins.
-type direct struct {
-	ring     *supervise.Ring[Answer]
-	answered atomic.Bool
-}
-
-// Via returns the submission as the routing duty hands it on: answers come to
-// the given ring, but for those of backend servers, which go to whoever waits.
-// The second value is the submission by which the routing duty answers itself.
-func (s Submission) Via(answers *supervise.Ring[Answer]) (onward, own Submission) {
-	d := &direct{ring: s.Reply}
-	onward, own = s, s
-	onward.Reply, onward.direct = answers, d
-	own.Reply, own.direct = nil, d
-	return onward, own
 }
 
 // Answer is the end of a request.
@@ -88,9 +67,6 @@
 	KeyChecked bool
 	// Key is the issued request key when one was asked for.
 	Key string
-	// Delivered is set in the copy for the routing duty when the answer went
-	// to the submission's direct ring.
-	Delivered bool
 	// Hint is the partition's load when it answered.
 	Hint LoadHint
 }
@@ -116,20 +92,8 @@
 	return Answer{ID: id, Outcome: outcome.Unknown, Reason: reason}
 }
 
-// Deliver answers the submission. It reports false when nobody waits any more.
+// Deliver puts the answer on the submission's reply ring. It reports false
+// when nobody waits any more.
 func (s Submission) Deliver(a Answer) bool {
-	if s.direct == nil {
-		return s.Reply.Put(context.Background(), a) == nil
-	}
-	if s.Reply == nil {
-		return s.direct.put(a)
-	}
-	if a.Outcome == outcome.Answered && s.direct.put(a) {
-		a.Fields, a.Body, a.Delivered = nil, nil, true
-	}
 	return s.Reply.Put(context.Background(), a) == nil
 }
-
-func (d *direct) put(a Answer) bool {
-	return d.answered.CompareAndSwap(false, true) && d.ring.Put(context.Background(), a) == nil
-}
--- a/entry/routing/routing.go
+++ b/entry/routing/routing.go
@@ -125,10 +125,8 @@
 	partition  fleet.PartitionID
 	tried      []fleet.PartitionID
 	target     *supervise.Ring[message.Submission]
-	// own answers the request unless the holder did so past this duty.
-	own     message.Submission
-	expires time.Time
-	index   int // place in the expiry heap
+	expires    time.Time
+	index      int // place in the expiry heap
 }
 
 func (d *Duty) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
@@ -220,13 +218,14 @@
 		}
 		f.partition = chosen.Partition
 		f.tried = append(f.tried, chosen.Partition)
-		onward, own := s.Via(r.answers)
+		onward := s
 		onward.Partition = chosen.Partition
+		onward.Reply = r.answers
 		if err := target.Put(ctx, onward); err != nil {
 			reason = outcome.RingFull
 			continue
 		}
-		f.target, f.own = target, own
+		f.target = target
 		r.state.Sent(chosen.Partition)
 		r.inFlight[s.Request.ID] = f
 		heap.Push(&r.expiries, f)
@@ -274,16 +273,13 @@
 	}
 	r.remove(f)
 	r.state.Ended(f.partition, hintOf(a))
-	if a.Delivered {
-		return
-	}
 	if r.mayReroute(f, a) {
 		r.rerouted++
 		r.Metrics.rerouted(a.Reason)
 		r.place(ctx, f)
 		return
 	}
-	if !f.own.Deliver(a) {
+	if !f.submission.Deliver(a) {
 		r.late++
 		r.Metrics.answerLate()
 	}
@@ -340,7 +336,7 @@
 		f := r.expiries[0]
 		r.remove(f)
 		r.state.Ended(f.partition, routing.Hint{})
-		f.own.Deliver(message.Unknown(f.submission.Request.ID, outcome.BackendTimeout))
+		f.submission.Deliver(message.Unknown(f.submission.Request.ID, outcome.BackendTimeout))
 	}
 }
 
