Try the tests of the duties against naive variants

One was too weak: TestShutdownAnswersWhatIsInProgress passed with a stop that closes the server at once, because the answer could come before the close.

--- a/entry/callers/callers_test.go
+++ b/entry/callers/callers_test.go
@@ -79,23 +79,40 @@
 // request is whole.
 func (f *frontEnd) send(t *testing.T, raw string, cutOff bool) *http.Response {
 	t.Helper()
-	conn, err := net.Dial("tcp", f.address)
+	response, err := f.try(raw, cutOff)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return response
+}
+
+func (f *frontEnd) try(raw string, cutOff bool) (*http.Response, error) {
+	conn, err := net.Dial("tcp", f.address)
+	if err != nil {
+		return nil, err
+	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	if _, err := fmt.Fprint(conn, raw); err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
 	if half, ok := conn.(*net.TCPConn); ok && cutOff {
 		_ = half.CloseWrite()
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		t.Fatal(err)
+	return http.ReadResponse(bufio.NewReader(conn), nil)
+}
+
+// awaitClosed waits until the front end accepts no more connections.
+func (f *frontEnd) awaitClosed(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp", f.address)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
 	}
-	return response
+	t.Fatal("the front end still accepts connections")
 }
 
 func post(path string, body string, headers ...string) string {
@@ -199,8 +216,14 @@
 // new ones.
 func TestShutdownAnswersWhatIsInProgress(t *testing.T) {
 	f := startFrontEnd(t)
-	done := make(chan *http.Response, 1)
-	go func() { done <- f.send(t, post("/v1/services/planner/layout", "x"), false) }()
+	done := make(chan error, 1)
+	go func() {
+		response, err := f.try(post("/v1/services/planner/layout", "x"), false)
+		if err == nil && response.StatusCode != http.StatusOK {
+			err = fmt.Errorf("status %d", response.StatusCode)
+		}
+		done <- err
+	}()
 	inProgress := <-f.submissions.Items()
 	f.Refuse()
 	if response := f.send(t, post("/v1/services/planner/layout", "x"), false); response.Header.Get(callerapi.HeaderReason) != string(outcome.Stopping) {
@@ -208,9 +231,10 @@
 	}
 	stopped := make(chan error, 1)
 	go func() { stopped <- f.Shutdown(context.Background()) }()
+	f.awaitClosed(t)
 	inProgress.Deliver(message.Answer{ID: inProgress.Request.ID, Outcome: outcome.Answered, Status: 200, Server: fleet.BackendServerID("b1")})
-	if response := <-done; response.StatusCode != 200 {
-		t.Errorf("request in progress got %d", response.StatusCode)
+	if err := <-done; err != nil {
+		t.Errorf("request in progress: %v", err)
 	}
 	if err := <-stopped; err != nil {
 		t.Errorf("shutdown: %v", err)
