--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"text/template"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,29 +19,6 @@
 	"lacewingfork.example/lacewingfork/standin"
 )
 
-// instanceSettings are the settings of an entry instance. The lease is shorter
-// than the default, so that a takeover fits into the demo.
-var instanceSettings = template.Must(template.New("instance").Parse(`[instance]
-id = "{{.ID}}"
-region = "{{.Region}}"
-data_centre = "{{.DataCentre}}"
-[listen]
-callers = "{{.Callers}}"
-peers = "{{.Peers}}"
-operations = "{{.Operations}}"
-[platform]
-log = "http://{{.Platform}}"
-list = "http://{{.Platform}}"
-workers = "http://{{.Platform}}"
-[lease]
-ttl = "2s"
-list_lag = "1s"
-list_age = "1500ms"
-margin = "100ms"
-[process]
-stop_timeout = "20s"
-`))
-
 // standInSettings are those of two regions with three data centres and 12
 // backend servers.
 const standInSettings = `listen = "127.0.0.1:0"
@@ -106,15 +82,18 @@
 	return c, nil
 }
 
+func (i *instance) settings() InstanceSettings {
+	return InstanceSettings{
+		ID: i.ID, Region: i.Region, DataCentre: i.DataCentre,
+		Callers: i.Callers, Peers: i.Peers, Operations: i.Operations, Platform: i.Platform,
+	}
+}
+
 // startInstance starts the process and puts it on the platform's list.
 func (c *cluster) startInstance(i *instance) error {
-	var text bytes.Buffer
-	if err := instanceSettings.Execute(&text, i); err != nil {
-		return errors.Wrap(err, "write settings")
-	}
 	path := filepath.Join(c.work, i.ID+".toml")
-	if err := os.WriteFile(path, text.Bytes(), 0o600); err != nil {
-		return errors.Wrap(err, "write settings")
+	if err := i.settings().Write(path); err != nil {
+		return err
 	}
 	p, err := start(c.bin, c.work, i.ID, "lacewingfork-entry", "--settings", path)
 	if err != nil {
--- a/failure/process_test.go
+++ b/failure/process_test.go
@@ -9,11 +9,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"testing"
-	"text/template"
 	"time"
+
+	"lacewingfork.example/lacewingfork/demo"
 )
 
 const (
@@ -64,29 +64,6 @@
 	}
 }
 
-// instanceSettings have a shorter lease than the default, so that a takeover
-// takes less of the tests' time; the targets are the same.
-var instanceSettings = template.Must(template.New("instance").Parse(`[instance]
-id = "{{.ID}}"
-region = "accra"
-data_centre = "{{.DataCentre}}"
-[listen]
-callers = "{{.Callers}}"
-peers = "{{.Peers}}"
-operations = "{{.Operations}}"
-[platform]
-log = "http://{{.Platform}}"
-list = "http://{{.Platform}}"
-workers = "http://{{.Platform}}"
-[lease]
-ttl = "2s"
-list_lag = "1s"
-list_age = "1500ms"
-margin = "100ms"
-[process]
-stop_timeout = "20s"
-`))
-
 const (
 	anyPort = "127.0.0.1:0" // the kernel chooses
 	keptLog = 4 << 10       // bytes that are shown of a log
@@ -104,10 +81,11 @@
 // run starts the process and waits until its sockets are open.
 func (i *instance) run(t *testing.T, dir string) {
 	t.Helper()
-	var text strings.Builder
-	must(t, instanceSettings.Execute(&text, i))
 	path := filepath.Join(dir, i.ID+".toml")
-	must(t, os.WriteFile(path, []byte(text.String()), 0o600))
+	must(t, demo.InstanceSettings{
+		ID: i.ID, Region: "accra", DataCentre: i.DataCentre,
+		Callers: i.Callers, Peers: i.Peers, Operations: i.Operations, Platform: i.Platform,
+	}.Write(path))
 	var written bytes.Buffer
 	i.cmd = exec.Command(filepath.Join(programs, "lacewingfork-entry"), "--settings", path)
 	i.cmd.Stderr = &written
