--- a/demo/demo.go
+++ b/demo/demo.go
@@ -12,6 +12,7 @@
 	"lacewingfork.example/lacewingfork/internal/wait"
 	"lacewingfork.example/lacewingfork/load"
 	"lacewingfork.example/lacewingfork/standin"
+	"lacewingfork.example/lacewingfork/supervise"
 )
 
 // The scenario's times, from the start of the load.
@@ -75,8 +76,8 @@
 	if err != nil {
 		return report, err
 	}
-	loaded := make(chan load.Result, 1)
-	go func() { loaded <- t.run(ctx, loadRate, loadDuration) }()
+	loaded := supervise.NewRing[load.Result]("demo.loaded", 1, supervise.Refuse)
+	go func() { _ = loaded.Put(ctx, t.run(ctx, loadRate, loadDuration)) }()
 	if err := c.submitJobs(); err != nil {
 		return report, err
 	}
@@ -99,7 +100,7 @@
 			return report, errors.Wrap(err, step.text)
 		}
 	}
-	report.Load = <-loaded
+	report.Load = <-loaded.Items()
 	return report, c.settle(ctx, t, &report)
 }
 
@@ -112,8 +113,8 @@
 		return err
 	}
 	report.TasksFinished = finished
-	close(t.bookings)
-	for b := range t.bookings {
+	for range t.bookings.Stats().Depth {
+		b := <-t.bookings.Items()
 		runs, err := c.keyRuns(b.key)
 		if err != nil {
 			return err
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -14,6 +14,7 @@
 	"lacewingfork.example/lacewingfork/caller"
 	"lacewingfork.example/lacewingfork/fleet"
 	"lacewingfork.example/lacewingfork/load"
+	"lacewingfork.example/lacewingfork/supervise"
 )
 
 // Ends of a request, as shown in the table.
@@ -58,7 +59,7 @@
 // traffic sends the mix through the callers' library.
 type traffic struct {
 	client   *caller.Client
-	bookings chan booking
+	bookings *supervise.Ring[booking]
 }
 
 func newTraffic(b *balancer, addresses []string, requests int) (*traffic, error) {
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &traffic{client: client, bookings: make(chan booking, requests)}, nil
+	return &traffic{client: client, bookings: supervise.NewRing[booking]("demo.bookings", requests, supervise.Refuse)}, nil
 }
 
 // runMillisKey is the context key of the run time that a request asks for.
@@ -99,7 +100,7 @@
 		end = check(answer, request.Body)
 	}
 	if request.Key != "" {
-		t.bookings <- booking{key: request.Key, end: end}
+		_ = t.bookings.Put(ctx, booking{key: request.Key, end: end})
 	}
 	return end
 }
--- a/load/load.go
+++ b/load/load.go
@@ -5,10 +5,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lacewingfork.example/lacewingfork/supervise"
 )
 
 const (
@@ -39,24 +40,25 @@
 }
 
 type due struct {
-	n  int
-	at time.Time
+	n    int
+	at   time.Time
+	last bool // ends a worker
 }
 
 // Run carries out the plan. It ends early when the context ends.
 func Run(ctx context.Context, p Plan) Result {
-	queue := make(chan due, p.Rate)
-	results := make(chan Result, p.Workers)
-	var workers sync.WaitGroup
+	queue := supervise.NewRing[due]("load.due", p.Rate+p.Workers, supervise.Wait)
+	results := supervise.NewRing[Result]("load.results", p.Workers, supervise.Refuse)
 	for range p.Workers {
-		workers.Go(func() { results <- work(ctx, p, queue) })
+		go func() { _ = results.Put(ctx, work(ctx, p, queue)) }()
 	}
 	release(ctx, p, queue)
-	close(queue)
-	workers.Wait()
-	close(results)
+	for range p.Workers {
+		_ = queue.Put(context.WithoutCancel(ctx), due{last: true})
+	}
 	total := newResult()
-	for r := range results {
+	for range p.Workers {
+		r := <-results.Items()
 		total.Times.Merge(r.Times)
 		for end, n := range r.Ends {
 			total.Ends[end] += n
@@ -71,7 +73,7 @@
 	}
 }
 
-func release(ctx context.Context, p Plan, queue chan<- due) {
+func release(ctx context.Context, p Plan, queue *supervise.Ring[due]) {
 	ticker := time.NewTicker(pace)
 	defer ticker.Stop()
 	started := time.Now()
@@ -84,18 +86,19 @@
 		case <-ticker.C:
 		}
 		for ; n < total && time.Since(started) >= time.Duration(n)*interval; n++ {
-			select {
-			case queue <- due{n: n, at: time.Now()}:
-			case <-ctx.Done():
+			if queue.Put(ctx, due{n: n, at: time.Now()}) != nil {
 				return
 			}
 		}
 	}
 }
 
-func work(ctx context.Context, p Plan, queue <-chan due) Result {
+func work(ctx context.Context, p Plan, queue *supervise.Ring[due]) Result {
 	r := newResult()
-	for d := range queue {
+	for d := range queue.Items() {
+		if d.last {
+			break
+		}
 		r.Ends[p.Do(ctx, d.n)]++
 		_ = r.Times.RecordValue(max(1, time.Since(d.at).Microseconds()))
 	}
