--- a/entry/batch/batch_test.go
+++ b/entry/batch/batch_test.go
@@ -229,7 +229,7 @@
 		var wait sync.WaitGroup
 		wait.Go(func() { _ = tree.Serve(ctx) })
 		wait.Go(func() { p.run(ctx) })
-		time.Sleep(2 * time.Second)
+		time.Sleep(2 * time.Second) // of the bubble, as all sleeps here: the first reads and reports
 		test(t, p)
 		cancel()
 		wait.Wait()
