--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -1,10 +1,10 @@
 // Package dispatch is the supervisor of the connections to backend servers.
 //
-// The scheduling manager opens a Line for each backend server of a partition
-// that this instance holds. A line runs one exchange duty for each slot; each
-// duty owns one connection, so the connections of one epoch to a
-// backend server never outnumber its slots. A duty that fails is restarted without a connection;
-// the exchange it carried ends with an unknown outcome.
+// A partition duty opens a Line for each backend server of its partition. A line
+// runs one exchange duty for each slot; each duty owns one connection, so the
+// connections of one epoch to a backend server never outnumber its slots. A duty
+// that fails is restarted without a connection; the exchange it carried ends
+// with an unknown outcome.
 package dispatch
 
 import (
