--- /dev/null
+++ b/cmd/lacewingfork-scheduler/main.go
@@ -0,0 +1,93 @@
+// Command lacewingfork-scheduler runs one entry instance of the job scheduler on
+// the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/fx"
+
+	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/platform"
+	"lacewingfork.example/lacewingfork/scheduler"
+	"lacewingfork.example/lacewingfork/scheduler/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1 // the instance gave up
+	exitSettings = 2 // the command line or the settings are wrong
+)
+
+const (
+	// memoryShare is the part of the instance's memory that the Go heap may
+	// use; the rest is for stacks, the binary and socket buffers.
+	memoryShare = 0.7
+	// gcPercent trades memory, which is priced, for processor time, of which an
+	// instance has a sixth of a core.
+	gcPercent = 150
+	mebibyte  = 1 << 20
+)
+
+type options struct {
+	Settings string `long:"settings" value-name:"FILE" description:"settings of the instance in TOML; the platform's variable names it otherwise"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() { os.Exit(run(os.Stdout, os.Stderr)) }
+
+func run(stdout, stderr io.Writer) int {
+	o := options{Settings: platform.SettingsPath()}
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitSettings
+	}
+	s, err := settings.Load(o.Settings)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err) // nothing is left to report to
+		return exitSettings
+	}
+	if o.Check {
+		return 0
+	}
+	debug.SetMemoryLimit(int64(float64(s.Instance.MemoryMiB) * memoryShare * mebibyte))
+	debug.SetGCPercent(gcPercent)
+	runtime.GOMAXPROCS(1) // an instance has less than a core
+	listeners, err := scheduler.Listen(s.Listen)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err) // nothing is left to report to
+		return exitFailed
+	}
+	defer listeners.Close()
+	c := clock.New()
+	return serve(scheduler.New(s, listeners, platform.New(s.Store.Address, c.Steady), c, stdout), stderr)
+}
+
+// serve runs the application until a stop signal or a failure, and returns the
+// exit code.
+func serve(app *fx.App, stderr io.Writer) int {
+	// A reload must not end the process; the settings are read at the start.
+	signal.Ignore(syscall.SIGHUP)
+	if err := app.Start(context.Background()); err != nil {
+		_, _ = fmt.Fprintln(stderr, err) // nothing is left to report to
+		return exitFailed
+	}
+	ended := <-app.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	if err := app.Stop(ctx); err != nil {
+		_, _ = fmt.Fprintln(stderr, err) // nothing is left to report to
+		return exitFailed
+	}
+	return ended.ExitCode
+}
--- /dev/null
+++ b/decision/cell/gang.go
@@ -0,0 +1,81 @@
+package cell
+
+import "slices"
+
+// startGang starts all tasks of a step or none. The members share an attempt
+// and a checkpoint.
+func (c *Cell) startGang(s *stepState) {
+	if len(s.waiting) < len(s.tasks) {
+		return // members of an earlier run have not ended yet
+	}
+	attempt := 0
+	for _, t := range s.tasks {
+		if c.now.Steady < t.notBefore {
+			return
+		}
+		attempt = max(attempt, t.attempt)
+	}
+	placed := c.placeGang(s)
+	if placed == nil {
+		return
+	}
+	saved := s.gangCheckpoint()
+	for i, t := range s.tasks {
+		t.attempt, t.saved = attempt, saved
+		c.startRun(t, placed[i], "")
+	}
+	s.waiting = nil
+}
+
+// placeGang returns a worker for each task, or nil. The room of members that
+// are already placed is taken while the others are placed.
+func (c *Cell) placeGang(s *stepState) []*worker {
+	placed := make([]*worker, 0, len(s.tasks))
+	held := make([]*run, 0, len(s.tasks))
+	defer func() {
+		for _, r := range held {
+			delete(r.worker.runs, r.key)
+			r.worker.take(r, -1)
+			r.task.runs = nil
+		}
+	}()
+	for _, t := range s.tasks {
+		w := c.choose(t)
+		if w == nil {
+			return nil
+		}
+		placed = append(placed, w)
+		r := &run{key: runKey{task: t.ref()}, task: t, worker: w, need: s.step.Need, fills: s.step.Fills}
+		w.runs[r.key] = r
+		w.take(r, 1)
+		t.runs = []*run{r}
+		held = append(held, r)
+	}
+	return placed
+}
+
+// gangCheckpoint returns the checkpoint that all members resume from; that of
+// any member is valid for the gang.
+func (s *stepState) gangCheckpoint() string {
+	at := slices.IndexFunc(s.tasks, func(t *task) bool { return t.saved != "" })
+	if at < 0 {
+		return ""
+	}
+	return s.tasks[at].saved
+}
+
+// gangDone ends all tasks of a gang; one end stands for all of them.
+func (c *Cell) gangDone(s *stepState) {
+	for _, t := range s.tasks {
+		c.taskDone(t)
+	}
+}
+
+// breakGang stops the members of a gang of which one has ended.
+func (c *Cell) breakGang(s *stepState) {
+	for _, t := range s.tasks {
+		for _, r := range slices.Clone(t.runs) {
+			c.stopRun(r, "gang_broken")
+		}
+	}
+}
--- /dev/null
+++ b/decision/cell/record.go
@@ -0,0 +1,264 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Key names a record of the cell; the newest record of a key counts.
+type Key string
+
+const (
+	jobPrefix      = "job/"
+	progressPrefix = "progress/"
+	serverPrefix   = "server/"
+)
+
+func jobKey(id fleet.JobID) Key              { return Key(jobPrefix + string(id)) }
+func progressKey(id fleet.JobID) Key         { return Key(progressPrefix + string(id)) }
+func serverKey(id fleet.BackendServerID) Key { return Key(serverPrefix + string(id)) }
+
+// Record is one record of the cell. At most one field beside Key is set; none
+// means that the key is dropped.
+type Record struct {
+	Key      Key             `json:"-"`
+	Job      *JobRecord      `json:"job,omitempty"`
+	Progress *ProgressRecord `json:"progress,omitempty"`
+	Server   *Server         `json:"server,omitempty"`
+}
+
+// JobRecord is an accepted job.
+type JobRecord struct {
+	Job      job.Job   `json:"job"`
+	Accepted time.Time `json:"accepted"`
+}
+
+// ProgressRecord is how far a job is, as far as ends have been acknowledged.
+type ProgressRecord struct {
+	Cancelled   bool                 `json:"cancelled,omitempty"`
+	Failed      bool                 `json:"failed,omitempty"`
+	Started     bool                 `json:"started,omitempty"`
+	Closed      []int                `json:"closed,omitempty"` // occurrences that are complete
+	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
+}
+
+// OccurrenceProgress is the progress of an open occurrence.
+type OccurrenceProgress struct {
+	Number int            `json:"number"`
+	Tasks  []TaskProgress `json:"tasks,omitempty"`
+}
+
+// TaskProgress is what has been recorded of a task.
+type TaskProgress struct {
+	Step     int    `json:"s"`
+	Index    int    `json:"i"`
+	Done     bool   `json:"d,omitempty"`
+	Failures int    `json:"f,omitempty"`
+	Counted  int    `json:"c,omitempty"` // highest attempt in Failures
+	Saved    string `json:"k,omitempty"` // checkpoint
+}
+
+// batch is what the next append records, and what follows once it is durable.
+type batch struct {
+	number  uint64
+	jobs    []*jobState
+	cancels []*jobState
+	dirty   map[*jobState]bool
+	servers []*worker
+	drops   []Key
+	cursors map[*worker]endCursor
+}
+
+// endCursor is the highest end of one life of a worker.
+type endCursor struct {
+	born int64
+	seen int64
+}
+
+func newBatch(number uint64) *batch {
+	return &batch{number: number, dirty: map[*jobState]bool{}, cursors: map[*worker]endCursor{}}
+}
+
+func (b *batch) cursor(w *worker) { b.cursors[w] = endCursor{born: w.born, seen: w.seen} }
+
+func (b *batch) empty() bool {
+	return len(b.jobs) == 0 && len(b.cancels) == 0 && len(b.dirty) == 0 && len(b.servers) == 0 &&
+		len(b.drops) == 0 && len(b.cursors) == 0
+}
+
+func (c *Cell) markDirty(j *jobState) { c.gathering.dirty[j] = true }
+
+// Batch is a set of records that are appended together.
+type Batch struct {
+	Number  uint64
+	Records []Record
+}
+
+// TakeBatch returns what has to become durable, or ok false when there is
+// nothing or a batch is still on its way. Committed reports its end.
+func (c *Cell) TakeBatch() (b Batch, ok bool) {
+	if c.inFlight != nil || c.gathering.empty() {
+		return Batch{}, false
+	}
+	taken := c.gathering
+	c.batch++
+	c.inFlight, c.gathering = taken, newBatch(c.batch)
+	b.Number = taken.number
+	for _, j := range taken.jobs {
+		b.Records = append(b.Records, Record{Key: jobKey(j.job.ID), Job: &JobRecord{Job: j.job, Accepted: j.accepted}})
+	}
+	dirty := make([]*jobState, 0, len(taken.dirty))
+	for j := range taken.dirty {
+		dirty = append(dirty, j)
+	}
+	slices.SortFunc(dirty, func(a, b *jobState) int { return cmp.Compare(a.job.ID, b.job.ID) })
+	for _, j := range dirty {
+		progress := j.progress()
+		b.Records = append(b.Records, Record{Key: progressKey(j.job.ID), Progress: &progress})
+	}
+	for _, w := range taken.servers {
+		server := w.server
+		b.Records = append(b.Records, Record{Key: serverKey(server.ID), Server: &server})
+	}
+	for _, key := range taken.drops {
+		b.Records = append(b.Records, Record{Key: key})
+	}
+	return b, true
+}
+
+func (c *Cell) committed(number uint64) {
+	b := c.inFlight
+	if b == nil || b.number != number {
+		return
+	}
+	c.inFlight = nil
+	for _, j := range b.jobs {
+		c.jobStored(j)
+	}
+	for _, j := range b.cancels {
+		c.cancelRecorded(j)
+	}
+	for _, w := range b.servers {
+		w.stored = true
+	}
+	for w, cursor := range b.cursors {
+		if w.born != cursor.born || cursor.seen <= w.recorded {
+			continue
+		}
+		w.recorded = cursor.seen
+		if w.seen == w.recorded && !w.silent {
+			w.holdAt = c.now.Steady
+			c.holdIfDue(w)
+		}
+	}
+	c.needsOrder = true
+}
+
+func (j *jobState) progress() ProgressRecord {
+	p := ProgressRecord{Cancelled: j.cancelled, Failed: j.failed, Started: j.everStarted}
+	for number := range j.closed {
+		p.Closed = append(p.Closed, number)
+	}
+	slices.Sort(p.Closed)
+	if j.ended {
+		return p
+	}
+	for _, o := range j.occurrences {
+		op := OccurrenceProgress{Number: o.number}
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.done || t.failures > 0 || t.saved != "" {
+					op.Tasks = append(op.Tasks, TaskProgress{
+						Step: s.index, Index: t.index, Done: t.done, Failures: t.failures, Counted: t.counted, Saved: t.saved,
+					})
+				}
+			}
+		}
+		p.Occurrences = append(p.Occurrences, op)
+	}
+	slices.SortFunc(p.Occurrences, func(a, b OccurrenceProgress) int { return a.Number - b.Number })
+	return p
+}
+
+// Restore fills an empty cell with the records of earlier holders. Workers that
+// they knew count as in use until they are fenced or have surely lapsed.
+func (c *Cell) Restore(now Moment, records []Record) {
+	c.now = now
+	oldUntil := now.Steady + c.settings.AuthorityBound + time.Duration(float64(c.settings.HoldMax)*(1+clockDrift))
+	progress := map[fleet.JobID]*ProgressRecord{}
+	for _, r := range records {
+		switch {
+		case r.Job != nil:
+			c.restoreJob(r.Job)
+		case r.Progress != nil:
+			progress[fleet.JobID(r.Key[len(progressPrefix):])] = r.Progress
+		case r.Server != nil:
+			w := c.addWorker(*r.Server)
+			w.stored, w.oldUntil = true, oldUntil
+		}
+	}
+	for id, p := range progress {
+		if j := c.jobs[id]; j != nil {
+			c.restoreProgress(j, p)
+		}
+	}
+	for _, j := range c.jobs {
+		c.reopen(j)
+	}
+	c.blocked = len(c.order) > 0 || len(c.jobs) > 0
+	c.do(Note{Event: NoteRestored, Detail: map[string]any{"jobs": len(c.jobs), "workers": len(c.order), "round": c.round}})
+}
+
+func (c *Cell) restoreJob(r *JobRecord) {
+	age := max(0, c.now.Wall.Sub(r.Accepted))
+	c.jobs[r.Job.ID] = &jobState{
+		job: r.Job, accepted: r.Accepted, acceptedAt: c.now.Steady - age, stored: true, restored: true,
+		occurrences: map[int]*occurrence{}, closed: map[int]bool{},
+	}
+}
+
+func (c *Cell) restoreProgress(j *jobState, p *ProgressRecord) {
+	j.cancelled, j.cancelStored, j.failed, j.everStarted = p.Cancelled, p.Cancelled, p.Failed, p.Started
+	for _, number := range p.Closed {
+		j.closed[number] = true
+	}
+	if j.state().Final() {
+		j.ended, j.endedAt = true, c.now.Steady
+		return
+	}
+	for _, op := range p.Occurrences {
+		o := newOccurrence(j, op.Number)
+		for _, tp := range op.Tasks {
+			if tp.Step >= len(o.steps) || tp.Index >= len(o.steps[tp.Step].tasks) {
+				continue
+			}
+			t := o.steps[tp.Step].tasks[tp.Index]
+			t.failures, t.counted, t.saved, t.attempt = tp.Failures, tp.Counted, tp.Saved, tp.Counted
+			if tp.Done {
+				t.done = true
+				t.of.done++
+			}
+		}
+		for _, s := range o.steps {
+			if s.isDone() {
+				s.opened = true
+				o.open--
+			}
+		}
+	}
+}
+
+// reopen opens the steps of a restored job whose time has come.
+func (c *Cell) reopen(j *jobState) {
+	if j.ended {
+		return
+	}
+	for _, o := range j.occurrences {
+		c.openSteps(o)
+	}
+	c.openDue(j)
+}
--- /dev/null
+++ b/decision/cell/schedule.go
@@ -0,0 +1,234 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/job"
+)
+
+// schedule starts what can be started, the most pressing first. A step that
+// finds no room does not hold back the steps behind it.
+func (c *Cell) schedule() {
+	if !c.authority || !c.listRead || len(c.ready) == 0 {
+		return
+	}
+	c.ready = slices.DeleteFunc(c.ready, func(s *stepState) bool {
+		if len(s.waiting) > 0 && !s.of.job.ended {
+			return false
+		}
+		s.queued = false
+		return true
+	})
+	slices.SortStableFunc(c.ready, c.compareSteps)
+	for _, s := range c.ready {
+		if c.blocked && s.of.job.restored && !s.step.Copies {
+			continue
+		}
+		if s.step.Gang {
+			c.startGang(s)
+			continue
+		}
+		c.startTasks(s)
+	}
+}
+
+// compareSteps orders by the queue's priority, then by the time at which the
+// job misses its objective.
+func (c *Cell) compareSteps(a, b *stepState) int {
+	return cmp.Or(
+		cmp.Compare(c.queueOf(a.of.job).Priority, c.queueOf(b.of.job).Priority),
+		cmp.Compare(c.objectiveAt(a.of.job), c.objectiveAt(b.of.job)),
+		strings.Compare(string(a.of.job.job.ID), string(b.of.job.job.ID)),
+		cmp.Compare(a.of.number, b.of.number),
+		cmp.Compare(a.index, b.index),
+	)
+}
+
+// objectiveAt is when the job should be complete, by its own estimates.
+func (c *Cell) objectiveAt(j *jobState) time.Duration {
+	q := c.queueOf(j)
+	return j.acceptedAt + q.TargetLatency + time.Duration(q.SlackFactor*float64(longestChain(&j.job)))
+}
+
+func longestChain(j *job.Job) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, s := range j.Steps {
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		if !s.Lasting {
+			ends[i] += s.Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// startTasks starts the waiting tasks of a step as far as there is room. The
+// tasks are equal, so the first one that finds none ends the pass, unless it
+// only keeps away from servers that the others may use.
+func (c *Cell) startTasks(s *stepState) {
+	for _, index := range slices.Clone(s.waiting) {
+		t := s.tasks[index]
+		if c.now.Steady < t.notBefore {
+			continue
+		}
+		w := c.choose(t)
+		if w == nil {
+			if len(t.avoid) > 0 {
+				continue
+			}
+			return
+		}
+		s.waiting = slices.DeleteFunc(s.waiting, func(i int) bool { return i == index })
+		c.startRun(t, w, "")
+	}
+}
+
+// choose returns the best worker for a task, or nil when none has room.
+func (c *Cell) choose(t *task) *worker {
+	var best *worker
+	var bestCost float64
+	service := c.queueOf(t.of.of.job).Service
+	for _, w := range c.order {
+		if w.server.Service != service || !c.fits(w, t) {
+			continue
+		}
+		if cost := c.cost(w, t); best == nil || cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best
+}
+
+// fits reports whether a task may run on a worker and has room there.
+func (c *Cell) fits(w *worker, t *task) bool {
+	s := t.of.step
+	if !w.usable() || !w.health.open(c.now.Steady, w) {
+		return false
+	}
+	need := s.Need
+	if s.Fills {
+		need.MilliCPU = 0
+	}
+	need.Slots = 0
+	free := w.server.Capacity.Sub(w.used)
+	free.Slots = 0
+	if !need.Fits(free) {
+		return false
+	}
+	if s.Label != "" && !slices.Contains(w.server.Labels, s.Label) {
+		return false
+	}
+	return s.MaxPerServer == 0 || w.countOf(t.of) < s.MaxPerServer
+}
+
+// countOf returns the runs of a step on the worker.
+func (w *worker) countOf(s *stepState) int {
+	count := 0
+	for _, r := range w.runs {
+		if r.task.of == s {
+			count++
+		}
+	}
+	return count
+}
+
+// Costs of a placement, in cores of a server with an even load. They only have
+// to put the reasons in order: a server under suspicion last, then one where
+// the task would disturb or be slow, then by room.
+const (
+	costSuspect   = 1000.0
+	costAvoid     = 500.0
+	costDisturbs  = 200.0
+	costRemote    = 100.0
+	costPerRun    = 0.01
+	milliCPUPerCo = 1000.0
+)
+
+// cost rates a worker for a task; the lowest is the best.
+func (c *Cell) cost(w *worker, t *task) float64 {
+	s := t.of.step
+	cost := w.health.cost(c.now.Steady)
+	if slices.Contains(t.avoid, w.server.ID) {
+		cost += costAvoid
+	}
+	if s.DataRack != "" && w.server.Rack() != s.DataRack {
+		cost += costRemote
+	}
+	if s.SameRack {
+		cost += costRemote * float64(c.outsideRack(t.of, w.server.Rack()))
+	}
+	room := float64(w.server.Capacity.MilliCPU-w.used.MilliCPU) / milliCPUPerCo
+	fills := float64(w.fillCPU) / milliCPUPerCo
+	serving := w.pacing.serving
+	switch {
+	case s.Lasting:
+		// Packed, so that other servers stay free of tasks with a target.
+		cost += room + fills*2
+	case s.Fills:
+		cost += fills - room
+		if serving > 0 {
+			cost += costDisturbs
+		}
+	default:
+		// Beside tasks that last there is room that nothing else should take.
+		if serving == 0 {
+			cost += fills
+		}
+		cost += room * 0.1
+	}
+	return cost + costPerRun*float64(len(w.runs))
+}
+
+// outsideRack returns how many runs of a step are outside a rack.
+func (c *Cell) outsideRack(s *stepState, rack string) int {
+	count := 0
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.worker.server.Rack() != rack {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// vacate moves lasting tasks away from a server that leaves.
+func (c *Cell) vacate(w *worker) {
+	for _, r := range w.sortedRuns() {
+		if r.state != runConfirmed || !r.task.of.step.Lasting {
+			continue
+		}
+		if c.mayTakeOut(r.task) {
+			c.stopRun(r, "server_drains")
+		}
+	}
+}
+
+// mayTakeOut reports whether a task of a step with a bound on unavailable
+// tasks may be taken out of work.
+func (c *Cell) mayTakeOut(t *task) bool {
+	bound := t.of.step.MaxUnavailable
+	if bound == 0 {
+		return true
+	}
+	away := 0
+	for _, other := range t.of.tasks {
+		if other != t && !other.atWork() {
+			away++
+		}
+	}
+	return away < bound
+}
+
+// atWork reports whether a lasting task works at full speed.
+func (t *task) atWork() bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool {
+		return r.state == runConfirmed && r.percent >= fullPace && !r.worker.silent
+	})
+}
--- /dev/null
+++ b/decision/job/check.go
@@ -0,0 +1,67 @@
+package job
+
+import (
+	"fmt"
+
+	"lacewingfork.example/lacewingfork/findings"
+)
+
+// Limits of a submission. The tasks of a job are kept in memory for as long as
+// the job lives, so their number is bounded.
+const (
+	maxSpecBytes = 4000
+	maxSteps     = 256
+	maxTasks     = 20000
+	maxRepeats   = 10000
+)
+
+// Check returns what is wrong with a submission; place names the document in
+// the findings.
+func (j Job) Check(place string) error {
+	var list findings.List
+	report := func(key, problem, expected string) {
+		list.Add(findings.Finding{File: place, Key: key, Problem: problem, Expected: expected})
+	}
+	if !ValidID(string(j.ID)) {
+		report("id", fmt.Sprintf("is %q", j.ID), "16 hexadecimal digits")
+	}
+	if len(j.Spec) > maxSpecBytes {
+		report("spec", fmt.Sprintf("has %d bytes", len(j.Spec)), fmt.Sprintf("at most %d", maxSpecBytes))
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
+		report("steps", fmt.Sprintf("has %d entries", len(j.Steps)), fmt.Sprintf("1 to %d", maxSteps))
+	}
+	if j.Repeats < 0 || j.Repeats > maxRepeats {
+		report("repeats", fmt.Sprintf("is %d", j.Repeats), fmt.Sprintf("0 to %d", maxRepeats))
+	}
+	tasks := 0
+	for i, s := range j.Steps {
+		s.check(i, report)
+		tasks += max(0, min(s.Count, maxTasks+1))
+	}
+	if tasks > maxTasks {
+		report("steps", fmt.Sprintf("have %d tasks or more", tasks), fmt.Sprintf("at most %d", maxTasks))
+	}
+	return list.Err()
+}
+
+func (s Step) check(index int, report func(key, problem, expected string)) {
+	key := func(name string) string { return fmt.Sprintf("steps[%d].%s", index, name) }
+	if s.Count < 1 || s.Count > maxTasks {
+		report(key("count"), fmt.Sprintf("is %d", s.Count), fmt.Sprintf("1 to %d", maxTasks))
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= index {
+			report(key("after"), fmt.Sprintf("names step %d", before), "earlier steps")
+		}
+	}
+	for name, n := range map[string]int64{
+		"need.milli_cpu": s.Need.MilliCPU, "need.memory_mib": s.Need.MemoryMiB,
+		"need.accelerators": int64(s.Need.Accelerators), "max_per_server": int64(s.MaxPerServer),
+		"max_unavailable": int64(s.MaxUnavailable), "estimate": int64(s.Estimate), "target": int64(s.Target),
+	} {
+		if n < 0 {
+			report(key(name), fmt.Sprintf("is %d", n), "0 or more")
+		}
+	}
+}
--- a/entry/operations/operations.go
+++ b/entry/operations/operations.go
@@ -24,6 +24,7 @@
 	"lacewingfork.example/lacewingfork/fleet"
 	"lacewingfork.example/lacewingfork/operationsapi"
 	"lacewingfork.example/lacewingfork/supervise"
+	"lacewingfork.example/lacewingfork/supervise/ringmetrics"
 )
 
 // queryTimeout bounds the wait for a duty of this supervisor.
@@ -83,7 +84,7 @@
 		drained:        supervise.NewRing[struct{}]("operations.drained", 1, supervise.DropOldest),
 	}
 	s.explainers = append([]*supervise.Ring[message.ExplainQuery]{s.explain}, explainers...)
-	registry.MustRegister(&ringCollector{directory: s.directory})
+	registry.MustRegister(ringmetrics.New(s.directory))
 	s.server = &http.Server{Handler: s.routes(registry), ReadHeaderTimeout: 5 * time.Second}
 	tree := root.Child("operations", supervise.DefaultIntensity)
 	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
--- /dev/null
+++ b/scheduler/callers/callers.go
@@ -0,0 +1,119 @@
+// Package callers is the supervisor of the HTTP server towards callers. It owns
+// the configuration by which paths are routed, as an immutable value. net/http
+// runs a goroutine for each connection, which decodes, asks the holder through a
+// ring, waits and encodes. When the server duty fails its connections break and
+// callers come again.
+package callers
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/logs"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/scheduler/peers"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// defaultBodyBytes and defaultHeaderBytes apply until a configuration sets
+	// others.
+	defaultBodyBytes   = 1 << 20
+	defaultHeaderBytes = 16 << 10
+	headerTimeout      = 5 * time.Second
+	idleTimeout        = 30 * time.Second
+	// defaultWait applies when neither the caller nor the route says how long
+	// the caller waits.
+	defaultWait = 3 * time.Second
+	// answerMargin is kept of the caller's time to bring the answer there.
+	answerMargin = 60 * time.Millisecond
+)
+
+// Supervisor runs the duties of this folder.
+type Supervisor struct {
+	listener net.Listener
+	server   *http.Server
+	format   api.Callers
+	clock    *clock.Clock
+	log      *logs.Log
+	asks     *supervise.Ring[message.Ask]
+	counts   *supervise.Ring[peers.CountAsk]
+	seconds  *prometheus.HistogramVec
+	routes   atomic.Pointer[routeTable]
+	draining atomic.Bool
+
+	Configurations *message.ConfigurationRing
+}
+
+// New adds the supervisor below root.
+func New(
+	root *supervise.Tree, listener net.Listener, format api.Callers, c *clock.Clock, log *logs.Log,
+	rings *peers.Rings, registry prometheus.Registerer,
+) *Supervisor {
+	s := &Supervisor{
+		listener: listener, format: format, clock: c, log: log, asks: rings.Asks, counts: rings.Counts,
+		Configurations: message.NewConfigurationRing("callers.configurations"),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lacewingfork_caller_seconds", Help: "Time from a call's arrival to its answer.",
+			Buckets: []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 3},
+		}, []string{"method", "status"}),
+	}
+	registry.MustRegister(s.seconds)
+	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	router.PathPrefix("/").HandlerFunc(s.handle)
+	s.server = &http.Server{
+		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultHeaderBytes,
+	}
+	tree := root.Child("callers", supervise.DefaultIntensity)
+	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
+	tree.Start(supervise.Duty{Name: "routes", Rings: []supervise.Measured{s.Configurations}, Run: s.keepRoutes})
+	return s
+}
+
+func (s *Supervisor) serve(ctx context.Context, _ <-chan supervise.DumpRequest) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() }) // the process ends
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+func (s *Supervisor) keepRoutes(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case configuration := <-s.Configurations.Items():
+			s.routes.Store(newRouteTable(configuration))
+		case r := <-dumps:
+			table := s.routes.Load()
+			if table == nil {
+				r.Answer(nil)
+				continue
+			}
+			r.Answer(map[string]any{"version": table.version, "hosts": len(table.byHost)})
+		}
+	}
+}
+
+// Drain lets each answer close its connection, so that callers go elsewhere.
+func (s *Supervisor) Drain() {
+	s.draining.Store(true)
+	s.server.SetKeepAlivesEnabled(false)
+}
+
+// Shutdown waits until the calls in progress are answered.
+func (s *Supervisor) Shutdown(ctx context.Context) error {
+	return errors.Wrap(s.server.Shutdown(ctx), "shut down callers' server")
+}
--- /dev/null
+++ b/scheduler/callers/handle.go
@@ -0,0 +1,181 @@
+package callers
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/cell"
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/scheduler/peers"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// result is the answer to one call.
+type result struct {
+	status     int
+	body       []byte
+	retryAfter time.Duration
+	reason     string // of an answer that is none of the caller's doing
+}
+
+func (s *Supervisor) handle(w http.ResponseWriter, r *http.Request) {
+	begun := s.clock.Steady()
+	table := s.routes.Load()
+	if table == nil {
+		s.write(w, r, begun, result{status: http.StatusServiceUnavailable, retryAfter: time.Second, reason: "no_configuration"})
+		return
+	}
+	route, rest, ok := table.find(r.Host, r.URL.Path)
+	if !ok {
+		s.write(w, r, begun, result{status: http.StatusNotFound})
+		return
+	}
+	s.write(w, r, begun, s.answer(w, r, begun, table, route, rest))
+}
+
+func (s *Supervisor) answer(w http.ResponseWriter, r *http.Request, begun time.Duration, table *routeTable, route api.Route, rest string) result {
+	if rest == "" {
+		if r.Method != http.MethodGet {
+			return result{status: http.StatusMethodNotAllowed}
+		}
+		return s.pending(r.Context(), route.Queue.Name)
+	}
+	if !job.ValidID(rest) {
+		return result{status: http.StatusBadRequest, body: s.format.Fault(errors.Errorf("%q is no job identifier: expected 16 hexadecimal digits", rest))}
+	}
+	ask := message.Ask{
+		Queue: route.Queue.Name, Job: fleet.JobID(rest), Until: begun + s.wait(r, route),
+		Reply: supervise.NewRing[message.Answer]("callers.answer", 1, supervise.Refuse),
+	}
+	switch r.Method {
+	case http.MethodPost:
+		submitted, failed := s.decode(w, r, table, ask)
+		if failed != nil {
+			return *failed
+		}
+		ask.Kind, ask.Body = message.AskSubmit, submitted
+	case http.MethodGet:
+		ask.Kind = message.AskState
+	case http.MethodDelete:
+		ask.Kind = message.AskCancel
+	default:
+		return result{status: http.StatusMethodNotAllowed}
+	}
+	return s.ask(r.Context(), ask)
+}
+
+// wait is how long the caller waits for an answer.
+func (s *Supervisor) wait(r *http.Request, route api.Route) time.Duration {
+	wait := s.format.Deadline(r.Header)
+	if wait == 0 || route.Timeout > 0 && route.Timeout < wait {
+		wait = route.Timeout
+	}
+	if wait == 0 {
+		wait = defaultWait
+	}
+	return max(answerMargin, wait-answerMargin)
+}
+
+func (s *Supervisor) decode(w http.ResponseWriter, r *http.Request, table *routeTable, ask message.Ask) (*job.Job, *result) {
+	limit := table.limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &result{status: http.StatusRequestEntityTooLarge, body: s.format.Fault(err)}
+	case err != nil:
+		return nil, &result{status: http.StatusBadRequest, body: s.format.Fault(err)}
+	}
+	submitted, err := s.format.Submission(ask.Job, ask.Queue, body)
+	if err != nil {
+		s.log.Event(string(cell.NoteBadSubmission), "job", ask.Job, "error", err)
+		return nil, &result{status: http.StatusBadRequest, body: s.format.Fault(err)}
+	}
+	return &submitted, nil
+}
+
+// ask puts the question to the holder and waits for the answer.
+func (s *Supervisor) ask(ctx context.Context, ask message.Ask) result {
+	if err := s.asks.Put(ctx, ask); err != nil {
+		return result{status: http.StatusServiceUnavailable, retryAfter: time.Second, reason: "asks_ring_full"}
+	}
+	timer := time.NewTimer(ask.Until - s.clock.Steady())
+	defer timer.Stop()
+	select {
+	case answer := <-ask.Reply.Items():
+		return s.translate(ask, answer.Reply)
+	case <-timer.C:
+		return result{status: http.StatusGatewayTimeout, reason: "deadline"}
+	case <-ctx.Done():
+		return result{status: http.StatusGatewayTimeout, reason: "caller_left"}
+	}
+}
+
+func (s *Supervisor) translate(ask message.Ask, reply cell.JobReply) result {
+	switch reply.Verdict {
+	case cell.Accepted:
+		return result{status: http.StatusOK, body: s.format.State(reply.State)}
+	case cell.NoSuchQueue:
+		return result{status: http.StatusNotFound}
+	case cell.NoSuchJob:
+		return result{status: http.StatusGone}
+	case cell.NotStored:
+		return result{status: http.StatusServiceUnavailable, retryAfter: max(time.Second, reply.RetryAfter), reason: reply.Reason}
+	default:
+		return result{status: http.StatusGatewayTimeout, reason: reply.Reason}
+	}
+}
+
+func (s *Supervisor) pending(ctx context.Context, queue job.Queue) result {
+	reply := supervise.NewRing[int]("callers.count", 1, supervise.Refuse)
+	if err := s.counts.Put(ctx, peers.CountAsk{Queue: queue, Reply: reply}); err != nil {
+		return result{status: http.StatusServiceUnavailable, retryAfter: time.Second, reason: "counts_ring_full"}
+	}
+	select {
+	case count := <-reply.Items():
+		return result{status: http.StatusOK, body: s.format.Pending(count)}
+	case <-ctx.Done():
+		return result{status: http.StatusGatewayTimeout, reason: "caller_left"}
+	}
+}
+
+func (s *Supervisor) write(w http.ResponseWriter, r *http.Request, begun time.Duration, answer result) {
+	if answer.body != nil {
+		w.Header().Set("Content-Type", s.format.ContentType())
+	}
+	if answer.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(answer.retryAfter.Seconds()))))
+	}
+	took := s.clock.Steady() - begun
+	if answer.reason != "" {
+		s.log.Event("call_not_served", "path", r.URL.Path, "method", r.Method, "status", answer.status,
+			"reason", answer.reason, "took_ms", took.Milliseconds())
+	}
+	s.seconds.WithLabelValues(method(r.Method), strconv.Itoa(answer.status)).Observe(took.Seconds())
+	w.WriteHeader(answer.status)
+	if _, err := w.Write(answer.body); err != nil {
+		s.log.Event("answer_not_written", "path", r.URL.Path, "error", err)
+	}
+}
+
+// method bounds the values of the metric's label.
+func method(name string) string {
+	switch name {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+		return name
+	default:
+		return "other"
+	}
+}
--- /dev/null
+++ b/scheduler/election/election.go
@@ -0,0 +1,311 @@
+// Package election is the duty that registers this instance, follows who holds
+// the cell and takes it over when nobody does. It owns what is known of the
+// holder. When it fails it learns the holder again from the store; a role that
+// this instance already has goes on meanwhile.
+package election
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/election"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/records/cellrecord"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/logs"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// callTimeout bounds a call to the store that reads or writes a record.
+	callTimeout = 800 * time.Millisecond
+	// restoreTimeout bounds the reading of all records of the cell.
+	restoreTimeout = 4 * time.Second
+	// retryPause spaces the rounds of a search.
+	retryPause = 200 * time.Millisecond
+	// linkPatience is how long a new holder gets until a link to it stands.
+	linkPatience = 700 * time.Millisecond
+	// probeEvery spaces the probes of the store while the holder cannot reach it.
+	probeEvery = 500 * time.Millisecond
+	// troubleBefore is for how long the holder's append may go unanswered
+	// before others look whether they reach the store.
+	troubleBefore = 600 * time.Millisecond
+)
+
+// Settings say who this instance is.
+type Settings struct {
+	Instance  fleet.InstanceID
+	Region    fleet.Region
+	Address   string // of its links
+	Processor float64
+}
+
+// Rings are the inputs and outputs of the duty.
+type Rings struct {
+	Links      *supervise.Ring[message.LinkChange]
+	Announced  *supervise.Ring[message.Holder]
+	Superseded *supervise.Ring[fleet.Epoch]
+	// HolderBeats are the beats of the holder.
+	HolderBeats *supervise.Ring[message.Beat]
+	// Handovers ask this instance to take over at once.
+	Handovers *supervise.Ring[struct{}]
+	// Stopping means that this instance is on its way out.
+	Stopping *supervise.Ring[struct{}]
+
+	Elected *supervise.Ring[message.Elected]
+	// Holders are told who holds the cell.
+	Holders []*supervise.Ring[message.Holder]
+	// StoreSilent tells the link for how long the store has not answered.
+	StoreSilent *supervise.Ring[time.Duration]
+	// Members are told who may be linked.
+	Members *supervise.Ring[[]cellrecord.Member]
+}
+
+// NewRings returns the rings that the duty reads.
+func NewRings() *Rings {
+	return &Rings{
+		Links:       supervise.NewRing[message.LinkChange]("election.links", 16, supervise.DropOldest),
+		Announced:   supervise.NewRing[message.Holder]("election.announced", 16, supervise.DropOldest),
+		Superseded:  supervise.NewRing[fleet.Epoch]("election.superseded", 4, supervise.DropOldest),
+		HolderBeats: supervise.NewRing[message.Beat]("election.beats", 1, supervise.DropOldest),
+		Handovers:   supervise.NewRing[struct{}]("election.handovers", 1, supervise.DropOldest),
+		Stopping:    supervise.NewRing[struct{}]("election.stopping", 1, supervise.DropOldest),
+	}
+}
+
+// Duty follows and takes over.
+type Duty struct {
+	rings    *Rings
+	settings Settings
+	store    api.Store
+	clock    *clock.Clock
+	log      *logs.Log
+
+	holder     message.Holder
+	round      int // of the holder, as far as known
+	linked     bool
+	seeking    bool
+	refused    bool
+	urgent     bool // a handover: nobody else is expected to claim
+	stopping   bool
+	registered bool
+	pointed    bool // the members know that this instance holds the cell
+	failedAt   time.Duration
+	probedAt   time.Duration
+	storeTime  time.Duration
+	lastTry    time.Duration
+	triedLink  fleet.Epoch
+	triedAt    time.Duration
+}
+
+// New returns the duty.
+func New(rings *Rings, settings Settings, store api.Store, c *clock.Clock, log *logs.Log) *Duty {
+	return &Duty{rings: rings, settings: settings, store: store, clock: c, log: log}
+}
+
+// Start adds the duty below root.
+func (d *Duty) Start(root *supervise.Tree) {
+	r := d.rings
+	root.Child("election", supervise.DefaultIntensity).Start(supervise.Duty{
+		Name:  "election",
+		Rings: []supervise.Measured{r.Links, r.Announced, r.Superseded, r.HolderBeats, r.Handovers, r.Stopping},
+		Run:   d.run,
+	})
+}
+
+func (d *Duty) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	d.seeking = !d.holder.Self
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case change := <-d.rings.Links.Items():
+			d.linkChanged(change)
+		case h := <-d.rings.Announced.Items():
+			d.announced(h)
+		case epoch := <-d.rings.Superseded.Items():
+			d.superseded(epoch)
+		case beat := <-d.rings.HolderBeats.Items():
+			d.heard(ctx, beat)
+		case <-d.rings.Handovers.Items():
+			d.log.Event("handover_received", "epoch", d.holder.Epoch)
+			d.seeking, d.refused, d.urgent, d.lastTry = true, true, true, 0
+		case <-d.rings.Stopping.Items():
+			d.stop(ctx)
+		case <-timer.C:
+		case r := <-dumps:
+			r.Answer(map[string]any{"holder": d.holder, "linked": d.linked, "seeking": d.seeking, "round": d.round})
+		}
+		d.work(ctx)
+		timer.Reset(d.pause())
+	}
+}
+
+// pause is the time until the duty has something to do by itself.
+func (d *Duty) pause() time.Duration {
+	if d.seeking || !d.registered || d.holder.Self && !d.pointed {
+		return retryPause
+	}
+	return time.Minute
+}
+
+func (d *Duty) linkChanged(change message.LinkChange) {
+	if change.Epoch != d.holder.Epoch || d.holder.Self {
+		return
+	}
+	if change.Up {
+		d.linked, d.seeking, d.urgent = true, false, false
+		return
+	}
+	if d.linked || !d.seeking {
+		d.log.Event("holder_link_lost", "epoch", change.Epoch, "holder", d.holder.Instance, "refused", change.Refused)
+		d.lastTry = d.clock.Steady()
+	}
+	d.linked, d.seeking, d.refused = false, true, change.Refused
+}
+
+func (d *Duty) announced(h message.Holder) {
+	if h.Epoch > d.holder.Epoch {
+		d.follow(h, "announced")
+	}
+}
+
+// follow makes another instance the holder.
+func (d *Duty) follow(h message.Holder, source string) {
+	d.holder, d.linked = h, false
+	d.round = max(d.round, election.RoundOf(h.Epoch))
+	d.triedLink, d.triedAt = h.Epoch, d.clock.Steady()
+	d.log.Event("holder_known", "epoch", h.Epoch, "holder", h.Instance, "source", source, "self", h.Self)
+	d.tellHolder()
+}
+
+func (d *Duty) tellHolder() {
+	for _, ring := range d.rings.Holders {
+		_ = ring.Put(context.Background(), d.holder) // the newest wins; never refused
+	}
+}
+
+func (d *Duty) superseded(epoch fleet.Epoch) {
+	if d.holder.Self && d.holder.Epoch == epoch {
+		d.holder.Self = false
+		d.seeking, d.linked, d.pointed = true, false, false
+		d.lastTry = d.clock.Steady()
+		d.tellHolder()
+	}
+}
+
+// heard looks whether this instance reaches the store when the holder does not.
+func (d *Duty) heard(ctx context.Context, beat message.Beat) {
+	if beat.Epoch != d.holder.Epoch || d.holder.Self || beat.StoreSilent < troubleBefore {
+		return
+	}
+	if d.clock.Steady()-d.probedAt < probeEvery {
+		return
+	}
+	d.probedAt = d.clock.Steady()
+	if _, _, err := d.members(ctx); err != nil {
+		return
+	}
+	if !d.seeking {
+		d.log.Event("holder_cut_from_store", "epoch", d.holder.Epoch, "silent_ms", beat.StoreSilent.Milliseconds())
+		d.seeking, d.refused, d.lastTry = true, false, d.clock.Steady()
+	}
+}
+
+// work does what is due: registering, pointing the members to this instance, or
+// looking for a holder.
+func (d *Duty) work(ctx context.Context) {
+	if !d.registered && !d.stopping {
+		d.register(ctx)
+	}
+	switch {
+	case d.holder.Self && !d.pointed && !d.stopping:
+		d.point(ctx)
+	case d.seeking && !d.holder.Self:
+		d.seek(ctx)
+	}
+}
+
+// tellStore notes whether the store answers this instance.
+func (d *Duty) tellStore(err error) {
+	now := d.clock.Steady()
+	answered := err == nil || errors.Is(err, api.ErrMoved) || errors.Is(err, api.ErrFenced)
+	switch {
+	case answered && d.failedAt > 0:
+		d.log.Event("dependency_regained", "dependency", "store", "after_ms", (now - d.failedAt).Milliseconds())
+		d.failedAt = 0
+	case !answered && d.failedAt == 0:
+		d.log.Event("dependency_lost", "dependency", "store", "error", err)
+		d.failedAt = now
+	}
+	silent := time.Duration(0)
+	if d.failedAt > 0 {
+		silent = max(time.Millisecond, now-d.failedAt)
+	}
+	_ = d.rings.StoreSilent.Put(context.Background(), silent) // the newest wins; never refused
+}
+
+func (d *Duty) register(ctx context.Context) {
+	begun := d.clock.Steady()
+	if _, _, err := d.members(ctx); err != nil {
+		return
+	}
+	d.storeTime = d.clock.Steady() - begun
+	item, err := cellrecord.EncodeValue(cellrecord.MemberKey(d.settings.Instance), cellrecord.Member{
+		Instance: d.settings.Instance, Address: d.settings.Address, Region: d.settings.Region,
+		Processor: d.settings.Processor, StoreMs: d.storeTime.Milliseconds(),
+	})
+	if err != nil {
+		d.log.Event("member_not_encoded", "error", err)
+		return
+	}
+	d.registered = d.append(ctx, item) == nil
+}
+
+func (d *Duty) append(ctx context.Context, item api.Item) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := d.store.Append(ctx, api.Append{Topic: cellrecord.MemberTopic, Items: []api.Item{item}, At: -1})
+	d.tellStore(err)
+	return err
+}
+
+// members reads who the entry instances are and who holds the cell.
+func (d *Duty) members(ctx context.Context) ([]cellrecord.Member, cellrecord.Holder, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	items, _, err := d.store.Newest(ctx, cellrecord.MemberTopic)
+	d.tellStore(err)
+	if err != nil {
+		return nil, cellrecord.Holder{}, err
+	}
+	decoded := cellrecord.Decode(items)
+	_ = d.rings.Members.Put(ctx, decoded.Members) // the newest wins; never refused
+	return decoded.Members, decoded.Holder, nil
+}
+
+// point writes into the members' topic that this instance holds the cell.
+func (d *Duty) point(ctx context.Context) {
+	item, err := cellrecord.EncodeValue(cellrecord.HolderKey, cellrecord.Holder{
+		Epoch: d.holder.Epoch, Round: d.round, Instance: d.settings.Instance, Address: d.settings.Address,
+	})
+	if err != nil {
+		d.log.Event("holder_not_encoded", "error", err)
+		return
+	}
+	d.pointed = d.append(ctx, item) == nil
+}
+
+// stop withdraws this instance.
+func (d *Duty) stop(ctx context.Context) {
+	d.stopping = true
+	if err := d.append(ctx, api.Item{Key: cellrecord.MemberKey(d.settings.Instance)}); err != nil {
+		d.log.Event("member_not_withdrawn", "error", err)
+	}
+}
--- /dev/null
+++ b/scheduler/election/seek.go
@@ -0,0 +1,140 @@
+package election
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/decision/election"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/records/cellrecord"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+)
+
+// seek makes one round of the search for a holder: the one that the members
+// know, or this instance if nobody holds the cell.
+func (d *Duty) seek(ctx context.Context) {
+	members, pointer, err := d.members(ctx)
+	if err != nil {
+		return
+	}
+	d.round = max(d.round, pointer.Round)
+	if pointer.Epoch > d.holder.Epoch && pointer.Instance != d.settings.Instance {
+		d.follow(message.Holder{Epoch: pointer.Epoch, Instance: pointer.Instance, Address: pointer.Address}, "members")
+		return
+	}
+	if d.stopping {
+		return // it follows the next holder but claims nothing
+	}
+	now := d.clock.Steady()
+	if d.triedLink == d.holder.Epoch && now-d.triedAt < linkPatience {
+		return // a link to this holder may still come up
+	}
+	if !d.urgent && now-d.lastTry < election.Delay(d.rank(members)) {
+		return
+	}
+	d.takeOver(ctx)
+}
+
+func (d *Duty) rank(members []cellrecord.Member) int {
+	list := make([]election.Member, 0, len(members))
+	for _, m := range members {
+		list = append(list, election.Member{
+			ID: m.Instance, Processor: m.Processor, StoreTime: time.Duration(m.StoreMs) * time.Millisecond,
+		})
+	}
+	return election.Rank(list, d.settings.Instance, d.holder.Instance)
+}
+
+// takeOver reads the records of the cell, looks whether the holder still
+// appends and claims the cell if it does not. The claim fails if anything was
+// appended since the records were read, so what was read is complete.
+func (d *Duty) takeOver(ctx context.Context) {
+	begun := d.clock.Steady()
+	items, end, err := d.readCell(ctx)
+	if err != nil {
+		return
+	}
+	decoded := cellrecord.Decode(items)
+	for _, key := range decoded.Unreadable {
+		d.log.Event("record_unreadable", "key", key)
+	}
+	d.round = max(d.round, decoded.Holder.Round)
+	if decoded.Holder.Epoch > 0 && !d.urgent && d.appendsSince(ctx, end) {
+		d.lastTry = d.clock.Steady()
+		d.log.Event("holder_alive_in_store", "epoch", decoded.Holder.Epoch, "holder", decoded.Holder.Instance)
+		if decoded.Holder.Epoch > d.holder.Epoch && decoded.Holder.Instance != d.settings.Instance {
+			h := decoded.Holder
+			d.follow(message.Holder{Epoch: h.Epoch, Instance: h.Instance, Address: h.Address}, "cell")
+		}
+		return
+	}
+	round := d.round + 1
+	claim := cellrecord.Holder{
+		Epoch: election.NextEpoch(round, rand.Uint32()), Round: round, Instance: d.settings.Instance, Address: d.settings.Address,
+	}
+	if err := d.claim(ctx, claim, end); err != nil {
+		d.log.Event("claim_failed", "epoch", claim.Epoch, "at", end, "error", err)
+		if errors.Is(err, api.ErrFenced) {
+			d.round = round
+		}
+		d.lastTry = d.clock.Steady()
+		return
+	}
+	d.log.Event("claimed", "epoch", claim.Epoch, "round", round, "after", decoded.Holder.Epoch, "records", len(decoded.Records),
+		"took_ms", (d.clock.Steady() - begun).Milliseconds())
+	d.round, d.seeking, d.urgent, d.pointed = round, false, false, false
+	d.follow(message.Holder{Epoch: claim.Epoch, Instance: claim.Instance, Address: claim.Address, Self: true}, "claimed")
+	_ = d.rings.Elected.Put(ctx, message.Elected{Epoch: claim.Epoch, Round: round, Records: decoded.Records}) // the newest wins
+	d.point(ctx)
+}
+
+func (d *Duty) readCell(ctx context.Context) ([]api.Item, fleet.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
+	defer cancel()
+	items, end, err := d.store.Newest(ctx, cellrecord.CellTopic)
+	d.tellStore(err)
+	return items, end, err
+}
+
+// appendsSince reports whether the holder appends within the window in which it
+// would have to show itself.
+func (d *Duty) appendsSince(ctx context.Context, end fleet.Offset) bool {
+	window := election.SilentWindow
+	if d.refused {
+		window = election.RefusedWindow
+	}
+	ctx, cancel := context.WithTimeout(ctx, window+callTimeout)
+	defer cancel()
+	_, next, err := d.store.Read(ctx, cellrecord.CellTopic, end, window)
+	d.tellStore(err)
+	return err != nil || next > end
+}
+
+func (d *Duty) claim(ctx context.Context, claim cellrecord.Holder, end fleet.Offset) error {
+	item, err := cellrecord.EncodeValue(cellrecord.HolderKey, claim)
+	if err != nil {
+		return err
+	}
+	const tries = 3 // a repeat of an append that had no answer gets its first answer
+	for range tries {
+		err = d.claimOnce(ctx, claim.Epoch, item, end)
+		if err == nil || errors.Is(err, api.ErrFenced) || errors.Is(err, api.ErrMoved) || errors.Is(err, api.ErrSequence) {
+			return err
+		}
+	}
+	return err
+}
+
+func (d *Duty) claimOnce(ctx context.Context, epoch fleet.Epoch, item api.Item, end fleet.Offset) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := d.store.Append(ctx, api.Append{
+		Topic: cellrecord.CellTopic, Items: []api.Item{item}, Producer: cellrecord.Producer, Epoch: epoch, At: end,
+	})
+	d.tellStore(err)
+	return err
+}
--- /dev/null
+++ b/scheduler/holder/holder.go
@@ -0,0 +1,472 @@
+// Package holder is the duty that holds the cell while this instance is
+// elected. It owns the cell's state: it feeds events to the decisions, sends
+// their actions to the other duties and appends their records. When it fails or
+// is superseded it drops all state, and the cell is restored from the store by
+// the next holder.
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingfork.example/lacewingfork/decision/cell"
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/records/cellrecord"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/logs"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/scheduler/store"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	askCapacity    = 1024 // more callers than the deployments have at a time
+	eventCapacity  = 4096 // answers to every order in progress and every hold
+	changeCapacity = 16
+	// tickEvery is the resolution of holds, lapses and due times.
+	tickEvery = 50 * time.Millisecond
+	// aliveEvery is how often an idle holder shows in the store that it lives;
+	// the others wait several times as long before they take over.
+	aliveEvery = 300 * time.Millisecond
+	// drainAtOnce bounds the events that are applied before their actions are
+	// carried out.
+	drainAtOnce = 64
+	// confirmedFor is how long a holder goes on without a sign that nobody
+	// else holds the cell. cell.Settings.AuthorityBound is larger.
+	confirmedFor = 2 * time.Second
+)
+
+// Status is what the holder tells the links and the readiness check.
+type Status struct {
+	Epoch       fleet.Epoch
+	Holds       bool
+	StoreSilent time.Duration
+	Pending     map[job.Queue]int
+}
+
+// Rings are the inputs and outputs of the duty.
+type Rings struct {
+	Asks           *supervise.Ring[message.Ask]
+	Events         *supervise.Ring[message.WorkerEvent]
+	Commits        *supervise.Ring[message.Committed]
+	Servers        *supervise.Ring[message.ServerChange]
+	Configurations *message.ConfigurationRing
+	Elected        *supervise.Ring[message.Elected]
+	// Beats are the beliefs of the instances that are linked to this one.
+	Beats *supervise.Ring[message.Beat]
+	// StepDown ends the holder's role on a planned stop.
+	StepDown *supervise.Ring[struct{}]
+
+	Orders        *supervise.Ring[message.Order]
+	Holds         *supervise.Ring[message.Order]
+	Appends       *supervise.Ring[store.Append]
+	ServersWanted *supervise.Ring[bool]
+	// Superseded tells the election duty that the role has ended.
+	Superseded *supervise.Ring[fleet.Epoch]
+	// Statuses are told the newest status.
+	Statuses []*supervise.Ring[Status]
+}
+
+// NewRings returns the rings that the duty reads.
+func NewRings() *Rings {
+	return &Rings{
+		Asks:           supervise.NewRing[message.Ask]("holder.asks", askCapacity, supervise.Refuse),
+		Events:         supervise.NewRing[message.WorkerEvent]("holder.events", eventCapacity, supervise.Wait),
+		Commits:        supervise.NewRing[message.Committed]("holder.commits", 2, supervise.Wait),
+		Servers:        supervise.NewRing[message.ServerChange]("holder.servers", changeCapacity, supervise.Wait),
+		Configurations: message.NewConfigurationRing("holder.configurations"),
+		Elected:        supervise.NewRing[message.Elected]("holder.elected", 1, supervise.DropOldest),
+		Beats:          supervise.NewRing[message.Beat]("holder.beats", 256, supervise.DropOldest),
+		StepDown:       supervise.NewRing[struct{}]("holder.step-down", 1, supervise.DropOldest),
+	}
+}
+
+// Duty holds the cell.
+type Duty struct {
+	rings    *Rings
+	settings cell.Settings
+	clock    *clock.Clock
+	log      *logs.Log
+	metrics  *metrics
+
+	configuration *api.Configuration
+	role          *role
+}
+
+// role is the state of one epoch.
+type role struct {
+	epoch       fleet.Epoch
+	cell        *cell.Cell
+	tokens      map[cell.Token]message.Ask
+	nextToken   cell.Token
+	sequence    uint64
+	writing     bool
+	writingAt   time.Duration
+	wroteAt     time.Duration
+	confirmedAt time.Duration
+	authority   bool
+	configured  bool
+}
+
+// New returns the duty.
+func New(rings *Rings, settings cell.Settings, c *clock.Clock, log *logs.Log, registry prometheus.Registerer) *Duty {
+	return &Duty{rings: rings, settings: settings, clock: c, log: log, metrics: newMetrics(registry)}
+}
+
+// Start adds the duty below root.
+func (d *Duty) Start(root *supervise.Tree) {
+	r := d.rings
+	root.Child("holder", supervise.DefaultIntensity).Start(supervise.Duty{
+		Name:  "cell",
+		Rings: []supervise.Measured{r.Asks, r.Events, r.Commits, r.Servers, r.Configurations, r.Elected, r.Beats, r.StepDown},
+		Run:   d.run,
+	})
+}
+
+func (d *Duty) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	d.role = nil
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case ask := <-d.rings.Asks.Items():
+			d.ask(ask)
+		case e := <-d.rings.Events.Items():
+			d.workerEvent(e)
+		case committed := <-d.rings.Commits.Items():
+			d.committed(committed)
+		case change := <-d.rings.Servers.Items():
+			d.serversChanged(change)
+		case d.configuration = <-d.rings.Configurations.Items():
+			d.configure()
+		case elected := <-d.rings.Elected.Items():
+			d.begin(elected)
+		case beat := <-d.rings.Beats.Items():
+			d.heard(beat)
+		case <-d.rings.StepDown.Items():
+			d.end("stopping")
+		case <-ticker.C:
+			d.tick()
+		case r := <-dumps:
+			r.Answer(d.dump())
+		}
+		d.drain()
+		d.carryOut(ctx)
+	}
+}
+
+// drain applies what already waits, so that one pass of decisions serves it all.
+func (d *Duty) drain() {
+	for range drainAtOnce {
+		select {
+		case e := <-d.rings.Events.Items():
+			d.workerEvent(e)
+		case ask := <-d.rings.Asks.Items():
+			d.ask(ask)
+		default:
+			return
+		}
+	}
+}
+
+func (d *Duty) begin(elected message.Elected) {
+	d.end("elected_again")
+	now := d.clock.Now()
+	d.role = &role{
+		epoch: elected.Epoch, cell: cell.New(d.settings, elected.Round), tokens: map[cell.Token]message.Ask{},
+		confirmedAt: now.Steady, wroteAt: now.Steady, authority: true,
+	}
+	d.role.cell.Restore(now, elected.Records)
+	d.configure()
+	_ = d.rings.ServersWanted.Put(context.Background(), true) // the newest wish wins; never refused
+	d.metrics.takeovers.Inc()
+	d.log.Event("holder_began", "epoch", elected.Epoch, "round", elected.Round, "records", len(elected.Records))
+	d.publish()
+}
+
+// end drops the role. Callers that wait are told to ask the next holder.
+func (d *Duty) end(reason string) {
+	r := d.role
+	if r == nil {
+		return
+	}
+	d.role = nil
+	for _, ask := range r.tokens {
+		d.reply(ask, message.Answer{ID: ask.ID, Moved: true})
+	}
+	_ = d.rings.ServersWanted.Put(context.Background(), false)
+	_ = d.rings.Superseded.Put(context.Background(), r.epoch)
+	d.log.Event("holder_ended", "epoch", r.epoch, "reason", reason, "waiting_callers", len(r.tokens))
+	d.publish()
+}
+
+func (d *Duty) configure() {
+	if d.role == nil || d.configuration == nil {
+		return
+	}
+	queues := make([]cell.QueueSettings, 0, len(d.configuration.Routes))
+	for _, route := range d.configuration.Routes {
+		queues = append(queues, route.Queue)
+	}
+	d.role.configured = true
+	d.handle(cell.QueuesChanged{Queues: queues})
+}
+
+func (d *Duty) handle(e cell.Event) { d.role.cell.Handle(d.clock.Now(), e) }
+
+func (d *Duty) ask(ask message.Ask) {
+	r := d.role
+	if r == nil || !r.configured {
+		d.reply(ask, message.Answer{ID: ask.ID, Moved: true})
+		return
+	}
+	r.nextToken++
+	r.tokens[r.nextToken] = ask
+	switch ask.Kind {
+	case message.AskSubmit:
+		d.handle(cell.Submitted{Token: r.nextToken, Job: *ask.Body})
+	case message.AskCancel:
+		d.handle(cell.CancelWanted{Token: r.nextToken, Queue: ask.Queue, ID: ask.Job})
+	case message.AskState:
+		d.handle(cell.StateWanted{Token: r.nextToken, Queue: ask.Queue, ID: ask.Job})
+	}
+}
+
+func (d *Duty) reply(ask message.Ask, a message.Answer) {
+	// A caller that has gone no longer reads its ring; the answer is dropped.
+	if ask.Reply.Put(context.Background(), a) != nil {
+		d.metrics.unread.Inc()
+	}
+}
+
+func (d *Duty) workerEvent(e message.WorkerEvent) {
+	if d.role != nil && d.role.epoch == e.Epoch {
+		d.handle(e.Event)
+	}
+}
+
+func (d *Duty) committed(c message.Committed) {
+	r := d.role
+	if r == nil || r.epoch != c.Epoch {
+		return
+	}
+	if c.Lost {
+		d.end("fenced_by_store")
+		return
+	}
+	r.writing, r.wroteAt, r.confirmedAt = false, d.clock.Steady(), d.clock.Steady()
+	d.handle(cell.StoreHealth{})
+	if c.Batch > 0 {
+		d.handle(cell.Committed{Batch: c.Batch})
+	}
+	d.checkAuthority()
+}
+
+func (d *Duty) serversChanged(change message.ServerChange) {
+	if d.role == nil {
+		return
+	}
+	for _, s := range change.Servers {
+		d.handle(cell.ServerSeen{Server: s})
+	}
+	for _, id := range change.Gone {
+		d.handle(cell.ServerGone{ID: id})
+	}
+	if change.Whole {
+		d.handle(cell.ServersRead{})
+	}
+}
+
+// heard takes in what a linked instance believes. An instance that does not
+// reach the store either confirms that nobody can have taken over through it.
+func (d *Duty) heard(beat message.Beat) {
+	r := d.role
+	if r == nil {
+		return
+	}
+	if beat.Epoch > r.epoch {
+		d.end("peer_knows_later_epoch")
+		return
+	}
+	if beat.Epoch == r.epoch && beat.StoreSilent > 0 {
+		r.confirmedAt = d.clock.Steady()
+		d.checkAuthority()
+	}
+}
+
+func (d *Duty) checkAuthority() {
+	r := d.role
+	held := d.clock.Steady()-r.confirmedAt < confirmedFor
+	if held == r.authority {
+		return
+	}
+	r.authority = held
+	d.log.Event("holder_authority", "epoch", r.epoch, "held", held, "confirmed_ms_ago", (d.clock.Steady() - r.confirmedAt).Milliseconds())
+	d.handle(cell.AuthorityChanged{Held: held})
+}
+
+func (d *Duty) tick() {
+	r := d.role
+	if r == nil {
+		return
+	}
+	if silent := d.storeSilent(); silent > 0 {
+		d.handle(cell.StoreHealth{Waiting: silent})
+	}
+	d.checkAuthority()
+	d.handle(cell.Tick{})
+	d.publish()
+}
+
+// storeSilent is for how long the append in progress has had no answer.
+func (d *Duty) storeSilent() time.Duration {
+	if d.role == nil || !d.role.writing {
+		return 0
+	}
+	return d.clock.Steady() - d.role.writingAt
+}
+
+// carryOut sends the actions of the decisions and what has to be recorded.
+func (d *Duty) carryOut(ctx context.Context) {
+	r := d.role
+	if r == nil {
+		return
+	}
+	for _, a := range r.cell.Actions() {
+		d.act(ctx, a)
+		if d.role != r {
+			return
+		}
+	}
+	d.write(ctx)
+}
+
+func (d *Duty) act(ctx context.Context, a cell.Action) {
+	r := d.role
+	switch a := a.(type) {
+	case cell.Reply:
+		ask, ok := r.tokens[a.Token]
+		if !ok {
+			return
+		}
+		delete(r.tokens, a.Token)
+		d.metrics.answered(ask.Kind, a.Reply)
+		d.reply(ask, message.Answer{ID: ask.ID, Reply: a.Reply})
+	case cell.Note:
+		d.note(a)
+	case cell.Superseded:
+		d.log.Event("worker_knows_later_epoch", "epoch", r.epoch, "server", a.Server)
+		d.end("fenced_by_worker")
+	case cell.Hold:
+		if a.Wait == 0 {
+			d.order(ctx, a)
+			return
+		}
+		if d.rings.Holds.Put(ctx, message.Order{Epoch: r.epoch, Action: a}) != nil {
+			d.handle(cell.Held{Server: a.Server, Number: a.Number, Sent: d.clock.Steady()})
+		}
+	default:
+		d.order(ctx, a)
+	}
+}
+
+// order sends a call to the workers. An order that finds the ring full was not
+// sent, so that it counts as refused or unanswered.
+func (d *Duty) order(ctx context.Context, a cell.Action) {
+	if d.rings.Orders.Put(ctx, message.Order{Epoch: d.role.epoch, Action: a}) == nil {
+		return
+	}
+	switch a := a.(type) {
+	case cell.Start:
+		d.handle(cell.StartAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Outcome: cell.StartRefused, Sent: d.clock.Steady()})
+	case cell.Hold:
+		d.handle(cell.Held{Server: a.Server, Number: a.Number, Sent: d.clock.Steady()})
+	}
+}
+
+func (d *Duty) note(n cell.Note) {
+	d.metrics.noted(n)
+	pairs := make([]any, 0, 8+2*len(n.Detail))
+	pairs = append(pairs, "epoch", d.role.epoch)
+	if n.Job != "" {
+		pairs = append(pairs, "job", n.Job)
+	}
+	if n.Task != "" {
+		pairs = append(pairs, "task", n.Task)
+	}
+	if n.Server != "" {
+		pairs = append(pairs, "server", n.Server)
+	}
+	for key, value := range n.Detail {
+		pairs = append(pairs, key, value)
+	}
+	d.log.Event(string(n.Event), pairs...)
+}
+
+// write sends the next batch when the writer is free, or shows that the holder
+// lives.
+func (d *Duty) write(ctx context.Context) {
+	r := d.role
+	if r.writing {
+		return
+	}
+	batch, ok := r.cell.TakeBatch()
+	var items []api.Item
+	switch {
+	case ok:
+		encoded, err := cellrecord.Encode(batch.Records)
+		if err != nil {
+			d.log.Event("record_not_encoded", "error", err)
+			d.end("record_not_encoded")
+			return
+		}
+		items = encoded
+		if len(items) == 0 { // only ends to acknowledge that change no record
+			d.handle(cell.Committed{Batch: batch.Number})
+			d.carryOut(ctx)
+			return
+		}
+	case d.clock.Steady()-r.wroteAt >= aliveEvery:
+		items = []api.Item{{Key: cellrecord.AliveKey, Value: []byte("{}")}}
+	default:
+		return
+	}
+	r.sequence++
+	r.writing, r.writingAt = true, d.clock.Steady()
+	a := store.Append{Epoch: r.epoch, Sequence: r.sequence, Batch: batch.Number, Items: items}
+	_ = d.rings.Appends.Put(ctx, a) // the newest wins; the writer is free
+}
+
+func (d *Duty) publish() {
+	status := Status{StoreSilent: d.storeSilent()}
+	if d.role != nil {
+		status.Epoch, status.Holds, status.Pending = d.role.epoch, true, d.role.cell.Pending()
+	}
+	for _, ring := range d.rings.Statuses {
+		_ = ring.Put(context.Background(), status) // the newest wins; never refused
+	}
+}
+
+type dump struct {
+	Epoch       fleet.Epoch `json:"epoch,omitempty"`
+	Holds       bool        `json:"holds"`
+	StoreSilent string      `json:"store_silent,omitempty"`
+	Waiting     int         `json:"waiting_callers"`
+	Cell        *cell.Stats `json:"cell,omitempty"`
+}
+
+func (d *Duty) dump() dump {
+	if d.role == nil {
+		return dump{}
+	}
+	stats := d.role.cell.Stats()
+	return dump{
+		Epoch: d.role.epoch, Holds: true, StoreSilent: d.storeSilent().String(), Waiting: len(d.role.tokens), Cell: &stats,
+	}
+}
--- /dev/null
+++ b/scheduler/logs/logs.go
@@ -0,0 +1,82 @@
+// Package logs is the supervisor of the log: one duty writes JSON lines, fed by
+// a bounded ring, so that a slow or blocked output never delays a decision. When
+// the ring is full the oldest lines are dropped and counted. When the duty fails
+// the lines in the ring are written after its restart.
+package logs
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// lineCapacity covers a second of decisions at the peak of the deployments
+	// of 40 instances: 670 starts with three lines each.
+	lineCapacity = 2048
+	// reportEvery spaces the lines that count what was left out.
+	reportEvery = 5 * time.Second
+)
+
+// line is one decision for the log.
+type line struct {
+	at    time.Time
+	event string
+	pairs []any
+}
+
+// Log takes lines from any duty. It never blocks.
+type Log struct {
+	lines *supervise.Ring[line]
+}
+
+// New returns a log; Start starts its duty.
+func New() *Log {
+	return &Log{lines: supervise.NewRing[line]("logs.lines", lineCapacity, supervise.DropOldest)}
+}
+
+// Event logs one decision with pairs of keys and values.
+func (l *Log) Event(event string, pairs ...any) {
+	// The ring drops its oldest line when it is full and never refuses.
+	_ = l.lines.Put(context.Background(), line{at: time.Now(), event: event, pairs: pairs})
+}
+
+// Start adds the writing duty below root.
+func (l *Log) Start(root *supervise.Tree, w io.Writer, instance fleet.InstanceID, level log.Level) {
+	logger := log.NewWithOptions(w, log.Options{Formatter: log.JSONFormatter, Level: level})
+	root.Child("logs", supervise.DefaultIntensity).Start(supervise.Duty{
+		Name: "writer", Rings: []supervise.Measured{l.lines},
+		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+			return l.write(ctx, logger, instance, dumps)
+		},
+	})
+}
+
+func (l *Log) write(ctx context.Context, logger *log.Logger, instance fleet.InstanceID, dumps <-chan supervise.DumpRequest) error {
+	written, reported := uint64(0), l.lines.Stats().Dropped
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case item := <-l.lines.Items():
+			written++
+			pairs := append([]any{"event", item.event, "at", item.at.UTC().Format(time.RFC3339Nano), "instance", instance}, item.pairs...)
+			logger.Log(log.InfoLevel, nil, pairs...)
+		case <-report.C:
+			if dropped := l.lines.Stats().Dropped; dropped > reported {
+				logger.Log(log.WarnLevel, nil, "event", "log_lines_left_out", "at", time.Now().UTC().Format(time.RFC3339Nano),
+					"instance", instance, "count", dropped-reported)
+				reported = dropped
+			}
+		case r := <-dumps:
+			r.Answer(map[string]uint64{"written": written})
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/operations/operations.go
@@ -0,0 +1,150 @@
+// Package operations is the supervisor of what operators and the balancer see:
+// readiness, metrics and the state dump. It owns the readiness of the instance;
+// when its duty fails, readiness is learnt anew from the links.
+package operations
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lacewingfork.example/lacewingfork/scheduler/logs"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/supervise"
+	"lacewingfork.example/lacewingfork/supervise/ringmetrics"
+)
+
+const (
+	headerTimeout = 2 * time.Second
+	// linkGrace is how long the instance stays ready without a holder: a
+	// takeover takes a second or two, and callers wait for it.
+	linkGrace = 3 * time.Second
+	checkTick = 250 * time.Millisecond
+)
+
+// Supervisor runs the duties of this folder.
+type Supervisor struct {
+	listener  net.Listener
+	server    *http.Server
+	directory *supervise.Directory
+	log       *logs.Log
+	ready     atomic.Bool
+
+	// Linked says whether questions reach the holder.
+	Linked *supervise.Ring[bool]
+	// Configurations tells that there is one.
+	Configurations *message.ConfigurationRing
+	// Draining ends the readiness for good.
+	Draining *supervise.Ring[struct{}]
+}
+
+// New adds the supervisor below root.
+func New(root *supervise.Tree, listener net.Listener, log *logs.Log, registry *prometheus.Registry) *Supervisor {
+	s := &Supervisor{
+		listener: listener, directory: root.Directory(), log: log,
+		Linked:         supervise.NewRing[bool]("operations.linked", 1, supervise.DropOldest),
+		Configurations: message.NewConfigurationRing("operations.configurations"),
+		Draining:       supervise.NewRing[struct{}]("operations.draining", 1, supervise.DropOldest),
+	}
+	registry.MustRegister(ringmetrics.New(s.directory))
+	s.server = &http.Server{Handler: s.routes(registry), ReadHeaderTimeout: headerTimeout}
+	tree := root.Child("operations", supervise.DefaultIntensity)
+	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
+	tree.Start(supervise.Duty{
+		Name: "readiness", Rings: []supervise.Measured{s.Linked, s.Configurations, s.Draining}, Run: s.keepReadiness,
+	})
+	return s
+}
+
+func (s *Supervisor) serve(ctx context.Context, _ <-chan supervise.DumpRequest) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() }) // the process ends
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve operations")
+}
+
+// readiness is what the instance's readiness follows from.
+type readiness struct {
+	linked     bool
+	downSince  time.Time
+	configured bool
+	draining   bool
+}
+
+func (r readiness) ready(now time.Time) bool {
+	return r.configured && !r.draining && (r.linked || !r.downSince.IsZero() && now.Sub(r.downSince) < linkGrace)
+}
+
+func (s *Supervisor) keepReadiness(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	var state readiness
+	ticker := time.NewTicker(checkTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case linked := <-s.Linked.Items():
+			if state.linked && !linked {
+				state.downSince = time.Now()
+			}
+			state.linked = linked
+		case <-s.Configurations.Items():
+			state.configured = true
+		case <-s.Draining.Items():
+			state.draining = true
+		case <-ticker.C:
+		case r := <-dumps:
+			r.Answer(map[string]bool{"ready": s.ready.Load(), "linked": state.linked, "configured": state.configured, "draining": state.draining})
+		}
+		if ready := state.ready(time.Now()); s.ready.Swap(ready) != ready {
+			s.log.Event("readiness", "ready", ready, "linked", state.linked, "configured", state.configured, "draining", state.draining)
+		}
+	}
+}
+
+func (s *Supervisor) routes(registry *prometheus.Registry) http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/readyz", s.handleReady).Methods(http.MethodGet)
+	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	router.HandleFunc("/debug/state", s.handleState).Methods(http.MethodGet)
+	router.PathPrefix("/debug/pprof/profile").HandlerFunc(pprof.Profile)
+	router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	return router
+}
+
+func (s *Supervisor) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if s.ready.Load() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// handleState dumps the state of every duty, or of those whose path contains
+// the query parameter duty.
+func (s *Supervisor) handleState(w http.ResponseWriter, r *http.Request) {
+	part := r.URL.Query().Get("duty")
+	states, err := s.directory.Dump(r.Context(), func(path string) bool { return strings.Contains(path, part) })
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(states); err != nil {
+		s.log.Event("state_dump_not_written", "error", err)
+	}
+}
--- /dev/null
+++ b/scheduler/peers/accept.go
@@ -0,0 +1,240 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/cellpb"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/holder"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// acceptor serves what other instances dial. drpc calls it on a goroutine for
+// each connection, which only decodes frames and puts them on rings.
+type acceptor struct{ supervisor *Supervisor }
+
+// Announce implements the Cell service.
+func (a *acceptor) Announce(ctx context.Context, announcement *cellpb.Announcement) (*cellpb.AnnouncementTaken, error) {
+	h := message.Holder{
+		Epoch: fleet.Epoch(announcement.Epoch), Instance: fleet.InstanceID(announcement.Instance), Address: announcement.Address,
+	}
+	return &cellpb.AnnouncementTaken{}, a.supervisor.rings.Announced.Put(ctx, h)
+}
+
+// accepted is the holder's side of one link.
+type accepted struct {
+	peer    fleet.InstanceID
+	answers *supervise.Ring[message.Answer]
+	// outbound takes the frames that the link table sends to this peer.
+	outbound *supervise.Ring[*cellpb.Frame]
+}
+
+// Link implements the Cell service.
+func (a *acceptor) Link(stream cellpb.DRPCCell_LinkStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return errors.Wrap(err, "receive hello")
+	}
+	hello := first.GetHello()
+	if hello == nil {
+		return errors.New("first frame of a link is not a hello")
+	}
+	s := a.supervisor
+	peer := fleet.InstanceID(hello.Instance)
+	link := &accepted{
+		peer:     peer,
+		answers:  supervise.NewRing[message.Answer](fmt.Sprintf("accepted.%s.answers", peer), answerCapacity, supervise.Refuse),
+		outbound: supervise.NewRing[*cellpb.Frame](fmt.Sprintf("accepted.%s.outbound", peer), 8, supervise.DropOldest),
+	}
+	sender := s.tree.Start(supervise.Duty{
+		Name: fmt.Sprintf("accepted/%s/%p", peer, link), Rings: []supervise.Measured{link.answers, link.outbound},
+		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+			return link.send(ctx, stream, dumps)
+		},
+	})
+	defer sender.Cancel()
+	ctx := stream.Context()
+	if err := s.links.changes.Put(ctx, linkChange{link: link}); err != nil {
+		return err
+	}
+	defer func() { _ = s.links.changes.Put(context.Background(), linkChange{link: link, gone: true}) }()
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "receive frame")
+		}
+		if err := a.take(ctx, link, frame); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *acceptor) take(ctx context.Context, link *accepted, frame *cellpb.Frame) error {
+	rings := a.supervisor.rings
+	switch body := frame.Body.(type) {
+	case *cellpb.Frame_Ask:
+		ask, err := decodeAsk(body.Ask)
+		if err != nil {
+			return err
+		}
+		ask.Reply = link.answers
+		if rings.HolderAsks.Put(ctx, ask) != nil {
+			return link.answers.Put(ctx, message.Answer{ID: ask.ID, Moved: true})
+		}
+	case *cellpb.Frame_Beat:
+		beat := decodeBeat(body.Beat)
+		if err := a.supervisor.links.beats.Put(ctx, peerBeat{link: link, beat: beat}); err != nil {
+			return err
+		}
+		return rings.PeerBeats.Put(ctx, beat)
+	case *cellpb.Frame_Configuration:
+		return rings.Offers.Put(ctx, body.Configuration.Document)
+	}
+	return nil
+}
+
+// send is the sender duty of an accepted link.
+func (l *accepted) send(ctx context.Context, stream cellpb.DRPCCell_LinkStream, dumps <-chan supervise.DumpRequest) error {
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-stream.Context().Done():
+			return nil
+		case answer := <-l.answers.Items():
+			err = stream.Send(encodeAnswer(answer))
+		case frame := <-l.outbound.Items():
+			err = stream.Send(frame)
+		case r := <-dumps:
+			r.Answer(map[string]any{"peer": l.peer})
+		}
+		if err != nil {
+			_ = stream.Close() // the peer sees the end of the link and dials again
+			return nil
+		}
+	}
+}
+
+// linkTable is the duty that knows the accepted links and what this instance
+// has to tell on them.
+type linkTable struct {
+	supervisor     *Supervisor
+	changes        *supervise.Ring[linkChange]
+	beats          *supervise.Ring[peerBeat]
+	configurations *message.ConfigurationRing
+
+	links         map[*accepted]message.Beat
+	status        holder.Status
+	configuration *api.Configuration
+	announcing    *announcer
+}
+
+type linkChange struct {
+	link *accepted
+	gone bool
+}
+
+type peerBeat struct {
+	link *accepted
+	beat message.Beat
+}
+
+func newLinkTable(s *Supervisor) *linkTable {
+	return &linkTable{
+		supervisor: s, links: map[*accepted]message.Beat{},
+		changes:        supervise.NewRing[linkChange]("links.changes", 64, supervise.Wait),
+		beats:          supervise.NewRing[peerBeat]("links.beats", 256, supervise.DropOldest),
+		configurations: message.NewConfigurationRing("links.configurations"),
+		announcing:     newAnnouncer(s),
+	}
+}
+
+// Configurations is the ring by which the links learn what is in force.
+func (s *Supervisor) Configurations() *message.ConfigurationRing { return s.links.configurations }
+
+func (t *linkTable) duty() supervise.Duty {
+	r := t.supervisor.rings
+	return supervise.Duty{
+		Name:  "links",
+		Rings: []supervise.Measured{t.changes, t.beats, t.configurations, r.Status, r.Members, r.Handover},
+		Run:   t.run,
+	}
+}
+
+func (t *linkTable) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	r := t.supervisor.rings
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case change := <-t.changes.Items():
+			if change.gone {
+				delete(t.links, change.link)
+			} else {
+				t.links[change.link] = message.Beat{}
+				t.beat(ctx, change.link)
+			}
+		case b := <-t.beats.Items():
+			t.heard(ctx, b)
+		case t.configuration = <-t.configurations.Items():
+		case status := <-r.Status.Items():
+			t.status = status
+		case members := <-r.Members.Items():
+			t.announcing.members = members
+		case <-r.Handover.Items():
+			t.handOver(ctx)
+		case <-ticker.C:
+			for link := range t.links {
+				t.beat(ctx, link)
+			}
+			t.announcing.announce(ctx, t)
+		case request := <-dumps:
+			request.Answer(map[string]any{"links": len(t.links), "holds": t.status.Holds})
+		}
+	}
+}
+
+func (t *linkTable) beat(ctx context.Context, link *accepted) {
+	_ = link.outbound.Put(ctx, encodeBeat(message.Beat{ // the newest wins; never refused
+		Epoch: t.status.Epoch, Holder: t.status.Holds, StoreSilent: t.status.StoreSilent, Pending: t.status.Pending,
+		ConfigurationVersion: configurationVersion(t.configuration),
+	}))
+}
+
+// heard hands the configuration on to a peer that has an older one.
+func (t *linkTable) heard(ctx context.Context, b peerBeat) {
+	if _, linked := t.links[b.link]; !linked {
+		return
+	}
+	t.links[b.link] = b.beat
+	if t.configuration != nil && b.beat.ConfigurationVersion < t.configuration.Version {
+		_ = b.link.outbound.Put(ctx, encodeConfiguration(t.configuration.Version, t.configuration.Document))
+	}
+}
+
+// handOver asks one linked instance that reaches the store to take over.
+func (t *linkTable) handOver(ctx context.Context) {
+	var best *accepted
+	for link, beat := range t.links {
+		if beat.StoreSilent > 0 {
+			continue
+		}
+		if best == nil || link.peer < best.peer {
+			best = link
+		}
+	}
+	if best == nil {
+		return
+	}
+	t.supervisor.log.Event("handover_sent", "epoch", t.status.Epoch, "to", best.peer)
+	_ = best.outbound.Put(ctx, &cellpb.Frame{Body: &cellpb.Frame_Handover{Handover: &cellpb.Handover{}}})
+}
--- /dev/null
+++ b/scheduler/peers/announce.go
@@ -0,0 +1,103 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"lacewingfork.example/lacewingfork/cellpb"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/records/cellrecord"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// announceEvery spaces the announcements to instances without a link.
+	announceEvery = time.Second
+	// announceFor ends them: an instance that is gone for good stays among the
+	// members for a while.
+	announceFor = 8 * time.Second
+	// announceCapacity covers every instance of a deployment once.
+	announceCapacity = 64
+)
+
+// announcer tells instances that have no link to this holder where it is. Those
+// that cannot reach the store learn it in no other way.
+type announcer struct {
+	supervisor *Supervisor
+	members    []cellrecord.Member
+	epoch      fleet.Epoch
+	since      time.Duration
+	last       time.Duration
+	calls      *supervise.Ring[announcement]
+}
+
+type announcement struct {
+	address string
+	epoch   fleet.Epoch
+}
+
+func newAnnouncer(s *Supervisor) *announcer {
+	a := &announcer{supervisor: s, calls: supervise.NewRing[announcement]("announce.calls", announceCapacity, supervise.DropOldest)}
+	s.tree.Start(supervise.Duty{Name: "announcer", Rings: []supervise.Measured{a.calls}, Run: a.run})
+	return a
+}
+
+// announce queues the announcements that are due. The link table calls it.
+func (a *announcer) announce(ctx context.Context, t *linkTable) {
+	now := a.supervisor.clock.Steady()
+	if !t.status.Holds {
+		return
+	}
+	if t.status.Epoch != a.epoch {
+		a.epoch, a.since, a.last = t.status.Epoch, now, 0
+	}
+	if now-a.since > announceFor || now-a.last < announceEvery {
+		return
+	}
+	a.last = now
+	linked := map[fleet.InstanceID]bool{a.supervisor.settings.Instance: true}
+	for link := range t.links {
+		linked[link.peer] = true
+	}
+	for _, m := range a.members {
+		if !linked[m.Instance] {
+			_ = a.calls.Put(ctx, announcement{address: m.Address, epoch: a.epoch}) // the newest win; never refused
+		}
+	}
+}
+
+// run makes the announcements one after the other.
+func (a *announcer) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case call := <-a.calls.Items():
+			a.tell(ctx, call)
+		case r := <-dumps:
+			r.Answer(nil)
+		}
+	}
+}
+
+// tell makes one announcement. A peer that does not answer is told again later.
+func (a *announcer) tell(ctx context.Context, call announcement) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", call.address)
+	if err != nil {
+		return
+	}
+	rpc := drpcconn.New(conn)
+	_, err = cellpb.NewDRPCCellClient(rpc).Announce(ctx, &cellpb.Announcement{
+		Epoch: uint64(call.epoch), Instance: string(a.supervisor.settings.Instance), Address: a.supervisor.settings.Address,
+	})
+	if err != nil {
+		a.supervisor.log.Event("announcement_failed", "address", call.address, "error", err)
+	}
+	_ = rpc.Close() // one call a connection
+}
--- /dev/null
+++ b/scheduler/peers/codec.go
@@ -0,0 +1,76 @@
+package peers
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/cellpb"
+	"lacewingfork.example/lacewingfork/decision/cell"
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+)
+
+func encodeAsk(id uint64, a message.Ask) (*cellpb.Frame, error) {
+	ask := &cellpb.Ask{Id: id, Kind: uint32(a.Kind), Queue: string(a.Queue), JobId: string(a.Job)}
+	if a.Body != nil {
+		body, err := json.Marshal(a.Body)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode job")
+		}
+		ask.Job = body
+	}
+	return &cellpb.Frame{Body: &cellpb.Frame_Ask{Ask: ask}}, nil
+}
+
+func decodeAsk(a *cellpb.Ask) (message.Ask, error) {
+	ask := message.Ask{ID: a.Id, Kind: message.AskKind(a.Kind), Queue: job.Queue(a.Queue), Job: fleet.JobID(a.JobId)}
+	if ask.Kind != message.AskSubmit {
+		return ask, nil
+	}
+	ask.Body = &job.Job{}
+	return ask, errors.Wrap(json.Unmarshal(a.Job, ask.Body), "decode job")
+}
+
+func encodeAnswer(a message.Answer) *cellpb.Frame {
+	answer := &cellpb.Answer{
+		Id: a.ID, Verdict: uint32(a.Reply.Verdict), State: string(a.Reply.State),
+		RetryAfterMs: a.Reply.RetryAfter.Milliseconds(), Reason: a.Reply.Reason, Moved: a.Moved,
+	}
+	return &cellpb.Frame{Body: &cellpb.Frame_Answer{Answer: answer}}
+}
+
+func decodeAnswer(a *cellpb.Answer) message.Answer {
+	return message.Answer{ID: a.Id, Moved: a.Moved, Reply: cell.JobReply{
+		Verdict: cell.Verdict(a.Verdict), State: job.State(a.State),
+		RetryAfter: time.Duration(a.RetryAfterMs) * time.Millisecond, Reason: a.Reason,
+	}}
+}
+
+func encodeBeat(b message.Beat) *cellpb.Frame {
+	beat := &cellpb.Beat{
+		Epoch: uint64(b.Epoch), Holder: b.Holder, ConfigurationVersion: b.ConfigurationVersion,
+		StoreSilentMs: b.StoreSilent.Milliseconds(),
+	}
+	for queue, count := range b.Pending {
+		beat.Pending = append(beat.Pending, &cellpb.QueueCount{Queue: string(queue), Count: int64(count)})
+	}
+	return &cellpb.Frame{Body: &cellpb.Frame_Beat{Beat: beat}}
+}
+
+func decodeBeat(b *cellpb.Beat) message.Beat {
+	beat := message.Beat{
+		Epoch: fleet.Epoch(b.Epoch), Holder: b.Holder, ConfigurationVersion: b.ConfigurationVersion,
+		StoreSilent: time.Duration(b.StoreSilentMs) * time.Millisecond, Pending: map[job.Queue]int{},
+	}
+	for _, count := range b.Pending {
+		beat.Pending[job.Queue(count.Queue)] = int(count.Count)
+	}
+	return beat
+}
+
+func encodeConfiguration(version int64, document []byte) *cellpb.Frame {
+	return &cellpb.Frame{Body: &cellpb.Frame_Configuration{Configuration: &cellpb.Configuration{Version: version, Document: document}}}
+}
--- /dev/null
+++ b/scheduler/peers/session.go
@@ -0,0 +1,95 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"storj.io/drpc/drpcconn"
+
+	"lacewingfork.example/lacewingfork/cellpb"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// receivedCapacity is the number of frames that wait for the router.
+const receivedCapacity = 256
+
+// session is one dialled connection to the holder. Only the router uses it, but
+// for the receiver duty, which reads the stream.
+type session struct {
+	close    func() error
+	stream   cellpb.DRPCCell_LinkClient
+	receiver supervise.Running
+	received *supervise.Ring[*cellpb.Frame]
+	broken   *supervise.Ring[error]
+	since    time.Duration
+	heardAt  time.Duration
+}
+
+// writeLimitConn ends a connection on which a write makes no progress.
+type writeLimitConn struct{ net.Conn }
+
+func (c writeLimitConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(silenceLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// open dials the holder. refused means that nobody listens at its address.
+func (r *router) open(ctx context.Context) (opened *session, refused bool, err error) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(dialCtx, "tcp", r.holder.Address)
+	if err != nil {
+		return nil, errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET), errors.Wrap(err, "dial holder")
+	}
+	rpc := drpcconn.New(writeLimitConn{conn})
+	stream, err := cellpb.NewDRPCCellClient(rpc).Link(ctx)
+	if err != nil {
+		_ = rpc.Close() // the link never stood
+		return nil, false, errors.Wrap(err, "open link")
+	}
+	now := r.s.clock.Steady()
+	s := &session{
+		close: rpc.Close, stream: stream, since: now, heardAt: now,
+		received: supervise.NewRing[*cellpb.Frame]("link.received", receivedCapacity, supervise.Wait),
+		broken:   supervise.NewRing[error]("link.broken", 1, supervise.DropOldest),
+	}
+	hello := &cellpb.Hello{Instance: string(r.s.settings.Instance), Epoch: uint64(r.holder.Epoch)}
+	if err := s.send(&cellpb.Frame{Body: &cellpb.Frame_Hello{Hello: hello}}); err != nil {
+		_ = rpc.Close() // the link never stood
+		return nil, false, err
+	}
+	s.receiver = r.s.tree.Start(supervise.Duty{
+		Name: fmt.Sprintf("receiver/%s/%d", r.holder.Instance, now), Rings: []supervise.Measured{s.received}, Run: s.receive,
+	})
+	return s, false, nil
+}
+
+// receive is the receiver duty: it ends with the stream.
+func (s *session) receive(ctx context.Context, _ <-chan supervise.DumpRequest) error {
+	for {
+		frame, err := s.stream.Recv()
+		if err != nil {
+			_ = s.broken.Put(ctx, err) // the newest error wins
+			return nil
+		}
+		if err := s.received.Put(ctx, frame); err != nil {
+			return nil // the session has ended
+		}
+	}
+}
+
+func (s *session) send(frame *cellpb.Frame) error {
+	return errors.Wrap(s.stream.Send(frame), "send frame")
+}
+
+func (s *session) end() {
+	s.receiver.Cancel()
+	_ = s.close() // the link is given up whatever its state
+}
--- /dev/null
+++ b/scheduler/settings/settings.go
@@ -0,0 +1,178 @@
+// Package settings holds the settings of one entry instance of the scheduler,
+// read from a TOML file when the process starts and again on a reload. Load
+// reports everything that is wrong with the file together.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"lacewingfork.example/lacewingfork/findings"
+	"lacewingfork.example/lacewingfork/findings/tomlfile"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Settings are the settings of one entry instance.
+type Settings struct {
+	Instance Instance
+	Listen   Listen
+	Store    Store
+	Bounds   Bounds
+	Process  Process
+}
+
+// Instance says who, where and how large the instance is.
+type Instance struct {
+	ID         fleet.InstanceID
+	Region     fleet.Region
+	DataCentre fleet.DataCentre
+	Processor  float64 // share of a core
+	MemoryMiB  int
+}
+
+// Listen holds the listen addresses as IP:port.
+type Listen struct {
+	Callers    string
+	Peers      string
+	Operations string
+}
+
+// Store is the platform's store.
+type Store struct{ Address string }
+
+// Bounds are the bounds that the platform states.
+type Bounds struct {
+	LeaseMax     time.Duration
+	StopTime     time.Duration
+	StatusKept   time.Duration
+	Impact       time.Duration
+	RemoteFactor float64
+	Grace        time.Duration
+}
+
+// Process holds what concerns the process as a whole.
+type Process struct{ LogLevel string }
+
+// Load reads and checks a settings file. The error is a *findings.Error.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, findings.List{{File: path, Problem: err.Error(), Expected: "a readable settings file"}}.Err()
+	}
+	return Parse(path, data)
+}
+
+// Parse is Load for a file's content; file is its name in the findings.
+func Parse(file string, data []byte) (Settings, error) {
+	var s Settings
+	doc := tomlfile.Parse(file, data)
+	if doc.Broken() {
+		return Settings{}, doc.Err()
+	}
+	root := doc.Root()
+	for _, section := range sections {
+		tomlfile.Fill(root.Table(section.Name), section.Keys, &s)
+	}
+	return s, doc.Err()
+}
+
+// Section is one table of the settings file.
+type Section struct {
+	Name string
+	Keys []tomlfile.Key[Settings]
+}
+
+// Sections lists every setting with its default, range and unit.
+func Sections() []Section { return slices.Clone(sections) }
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+var sections = []Section{
+	{Name: "instance", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "id", Meaning: "identifier of this entry instance, unique in the deployment", Required: true,
+			Range: "a text that is not empty", Valid: notEmpty, Field: func(s *Settings) any { return &s.Instance.ID },
+		},
+		{
+			Name: "region", Meaning: "region that the instance is in", Required: true,
+			Range: "a text that is not empty", Valid: notEmpty, Field: func(s *Settings) any { return &s.Instance.Region },
+		},
+		{
+			Name: "data_centre", Meaning: "data centre that the instance is in", Required: true,
+			Range: "a text that is not empty", Valid: notEmpty, Field: func(s *Settings) any { return &s.Instance.DataCentre },
+		},
+		{
+			Name: "processor", Meaning: "the instance's share of a core; the larger instances hold the cell", Unit: "cores",
+			Default: 1.0, Min: 0.01, Max: 1024.0, Field: func(s *Settings) any { return &s.Instance.Processor },
+		},
+		{
+			Name: "memory_mib", Meaning: "memory of the instance", Unit: "MiB",
+			Default: 256, Min: 64, Max: 1 << 20, Field: func(s *Settings) any { return &s.Instance.MemoryMiB },
+		},
+	}},
+	{Name: "listen", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "callers", Meaning: "listen address for callers (HTTP)", Required: true,
+			Range: listenRange, Valid: isAddress, Field: func(s *Settings) any { return &s.Listen.Callers },
+		},
+		{
+			Name: "peers", Meaning: "listen address for other entry instances (drpc), which they also dial", Required: true,
+			Range: listenRange, Valid: isAddress, Field: func(s *Settings) any { return &s.Listen.Peers },
+		},
+		{
+			Name: "operations", Meaning: "listen address for readiness, metrics and the state dump (HTTP)", Required: true,
+			Range: listenRange, Valid: isAddress, Field: func(s *Settings) any { return &s.Listen.Operations },
+		},
+	}},
+	{Name: "store", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "address", Meaning: "address of the platform's store", Required: true,
+			Range: listenRange, Valid: isAddress, Field: func(s *Settings) any { return &s.Store.Address },
+		},
+	}},
+	{Name: "bounds", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "lease_max", Meaning: "longest lease that a worker grants",
+			Default: 10 * time.Second, Min: time.Second, Max: time.Hour, Field: func(s *Settings) any { return &s.Bounds.LeaseMax },
+		},
+		{
+			Name: "stop_time", Meaning: "longest time that a stop takes on a worker",
+			Default: 900 * time.Millisecond, Min: time.Millisecond, Max: time.Minute, Field: func(s *Settings) any { return &s.Bounds.StopTime },
+		},
+		{
+			Name: "status_kept", Meaning: "how long the state of a finished job can be asked for",
+			Default: 2 * time.Minute, Min: time.Second, Max: 24 * time.Hour, Field: func(s *Settings) any { return &s.Bounds.StatusKept },
+		},
+		{
+			Name: "impact", Meaning: "how long a task may be over its target because of tasks that fill",
+			Default: 4 * time.Second, Min: time.Second, Max: time.Hour, Field: func(s *Settings) any { return &s.Bounds.Impact },
+		},
+		{
+			Name: "remote_factor", Meaning: "slowdown of a task that is far from its data",
+			Default: 1.5, Min: 1.0, Max: 100.0, Field: func(s *Settings) any { return &s.Bounds.RemoteFactor },
+		},
+		{
+			Name: "grace", Meaning: "time from a stop signal until the process is killed",
+			Default: 6 * time.Second, Min: 100 * time.Millisecond, Max: time.Hour, Field: func(s *Settings) any { return &s.Bounds.Grace },
+		},
+	}},
+	{Name: "process", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "log_level", Meaning: "least severe log lines that are written", Default: "info",
+			Range: strings.Join(logLevels, ", "), Valid: func(text string) bool { return slices.Contains(logLevels, text) },
+			Field: func(s *Settings) any { return &s.Process.LogLevel },
+		},
+	}},
+}
+
+const listenRange = "IP:port"
+
+func notEmpty(text string) bool { return text != "" }
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
--- /dev/null
+++ b/scheduler/stop.go
@@ -0,0 +1,65 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"lacewingfork.example/lacewingfork/internal/wait"
+	"lacewingfork.example/lacewingfork/scheduler/callers"
+	"lacewingfork.example/lacewingfork/scheduler/election"
+	"lacewingfork.example/lacewingfork/scheduler/holder"
+	"lacewingfork.example/lacewingfork/scheduler/logs"
+	"lacewingfork.example/lacewingfork/scheduler/operations"
+	"lacewingfork.example/lacewingfork/scheduler/peers"
+	"lacewingfork.example/lacewingfork/scheduler/settings"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// balancerNotice is how long new connections still arrive after the
+	// instance has stopped being ready: the balancer needs two misses, one
+	// second apart.
+	balancerNotice = 2200 * time.Millisecond
+	// killMargin is kept of the platform's grace, so that the last answers are
+	// written before the kill.
+	killMargin = 700 * time.Millisecond
+)
+
+// stopper runs the planned stop: not ready, the cell handed over, calls in
+// progress answered.
+type stopper struct {
+	grace      time.Duration
+	callers    *callers.Supervisor
+	operations *operations.Supervisor
+	stepDown   *supervise.Ring[struct{}]
+	handover   *supervise.Ring[struct{}]
+	withdraw   *supervise.Ring[struct{}]
+	log        *logs.Log
+}
+
+func newStopper(
+	s settings.Settings, c *callers.Supervisor, o *operations.Supervisor, h *holder.Rings, p *peers.Rings, e *election.Rings, lines *logs.Log,
+) *stopper {
+	return &stopper{
+		grace: s.Bounds.Grace, callers: c, operations: o, stepDown: h.StepDown, handover: p.Handover, withdraw: e.Stopping, log: lines,
+	}
+}
+
+// gracefully returns once nothing is in progress or the context ends.
+func (s *stopper) gracefully(ctx context.Context) {
+	begun := time.Now()
+	s.log.Event("stop_began", "grace_ms", s.grace.Milliseconds())
+	// These rings drop their oldest item and never refuse.
+	_ = s.operations.Draining.Put(ctx, struct{}{})
+	_ = s.withdraw.Put(ctx, struct{}{})
+	_ = s.stepDown.Put(ctx, struct{}{})
+	_ = s.handover.Put(ctx, struct{}{})
+	s.callers.Drain()
+	ctx, cancel := context.WithTimeout(ctx, s.grace-killMargin)
+	defer cancel()
+	wait.For(ctx, balancerNotice)
+	if err := s.callers.Shutdown(ctx); err != nil {
+		s.log.Event("stop_cut_calls", "error", err)
+	}
+	s.log.Event("stop_ended", "took_ms", time.Since(begun).Milliseconds())
+}
--- /dev/null
+++ b/scheduler/store/configuration.go
@@ -0,0 +1,87 @@
+package store
+
+import (
+	"context"
+
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/logs"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// Configurations is the duty that knows the configuration in force. Versions
+// only rise: the store may answer with an older state for some seconds.
+type Configurations struct {
+	records api.Records
+	log     *logs.Log
+	inForce *api.Configuration
+	// Subscribers get each version that comes into force.
+	Subscribers []*message.ConfigurationRing
+	// Offers takes publications that a peer has read.
+	Offers *supervise.Ring[[]byte]
+	read   *supervise.Ring[[]byte]
+}
+
+// NewConfigurations returns the duty; Start starts it with its tail.
+func NewConfigurations(records api.Records, log *logs.Log) *Configurations {
+	return &Configurations{
+		records: records, log: log,
+		Offers: supervise.NewRing[[]byte]("configuration.offers", 4, supervise.DropOldest),
+		read:   supervise.NewRing[[]byte]("configuration.read", 16, supervise.Wait),
+	}
+}
+
+// Start adds the duty and its tail below tree.
+func (c *Configurations) Start(tree *supervise.Tree, store api.Store) {
+	hand := func(ctx context.Context, items []api.Item) error {
+		for _, item := range items {
+			if !c.records.IsConfiguration(item) || len(item.Value) == 0 {
+				continue
+			}
+			if err := c.read.Put(ctx, item.Value); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	tree.Start(supervise.Duty{Name: "configuration/tail", Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+		t := tail{store: store, log: c.log, topic: api.OperatorTopic, whole: hand, changed: hand}
+		return t.run(ctx, dumps)
+	}})
+	tree.Start(supervise.Duty{Name: "configuration", Rings: []supervise.Measured{c.Offers, c.read}, Run: c.run})
+}
+
+func (c *Configurations) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case document := <-c.read.Items():
+			c.take(ctx, document, "store")
+		case document := <-c.Offers.Items():
+			c.take(ctx, document, "peer")
+		case r := <-dumps:
+			version := int64(0)
+			if c.inForce != nil {
+				version = c.inForce.Version
+			}
+			r.Answer(map[string]int64{"version": version})
+		}
+	}
+}
+
+func (c *Configurations) take(ctx context.Context, document []byte, source string) {
+	decoded, err := c.records.Configuration(document)
+	if err != nil {
+		c.log.Event("configuration_unreadable", "source", source, "error", err)
+		return
+	}
+	if c.inForce != nil && decoded.Version <= c.inForce.Version {
+		return
+	}
+	c.inForce = &decoded
+	c.log.Event("configuration_in_force", "version", decoded.Version, "routes", len(decoded.Routes), "source", source)
+	for _, ring := range c.Subscribers {
+		_ = ring.Put(ctx, c.inForce) // the newest wins; such a ring never refuses
+	}
+}
--- /dev/null
+++ b/scheduler/store/servers.go
@@ -0,0 +1,129 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/cell"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/logs"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// serverPause spaces two reads of the server list: a draining server has to be
+// seen within drain-ms, which is seconds, and a call has its price.
+const serverPause = 600 * time.Millisecond
+
+// Servers is the duty that follows the server list while this instance holds
+// the cell.
+type Servers struct {
+	store   api.Store
+	records api.Records
+	log     *logs.Log
+	changes *supervise.Ring[message.ServerChange]
+	// Wanted switches the tail on and off; the newest wish counts.
+	Wanted *supervise.Ring[bool]
+	listed map[fleet.BackendServerID]bool
+}
+
+// NewServers adds the duty below tree. The changes go to the holder.
+func NewServers(tree *supervise.Tree, store api.Store, records api.Records, log *logs.Log, changes *supervise.Ring[message.ServerChange]) *Servers {
+	s := &Servers{
+		store: store, records: records, log: log, changes: changes,
+		Wanted: supervise.NewRing[bool]("servers.wanted", 1, supervise.DropOldest),
+	}
+	tree.Start(supervise.Duty{Name: "servers", Rings: []supervise.Measured{s.Wanted}, Run: s.run})
+	return s
+}
+
+func (s *Servers) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	var t *tail
+	for {
+		if t == nil {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case wanted := <-s.Wanted.Items():
+				t = s.tail(wanted)
+			case r := <-dumps:
+				r.Answer(nil)
+			}
+			continue
+		}
+		select {
+		case wanted := <-s.Wanted.Items():
+			t = s.tail(wanted)
+			continue
+		case r := <-dumps:
+			r.Answer(map[string]any{"next": t.next, "servers": len(s.listed)})
+		default:
+		}
+		if err := t.step(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// tail returns a tail that begins with the whole list, or nil.
+func (s *Servers) tail(wanted bool) *tail {
+	if !wanted {
+		return nil
+	}
+	s.listed = map[fleet.BackendServerID]bool{}
+	return &tail{store: s.store, log: s.log, topic: api.ServerTopic, pause: serverPause, whole: s.whole, changed: s.changed}
+}
+
+func (s *Servers) whole(ctx context.Context, items []api.Item) error {
+	before := s.listed
+	s.listed = map[fleet.BackendServerID]bool{}
+	change := s.decode(items)
+	change.Whole = true
+	for id := range before {
+		if !s.listed[id] {
+			change.Gone = append(change.Gone, id)
+		}
+	}
+	return s.changes.Put(ctx, change)
+}
+
+func (s *Servers) changed(ctx context.Context, items []api.Item) error {
+	newest := map[string]int{}
+	for i, item := range items {
+		newest[item.Key] = i
+	}
+	var last []api.Item
+	for i, item := range items {
+		if newest[item.Key] == i {
+			last = append(last, item)
+		}
+	}
+	return s.changes.Put(ctx, s.decode(last))
+}
+
+// decode keeps the entries that name a server to use. A server whose entry can
+// no longer be read is not used.
+func (s *Servers) decode(items []api.Item) message.ServerChange {
+	var change message.ServerChange
+	for _, item := range items {
+		id := fleet.BackendServerID(item.Key)
+		var server cell.Server
+		ok, why := false, ""
+		if len(item.Value) > 0 {
+			if server, ok, why = s.records.Server(item); !ok {
+				s.log.Event("server_entry_unreadable", "server", id, "offset", item.Offset, "error", why)
+			}
+		}
+		if ok {
+			s.listed[id] = true
+			change.Servers = append(change.Servers, server)
+			continue
+		}
+		if s.listed[id] {
+			delete(s.listed, id)
+			change.Gone = append(change.Gone, id)
+		}
+	}
+	return change
+}
--- /dev/null
+++ b/scheduler/wiring.go
@@ -0,0 +1,117 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"lacewingfork.example/lacewingfork/decision/cell"
+	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/callers"
+	"lacewingfork.example/lacewingfork/scheduler/election"
+	"lacewingfork.example/lacewingfork/scheduler/holder"
+	"lacewingfork.example/lacewingfork/scheduler/logs"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/scheduler/operations"
+	"lacewingfork.example/lacewingfork/scheduler/peers"
+	"lacewingfork.example/lacewingfork/scheduler/settings"
+	"lacewingfork.example/lacewingfork/scheduler/store"
+	"lacewingfork.example/lacewingfork/scheduler/workers"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// providers builds each supervisor. The rings that close a circle between two
+// of them exist on their own and are joined by connect.
+var providers = fx.Options(
+	fx.Provide(
+		holder.NewRings, election.NewRings, peers.NewRings,
+		newConfigurations, newOperations, newCallers, newPeers, newStopper,
+	),
+	fx.Invoke(connect),
+)
+
+func newConfigurations(p api.Platform, lines *logs.Log) *store.Configurations {
+	return store.NewConfigurations(p.Records, lines)
+}
+
+func newOperations(tree *supervise.Tree, l *Listeners, lines *logs.Log, registry *prometheus.Registry) *operations.Supervisor {
+	return operations.New(tree, l.Operations, lines, registry)
+}
+
+func newCallers(
+	tree *supervise.Tree, l *Listeners, p api.Platform, c *clock.Clock, lines *logs.Log, rings *peers.Rings, registry *prometheus.Registry,
+) *callers.Supervisor {
+	return callers.New(tree, l.Callers, p.Callers, c, lines, rings, registry)
+}
+
+func newPeers(tree *supervise.Tree, s settings.Settings, l *Listeners, rings *peers.Rings, c *clock.Clock, lines *logs.Log) *peers.Supervisor {
+	return peers.New(tree, peers.Settings{Instance: s.Instance.ID, Address: s.Listen.Peers}, l.Peers, rings, c, lines)
+}
+
+// parts is everything that connect joins.
+type parts struct {
+	fx.In
+	Tree           *supervise.Tree
+	Settings       settings.Settings
+	Platform       api.Platform
+	Clock          *clock.Clock
+	Log            *logs.Log
+	Registry       *prometheus.Registry
+	Holder         *holder.Rings
+	Election       *election.Rings
+	PeerRings      *peers.Rings
+	Peers          *peers.Supervisor
+	Callers        *callers.Supervisor
+	Operations     *operations.Supervisor
+	Configurations *store.Configurations
+}
+
+// connect joins the rings and starts the duties that need rings of each other.
+func connect(p parts) {
+	stores := p.Tree.Child("store", supervise.DefaultIntensity)
+	writer := store.NewWriter(stores, p.Platform.Store, p.Log, p.Holder.Commits, p.Registry)
+	servers := store.NewServers(stores, p.Platform.Store, p.Platform.Records, p.Log, p.Holder.Servers)
+	calls := workers.New(p.Tree, p.Platform.Workers, p.Holder.Events, p.Registry)
+
+	p.Holder.Orders, p.Holder.Holds = calls.Orders, calls.Holds
+	p.Holder.Appends, p.Holder.ServersWanted = writer.Appends, servers.Wanted
+	p.Holder.Superseded = p.Election.Superseded
+	p.Holder.Statuses = []*supervise.Ring[holder.Status]{p.PeerRings.Status}
+
+	p.Election.Elected = p.Holder.Elected
+	p.Election.Holders = []*supervise.Ring[message.Holder]{p.PeerRings.Holders}
+	p.Election.StoreSilent, p.Election.Members = p.PeerRings.StoreSilent, p.PeerRings.Members
+
+	p.PeerRings.LinkChanges, p.PeerRings.Announced = p.Election.Links, p.Election.Announced
+	p.PeerRings.HolderBeats, p.PeerRings.Handovers = p.Election.HolderBeats, p.Election.Handovers
+	p.PeerRings.Offers, p.PeerRings.Linked = p.Configurations.Offers, p.Operations.Linked
+	p.PeerRings.HolderAsks, p.PeerRings.PeerBeats = p.Holder.Asks, p.Holder.Beats
+
+	p.Configurations.Subscribers = []*message.ConfigurationRing{
+		p.Callers.Configurations, p.Operations.Configurations, p.Holder.Configurations,
+		p.PeerRings.Configurations, p.Peers.Configurations(),
+	}
+	p.Configurations.Start(stores, p.Platform.Store)
+	holder.New(p.Holder, cellSettings(p.Settings.Bounds), p.Clock, p.Log, p.Registry).Start(p.Tree)
+	election.New(p.Election, electionSettings(p.Settings), p.Platform.Store, p.Clock, p.Log).Start(p.Tree)
+	p.Peers.Start()
+}
+
+// lease is how long a worker goes on without its holder: a takeover takes two
+// or three seconds, and the work of a dead worker waits for it.
+const lease = 6 * time.Second
+
+func cellSettings(b settings.Bounds) cell.Settings {
+	s := cell.DefaultSettings()
+	s.HoldMax, s.Lease = b.LeaseMax, min(lease, b.LeaseMax)
+	s.StopTime, s.KeepStatus, s.ImpactTime, s.RemoteFactor = b.StopTime, b.StatusKept, b.Impact, b.RemoteFactor
+	return s
+}
+
+func electionSettings(s settings.Settings) election.Settings {
+	return election.Settings{
+		Instance: s.Instance.ID, Region: s.Instance.Region, Address: s.Listen.Peers, Processor: s.Instance.Processor,
+	}
+}
--- /dev/null
+++ b/scheduler/workers/workers.go
@@ -0,0 +1,197 @@
+// Package workers is the supervisor of the calls to the workers. The manager
+// duty starts a hold duty for each worker, which waits for its lists; a fixed
+// number of order duties carries out starts, stops, paces and short looks. The
+// duties own nothing but the call in progress. When one fails, its call counts
+// as unanswered after the holder's own bound.
+package workers
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lacewingfork.example/lacewingfork/decision/cell"
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+const (
+	// orderDuties is the number of orders in progress at a time: 670 starts a
+	// second of 20 ms each between regions, and as many that get no answer.
+	orderDuties = 48
+	// orderCapacity covers the start of a job of the largest width in every
+	// queue at once.
+	orderCapacity = 8192
+	// holdCapacity covers a hold of every worker of a deployment.
+	holdCapacity = 1024
+	// orderTimeout is many round trips between regions, and below the time
+	// after which an order that had no answer is carried out all the same.
+	orderTimeout = 700 * time.Millisecond
+	// idleHold ends the duty of a worker that is no longer held.
+	idleHold = 30 * time.Second
+)
+
+// Supervisor runs the duties of this folder.
+type Supervisor struct {
+	tree    *supervise.Tree
+	workers api.Workers
+	events  *supervise.Ring[message.WorkerEvent]
+	calls   *prometheus.HistogramVec
+
+	// Orders takes starts, stops, paces and looks without a wait.
+	Orders *supervise.Ring[message.Order]
+	// Holds takes holds that wait.
+	Holds *supervise.Ring[message.Order]
+	idle  *supervise.Ring[fleet.BackendServerID]
+}
+
+// New adds the supervisor below root. The answers go to events.
+func New(root *supervise.Tree, workers api.Workers, events *supervise.Ring[message.WorkerEvent], registry prometheus.Registerer) *Supervisor {
+	s := &Supervisor{
+		tree: root.Child("workers", supervise.DefaultIntensity), workers: workers, events: events,
+		Orders: supervise.NewRing[message.Order]("workers.orders", orderCapacity, supervise.Refuse),
+		Holds:  supervise.NewRing[message.Order]("workers.holds", holdCapacity, supervise.Refuse),
+		idle:   supervise.NewRing[fleet.BackendServerID]("workers.idle", holdCapacity, supervise.Wait),
+		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lacewingfork_worker_call_seconds", Help: "Time of calls to workers, without the wait of a hold.",
+			Buckets: []float64{0.001, 0.005, 0.02, 0.05, 0.1, 0.3, 0.7},
+		}, []string{"call", "outcome"}),
+	}
+	registry.MustRegister(s.calls)
+	s.tree.Start(supervise.Duty{Name: "manager", Rings: []supervise.Measured{s.Holds, s.idle, s.Orders}, Run: s.manage})
+	for i := range orderDuties {
+		s.tree.Start(supervise.Duty{Name: fmt.Sprintf("order/%d", i), Run: s.order})
+	}
+	return s
+}
+
+// manage hands each hold to the duty of its worker.
+func (s *Supervisor) manage(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	duties := map[fleet.BackendServerID]*holdDuty{}
+	defer func() {
+		for _, d := range duties {
+			d.running.Cancel()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case o := <-s.Holds.Items():
+			id := o.Action.(cell.Hold).Server
+			d := duties[id]
+			if d == nil {
+				d = s.startHold(id)
+				duties[id] = d
+			}
+			// The newest hold counts: an older one belongs to an earlier epoch.
+			_ = d.holds.Put(ctx, o)
+		case id := <-s.idle.Items():
+			if d := duties[id]; d != nil && d.holds.Stats().Depth == 0 {
+				d.running.Cancel()
+				delete(duties, id)
+			}
+		case r := <-dumps:
+			r.Answer(map[string]int{"workers": len(duties)})
+		}
+	}
+}
+
+// holdDuty is the duty that waits for the lists of one worker.
+type holdDuty struct {
+	holds   *supervise.Ring[message.Order]
+	running supervise.Running
+}
+
+func (s *Supervisor) startHold(id fleet.BackendServerID) *holdDuty {
+	d := &holdDuty{holds: supervise.NewRing[message.Order](fmt.Sprintf("workers.%s.holds", id), 1, supervise.DropOldest)}
+	d.running = s.tree.Start(supervise.Duty{
+		Name: "hold/" + string(id), Rings: []supervise.Measured{d.holds},
+		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+			return s.hold(ctx, id, d.holds, dumps)
+		},
+	})
+	return d
+}
+
+func (s *Supervisor) hold(ctx context.Context, id fleet.BackendServerID, holds *supervise.Ring[message.Order], dumps <-chan supervise.DumpRequest) error {
+	idle := time.NewTimer(idleHold)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case o := <-holds.Items():
+			s.call(ctx, o)
+			idle.Reset(idleHold)
+		case <-idle.C:
+			if err := s.idle.Put(ctx, id); err != nil {
+				return err
+			}
+			idle.Reset(idleHold)
+		case r := <-dumps:
+			r.Answer(nil)
+		}
+	}
+}
+
+// order is one order duty.
+func (s *Supervisor) order(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case o := <-s.Orders.Items():
+			s.call(ctx, o)
+		case r := <-dumps:
+			r.Answer(nil)
+		}
+	}
+}
+
+// call carries out one order and reports its outcome.
+func (s *Supervisor) call(ctx context.Context, o message.Order) {
+	timeout, waits := orderTimeout, time.Duration(0)
+	if h, ok := o.Action.(cell.Hold); ok {
+		waits = h.Wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+waits)
+	defer cancel()
+	begun := time.Now()
+	event, name, ok := s.carryOut(ctx, o)
+	if event == nil {
+		return
+	}
+	outcome := "answered"
+	if !ok {
+		outcome = "unanswered"
+	}
+	if waits == 0 {
+		s.calls.WithLabelValues(name, outcome).Observe(time.Since(begun).Seconds())
+	}
+	// The ring waits; when the process ends nobody needs the answer.
+	_ = s.events.Put(context.WithoutCancel(ctx), message.WorkerEvent{Epoch: o.Epoch, Event: event})
+}
+
+func (s *Supervisor) carryOut(ctx context.Context, o message.Order) (event cell.Event, name string, ok bool) {
+	switch a := o.Action.(type) {
+	case cell.Hold:
+		held := s.workers.Hold(ctx, o.Epoch, a)
+		return held, "hold", held.OK
+	case cell.Start:
+		started := s.workers.Start(ctx, o.Epoch, a)
+		return started, "start", started.Outcome != cell.StartUnknown
+	case cell.Stop:
+		stopped := s.workers.Stop(ctx, o.Epoch, a)
+		return stopped, "stop", stopped.OK
+	case cell.Pace:
+		paced := s.workers.Pace(ctx, o.Epoch, a)
+		return paced, "pace", paced.OK
+	default:
+		return nil, "", false
+	}
+}
--- a/entry/operations/metrics.go
+++ b/supervise/ringmetrics/ringmetrics.go
@@ -1,4 +1,6 @@
-package operations
+// Package ringmetrics exports the counters of the rings of a process as metrics.
+// It owns nothing: it asks the directory of running duties when it is scraped.
+package ringmetrics
 
 import (
 	"context"
@@ -19,13 +21,16 @@
 		"Duties that run in this process.", nil, nil)
 )
 
-// ringCollector reads the ring counters from the directory when it is scraped.
-type ringCollector struct {
+// Collector reads the ring counters from the directory when it is scraped.
+type Collector struct {
 	directory *supervise.Directory
 }
 
+// New returns the collector of a process.
+func New(directory *supervise.Directory) *Collector { return &Collector{directory: directory} }
+
 // Describe implements prometheus.Collector.
-func (c *ringCollector) Describe(descriptions chan<- *prometheus.Desc) {
+func (c *Collector) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- ringDepth
 	descriptions <- ringRefused
 	descriptions <- ringDropped
@@ -34,7 +39,7 @@
 
 // Collect sums the rings by kind, the part of the name before the first
 // identifier, so that the number of series doesn't grow with the fleet.
-func (c *ringCollector) Collect(metrics chan<- prometheus.Metric) {
+func (c *Collector) Collect(metrics chan<- prometheus.Metric) {
 	states, err := c.directory.RingStats(context.Background())
 	if err != nil {
 		return
