--- a/records/cellrecord/cellrecord.go
+++ b/records/cellrecord/cellrecord.go
@@ -67,7 +67,10 @@
 // EncodeValue returns the item of a holder or a member.
 func EncodeValue(key string, value any) (api.Item, error) {
 	data, err := json.Marshal(value)
-	return api.Item{Key: key, Value: data}, errors.Wrapf(err, "encode record %s", key)
+	if err != nil {
+		return api.Item{}, errors.Wrapf(err, "encode record %s", key)
+	}
+	return api.Item{Key: key, Value: data}, nil
 }
 
 // Decoded is what a topic of the cell holds.
--- a/scheduler/callers/callers.go
+++ b/scheduler/callers/callers.go
@@ -115,5 +115,8 @@
 
 // Shutdown waits until the calls in progress are answered.
 func (s *Supervisor) Shutdown(ctx context.Context) error {
-	return errors.Wrap(s.server.Shutdown(ctx), "shut down callers' server")
+	if err := s.server.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "shut down callers' server")
+	}
+	return nil
 }
--- a/scheduler/peers/codec.go
+++ b/scheduler/peers/codec.go
@@ -31,7 +31,10 @@
 		return ask, nil
 	}
 	ask.Body = &job.Job{}
-	return ask, errors.Wrap(json.Unmarshal(a.Job, ask.Body), "decode job")
+	if err := json.Unmarshal(a.Job, ask.Body); err != nil {
+		return message.Ask{}, errors.Wrap(err, "decode job")
+	}
+	return ask, nil
 }
 
 func encodeAnswer(a message.Answer) *cellpb.Frame {
--- a/scheduler/peers/peers.go
+++ b/scheduler/peers/peers.go
@@ -137,7 +137,10 @@
 	if err := cellpb.DRPCRegisterCell(mux, &acceptor{supervisor: s}); err != nil {
 		return errors.Wrap(err, "register cell protocol")
 	}
-	return errors.Wrap(drpcserver.New(mux).Serve(ctx, s.listener), "serve links")
+	if err := drpcserver.New(mux).Serve(ctx, s.listener); err != nil {
+		return errors.Wrap(err, "serve links")
+	}
+	return ctx.Err()
 }
 
 // configurationVersion is the version in force, 0 when there is none.
--- a/scheduler/peers/session.go
+++ b/scheduler/peers/session.go
@@ -86,7 +86,10 @@
 }
 
 func (s *session) send(frame *cellpb.Frame) error {
-	return errors.Wrap(s.stream.Send(frame), "send frame")
+	if err := s.stream.Send(frame); err != nil {
+		return errors.Wrap(err, "send frame")
+	}
+	return nil
 }
 
 func (s *session) end() {
