--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -73,6 +73,8 @@
 	order   []*worker // by identifier, so that decisions do not depend on map order
 	ready   []*stepState
 
+	disturbance *disturbance
+
 	authority  bool
 	listRead   bool
 	blocked    bool // tasks of restored jobs may still run somewhere unknown
@@ -93,7 +95,7 @@
 		queues: map[job.Queue]QueueSettings{}, retired: map[job.Queue]QueueSettings{}, jobs: map[fleet.JobID]*jobState{},
 		workers: map[fleet.BackendServerID]*worker{},
 	}
-	c.gathering = newBatch(1)
+	c.gathering, c.disturbance = newBatch(1), newDisturbance()
 	c.batch = 1
 	return c
 }
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -51,6 +51,7 @@
 	}
 	w.runs[r.key] = r
 	w.take(r, 1)
+	w.changed(r, c.now.Steady)
 	t.runs = append(t.runs, r)
 	t.attempt = max(t.attempt, attempt)
 	return r
@@ -70,9 +71,24 @@
 	}
 }
 
+// changed notes that what the tasks with a target on the worker live beside is
+// not the same any more, and keeps the number of those tasks.
+func (w *worker) changed(r *run, now time.Duration) {
+	if r.fills {
+		w.pacing.changedAt = now
+	}
+	w.pacing.serving = 0
+	for _, other := range w.runs {
+		if other.task.of.step.Lasting && other.task.of.step.Target > 0 {
+			w.pacing.serving++
+		}
+	}
+}
+
 func (c *Cell) removeRun(r *run) {
 	delete(r.worker.runs, r.key)
 	r.worker.take(r, -1)
+	r.worker.changed(r, c.now.Steady)
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
 	c.needsOrder = true
 }
@@ -139,6 +155,7 @@
 
 func (c *Cell) confirm(r *run) {
 	r.state, r.confirmed, r.movedAt = runConfirmed, c.now.Steady, c.now.Steady
+	r.worker.changed(r, c.now.Steady)
 	j := r.task.of.of.job
 	if !j.everStarted {
 		j.everStarted = true
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -173,7 +173,7 @@
 	case s.Fills:
 		cost += fills - room
 		if serving > 0 {
-			cost += costDisturbs
+			cost += c.disturbs(w, s)
 		}
 	default:
 		// Beside tasks that last there is room that nothing else should take.
@@ -185,6 +185,20 @@
 	return cost + costPerRun*float64(len(w.runs))
 }
 
+// costServing keeps a server without serving tasks for images that disturb: it
+// is more than the room of a server, in cores.
+const costServing = 20.0
+
+// disturbs is the cost of a filling task beside those that serve.
+func (c *Cell) disturbs(w *worker, s *job.Step) float64 {
+	more := float64(s.Need.MilliCPU) / float64(max(1, w.server.Capacity.MilliCPU))
+	harm := c.harmOf(w.servingRuns(), s.Image, more)
+	if harm <= 1 {
+		return costServing * (harm - 1)
+	}
+	return costDisturbs * harm
+}
+
 // outsideRack returns how many runs of a step are outside a rack.
 func (c *Cell) outsideRack(s *stepState, rack string) int {
 	count := 0
