--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -188,7 +188,7 @@
 // they knew count as in use until they are fenced or have surely lapsed.
 func (c *Cell) Restore(now Moment, records []Record) {
 	c.now = now
-	oldUntil := now.Steady + c.settings.AuthorityBound + time.Duration(float64(c.settings.HoldMax)*(1+clockDrift))
+	oldUntil := now.Steady + c.settings.AuthorityBound + time.Duration(float64(c.settings.Lease)/(1-clockDrift)) + lapseMargin
 	progress := map[fleet.JobID]*ProgressRecord{}
 	for _, r := range records {
 		switch {
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -336,6 +336,7 @@
 // takeRunning compares a worker's list with what the cell believes.
 func (c *Cell) takeRunning(w *worker, e Held) {
 	listed := make(map[runKey]bool, len(e.Running))
+	w.orphans, w.unknownOrphan = fleet.Resources{}, false
 	for _, row := range e.Running {
 		key := runKey{row.Task, row.Attempt}
 		listed[key] = true
@@ -388,6 +389,7 @@
 	if t == nil || t.done || t.of.of.job.ended || row.Attempt < t.attempt || len(t.runs) > 0 && !t.of.step.Copies {
 		c.do(Note{Event: NoteRunUnexplained, Job: row.Task.Job, Task: row.Task.String(), Server: w.server.ID, Detail: map[string]any{"attempt": row.Attempt}})
 		c.do(Stop{Server: w.server.ID, Address: w.server.Address, Task: row.Task, Attempt: row.Attempt})
+		c.countOrphan(w, row.Task)
 		return nil
 	}
 	r := c.addRun(t, w, row.Attempt, runConfirmed)
@@ -397,6 +399,22 @@
 	return r
 }
 
+// countOrphan takes the room of a run that belongs to no task until a later list
+// no longer shows it.
+func (c *Cell) countOrphan(w *worker, ref job.TaskRef) {
+	j := c.jobs[ref.Job]
+	if j == nil || ref.Step >= len(j.job.Steps) {
+		w.unknownOrphan = true
+		return
+	}
+	step := &j.job.Steps[ref.Step]
+	need := step.Need
+	if step.Fills {
+		need.MilliCPU = 0
+	}
+	w.orphans = w.orphans.Add(need)
+}
+
 // queueOf returns the settings of a job's queue; those of a queue that the
 // configuration no longer has stay in force for the jobs that it accepted.
 func (c *Cell) queueOf(j *jobState) QueueSettings {
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -24,7 +24,7 @@
 	})
 	slices.SortStableFunc(c.ready, c.compareSteps)
 	for _, s := range c.ready {
-		if c.blocked && s.of.job.restored && !s.step.Copies {
+		if c.blocked && s.of.job.restored {
 			continue
 		}
 		if s.step.Gang {
@@ -116,7 +116,10 @@
 		need.MilliCPU = 0
 	}
 	need.Slots = 0
-	free := w.server.Capacity.Sub(w.used)
+	if w.unknownOrphan {
+		return false
+	}
+	free := w.server.Capacity.Sub(w.used).Sub(w.orphans)
 	free.Slots = 0
 	if !need.Fits(free) {
 		return false
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -25,26 +25,30 @@
 	born   int64
 	fenced bool
 	// silent means that the last call got no answer; misses counts them.
-	silent    bool
-	misses    int
-	silentAt  time.Duration
-	heardAt   time.Duration
-	oldUntil  time.Duration // an earlier holder may use it until then; 0 when not
-	sample    clockSample
-	granted   time.Duration // latest lease end sent, on the worker's clock
-	used      fleet.Resources
-	fillCPU   int64
-	runs      map[runKey]*run
-	holding   uint64 // number of the hold in flight, 0 when none
-	holdingAt time.Duration
-	holdAt    time.Duration // time of the next hold
-	lookAt    time.Duration // time of an extra look; 0 when none is wanted
-	looking   uint64
-	lastList  time.Duration // worker clock of the newest list taken
-	seen      int64         // highest end taken in
-	recorded  int64         // highest end that may be acknowledged
-	health    health
-	pacing    pacing
+	silent   bool
+	misses   int
+	silentAt time.Duration
+	heardAt  time.Duration
+	oldUntil time.Duration // an earlier holder may use it until then; 0 when not
+	sample   clockSample
+	granted  time.Duration // latest lease end sent, on the worker's clock
+	used     fleet.Resources
+	fillCPU  int64
+	runs     map[runKey]*run
+	// orphans is the room of listed runs that belong to no task; they are being
+	// stopped. unknownOrphan means that the need of one is not known.
+	orphans       fleet.Resources
+	unknownOrphan bool
+	holding       uint64 // number of the hold in flight, 0 when none
+	holdingAt     time.Duration
+	holdAt        time.Duration // time of the next hold
+	lookAt        time.Duration // time of an extra look; 0 when none is wanted
+	looking       uint64
+	lastList      time.Duration // worker clock of the newest list taken
+	seen          int64         // highest end taken in
+	recorded      int64         // highest end that may be acknowledged
+	health        health
+	pacing        pacing
 }
 
 // clockSample relates the worker's clock to the holder's.
@@ -195,7 +199,9 @@
 func (c *Cell) sendHold(w *worker, wait time.Duration) uint64 {
 	c.holdNumber++
 	h := Hold{Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: w.recorded, Wait: wait}
-	if len(w.runs) > 0 && w.sample.known {
+	// A worker that does not answer gets no lease with the call: the call may
+	// still be carried out, and its lease would never count as lapsed.
+	if len(w.runs) > 0 && w.sample.known && !w.silent {
 		h.Deadline = c.leaseEnd(w)
 		w.granted = max(w.granted, h.Deadline)
 	}
@@ -258,6 +264,20 @@
 	}
 	w.misses++
 	w.holdAt = c.now.Steady + silentRetry
+	if otherLife {
+		c.replaced(w)
+	}
+}
+
+// replaced ends what ran on a worker at whose address another one answers: its
+// life is over, and orders that name it are refused there.
+func (c *Cell) replaced(w *worker) {
+	w.oldUntil = 0
+	for _, r := range w.sortedRuns() {
+		c.runEnded(r, job.EndLost, "")
+	}
+	c.checkBlocked()
+	c.needsOrder = true
 }
 
 func (c *Cell) answered(w *worker, e Held) {
