--- a/decision/cell/health.go
+++ b/decision/cell/health.go
@@ -45,7 +45,7 @@
 		h.failedJobs, h.doneAt = h.failedJobs[:0], now
 		h.aside, h.asideUntil, h.stalls = 0, 0, 0
 	case job.EndFailed:
-		if r.task.failures > 0 && !slices.Contains(r.task.avoid, r.worker.server.ID) {
+		if len(r.task.failed) > 0 && !slices.Contains(r.task.avoid, r.worker.server.ID) {
 			return // it has failed elsewhere too: the fault is its own
 		}
 		h.failedAt = now
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -54,8 +54,7 @@
 	done      bool
 	runs      []*run
 	attempt   int // highest attempt used or seen
-	counted   int // highest attempt whose end is in failures
-	failures  int
+	failed    []int // attempts that ended failed; ends of several workers come in any order
 	saved     string
 	notBefore time.Duration
 	avoid     []fleet.BackendServerID
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -54,12 +54,11 @@
 
 // TaskProgress is what has been recorded of a task.
 type TaskProgress struct {
-	Step     int    `json:"s"`
-	Index    int    `json:"i"`
-	Done     bool   `json:"d,omitempty"`
-	Failures int    `json:"f,omitempty"`
-	Counted  int    `json:"c,omitempty"` // highest attempt in Failures
-	Saved    string `json:"k,omitempty"` // checkpoint
+	Step   int    `json:"s"`
+	Index  int    `json:"i"`
+	Done   bool   `json:"d,omitempty"`
+	Failed []int  `json:"f,omitempty"` // attempts that ended failed
+	Saved  string `json:"k,omitempty"` // checkpoint
 }
 
 // batch is what the next append records, and what follows once it is durable.
@@ -171,9 +170,9 @@
 		op := OccurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || t.failures > 0 || t.saved != "" {
+				if t.done || len(t.failed) > 0 || t.saved != "" {
 					op.Tasks = append(op.Tasks, TaskProgress{
-						Step: s.index, Index: t.index, Done: t.done, Failures: t.failures, Counted: t.counted, Saved: t.saved,
+						Step: s.index, Index: t.index, Done: t.done, Failed: t.failed, Saved: t.saved,
 					})
 				}
 			}
@@ -237,7 +236,10 @@
 				continue
 			}
 			t := o.steps[tp.Step].tasks[tp.Index]
-			t.failures, t.counted, t.saved, t.attempt = tp.Failures, tp.Counted, tp.Saved, tp.Counted
+			t.failed, t.saved = tp.Failed, tp.Saved
+			for _, attempt := range tp.Failed {
+				t.attempt = max(t.attempt, attempt)
+			}
 			if tp.Done {
 				t.done = true
 				t.of.done++
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -249,10 +249,10 @@
 // that an earlier holder started, or one that it has given up as lapsed.
 func (c *Cell) unexpectedEnd(w *worker, row FinishedRow) {
 	t := c.lookup(row.Task)
-	if t == nil || t.done || row.Attempt <= t.counted || row.Attempt < t.attempt {
+	if t == nil || t.done || row.Attempt < t.attempt && row.End != job.EndFailed {
 		return
 	}
-	t.attempt = row.Attempt
+	t.attempt = max(t.attempt, row.Attempt)
 	t.of.of.job.everStarted = true
 	c.applyEnd(t, w, row.Attempt, row.End, row.Saved)
 }
@@ -279,7 +279,7 @@
 		t.lostAt = c.now.Steady
 	}
 	c.do(Note{Event: NoteEnded, Job: j.job.ID, Task: t.ref().String(), Server: w.server.ID, Detail: map[string]any{
-		"attempt": attempt, "end": end, "failures": t.failures, "checkpoint": saved != "",
+		"attempt": attempt, "end": end, "failures": len(t.failed), "checkpoint": saved != "",
 	}})
 	switch end {
 	case job.EndDone:
@@ -317,16 +317,15 @@
 	if t.of.step.Gang {
 		counter = t.of.tasks[0] // a gang fails as a whole
 	}
-	if attempt > counter.counted {
-		counter.counted = attempt
-		counter.failures++
+	if !slices.Contains(counter.failed, attempt) {
+		counter.failed = append(counter.failed, attempt)
 	}
 	t.avoid = append(t.avoid, w.server.ID)
 	if len(t.avoid) > maxAvoided {
 		t.avoid = t.avoid[1:]
 	}
 	limit := c.queueOf(t.of.of.job).MaxAttempts
-	if t.of.step.Lasting || limit <= 0 || counter.failures < limit {
+	if t.of.step.Lasting || limit <= 0 || len(counter.failed) < limit {
 		return false
 	}
 	c.failJob(t.of.of.job)
