Compare tails as loads; rate servers without look-ups; hold all fills in time

Cause: tails do not add up, loads do: the tail of a serving task follows that of a queue, so a slope in milliseconds learnt at a low load is wrong at a high one.

--- a/decision/cell/disturbance.go
+++ b/decision/cell/disturbance.go
@@ -1,82 +1,183 @@
 package cell
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-// disturbance learns by how much the tasks that fill raise the tail of the tasks
-// that serve, for each pair of images. The tail grows by about the same amount
-// for each share of the server that an image takes, and that amount differs
-// between pairs by a factor of a hundred, so that only a few images have to be
-// kept away from a serving task.
+// disturbance learns by how much the tasks that fill press on the tasks that
+// serve, for each pair of images.
+//
+// A serving task behaves like a queue: its tail is that of the idle task divided
+// by one less its load, and the share of the server that a filling image uses
+// adds to that load in proportion. The factor differs between pairs by a hundred
+// times, so that only a few images have to be kept away from a serving task.
+// Tails are therefore compared as loads, where the effects add up.
 type disturbance struct {
-	slopes map[imagePair]float64 // ms of tail for the whole server's processor
-	bases  map[string]float64    // ms of tail of a serving image on its own
+	ids       map[string]imageID
+	pressures [][]pressure // by serving and filling image
+	images    []average    // the same for a filling image beside any other
+	idle      []float64    // smallest tail seen of a serving image in ms, 0 for none
 }
 
-type imagePair struct{ serving, filling string }
+// imageID numbers the images that a cell has met, so that rating a server needs
+// no look-up by name.
+type imageID int
+
+// pressure is the load that a whole server of one image adds to another.
+type pressure struct {
+	known bool
+	value float64
+}
+
+// average is a mean that follows slow changes.
+type average struct {
+	value float64
+	count int
+}
+
+func (a *average) add(value float64) {
+	a.count++
+	a.value += (value - a.value) / float64(min(a.count, averageSpan))
+}
 
 const (
+	averageSpan = 40 // observations
 	// learnRate is the share of an error that one observation corrects. The
 	// figures are rough, and there are several a second for each pair.
-	learnRate = 0.15
-	// baseRate is the same for the tail without fills, which swings slowly.
-	baseRate = 0.05
-	// priorSlope is the slope of an unknown pair in targets for the whole
-	// server: a tenth of a server costs three tenths of the target.
-	priorSlope = 3.0
-	// errorBound limits what one figure may teach, in targets.
-	errorBound = 3.0
+	learnRate = 0.12
+	// priorPressure is that of an image of which nothing is known: a tenth of a
+	// server adds a tenth of load, which a serving task usually bears.
+	priorPressure = 1.0
+	// maxPressure bounds what one pair can be taken for.
+	maxPressure = 12.0
+	// idleShare relates the smallest tail seen to that of an idle task: even at
+	// its quietest a task has a fifth of its load.
+	idleShare = 0.8
+	// idleOfTarget is the idle tail in targets while none has been seen.
+	idleOfTarget = 0.22
 	// minShare is the share below which fills teach nothing about themselves.
 	minShare = 0.01
+	// maxLoad bounds the load that a tail is taken for.
+	maxLoad = 0.99
+	// usualLoad and usualPeak are those of a serving task that has not been
+	// watched yet.
+	usualLoad = 0.4
+	usualPeak = 0.55
+	// loadRate smooths the loads of a task over about a second.
+	loadRate = 0.4
+	// peakDecay is by how much the remembered peak falls in a second: the load
+	// of a task swings within some ten seconds.
+	peakDecay = 0.02
 	// figureSpan is the time that the workers' figures cover.
 	figureSpan = 500 * time.Millisecond
 )
 
-func newDisturbance() *disturbance {
-	return &disturbance{slopes: map[imagePair]float64{}, bases: map[string]float64{}}
+func newDisturbance() *disturbance { return &disturbance{ids: map[string]imageID{}} }
+
+// id returns the number of an image.
+func (d *disturbance) id(image string) imageID {
+	if id, ok := d.ids[image]; ok {
+		return id
+	}
+	id := imageID(len(d.ids))
+	d.ids[image] = id
+	d.images = append(d.images, average{value: priorPressure})
+	d.idle = append(d.idle, 0)
+	for i := range d.pressures {
+		d.pressures[i] = append(d.pressures[i], pressure{})
+	}
+	d.pressures = append(d.pressures, make([]pressure, len(d.ids)))
+	return id
+}
+
+// pressure returns the load that a whole server of one image adds to another.
+func (d *disturbance) pressure(serving, filling imageID) float64 {
+	if p := d.pressures[serving][filling]; p.known {
+		return p.value
+	}
+	return d.images[filling].value
 }
 
-// slope returns the tail in ms that a whole server of one image would add.
-func (d *disturbance) slope(serving, filling string, target float64) float64 {
-	if s, ok := d.slopes[imagePair{serving, filling}]; ok {
-		return s
+func (d *disturbance) idleTail(serving imageID, target float64) float64 {
+	if tail := d.idle[serving]; tail > 0 {
+		return min(tail*idleShare, target*idleOfTarget)
 	}
-	return priorSlope * target
+	return target * idleOfTarget
+}
+
+// load converts a tail into a load.
+func (d *disturbance) load(serving imageID, target, tail float64) float64 {
+	if tail <= 0 {
+		return 0
+	}
+	return min(maxLoad, max(0, 1-d.idleTail(serving, target)/tail))
+}
+
+// limit is the load at which a task reaches its target.
+func (d *disturbance) limit(serving imageID, target float64) float64 {
+	return d.load(serving, target, target)
 }
 
 // imageShare is the share of a server's processor that an image takes.
 type imageShare struct {
-	image string
+	image imageID
 	share float64
 }
 
+// served is what is known of the load of one serving task.
+type served struct {
+	known bool
+	own   float64 // load without fills, smoothed
+	peak  float64
+	at    time.Duration
+}
+
+func (s *served) ownLoad() float64 {
+	if !s.known {
+		return usualLoad
+	}
+	return s.own
+}
+
+func (s *served) peakLoad() float64 {
+	if !s.known {
+		return usualPeak
+	}
+	return s.peak
+}
+
+func (s *served) add(now time.Duration, own float64) {
+	own = min(max(own, 0), 1)
+	if !s.known {
+		s.known, s.own, s.peak, s.at = true, own, max(own, usualPeak), now
+		return
+	}
+	s.own += loadRate * (own - s.own)
+	s.peak = max(s.own, s.peak-peakDecay*(now-s.at).Seconds())
+	s.at = now
+}
+
 // observe learns from one figure of a serving task.
-func (d *disturbance) observe(serving string, target, tail float64, fills []imageShare) {
-	base, known := d.bases[serving]
-	total, norm := 0.0, 0.0
+func (d *disturbance) observe(now time.Duration, serving imageID, target, tail float64, s *served, fills []imageShare) {
+	if least := d.idle[serving]; least == 0 || tail < least {
+		d.idle[serving] = tail
+	}
+	load := d.load(serving, target, tail)
+	total, norm, pressed := 0.0, 0.0, 0.0
 	for _, f := range fills {
 		total += f.share
 		norm += f.share * f.share
+		pressed += d.pressure(serving, f.image) * f.share
 	}
 	if total < minShare {
-		if !known {
-			base = tail
-		}
-		d.bases[serving] = base + baseRate*(tail-base)
+		s.add(now, load)
 		return
 	}
-	if !known {
-		base = target / 2
-	}
-	predicted := base
-	for _, f := range fills {
-		predicted += d.slope(serving, f.image, target) * f.share
-	}
-	failure := min(max(tail-predicted, -errorBound*target), errorBound*target)
+	failure := load - s.ownLoad() - pressed
 	for _, f := range fills {
-		learnt := d.slope(serving, f.image, target) + learnRate*failure*f.share/norm
-		d.slopes[imagePair{serving, f.image}] = math.Max(0, learnt)
+		learnt := d.pressure(serving, f.image) + learnRate*failure*f.share/norm
+		learnt = min(maxPressure, max(0, learnt))
+		d.pressures[serving][f.image] = pressure{known: true, value: learnt}
+		d.images[f.image].add(learnt)
 	}
+	// Part of the error is the swing of the task's own load.
+	s.add(now, s.ownLoad()+failure/2)
 }
--- a/decision/cell/gang.go
+++ b/decision/cell/gang.go
@@ -33,8 +33,8 @@
 	placed := make([]*worker, 0, len(s.tasks))
 	held := make([]*run, 0, len(s.tasks))
 	defer func() {
-		for _, r := range held {
-			delete(r.worker.runs, r.key)
+		for _, r := range slices.Backward(held) {
+			r.worker.list = r.worker.list[:len(r.worker.list)-1]
 			r.worker.take(r, -1)
 			r.task.runs = nil
 		}
@@ -46,7 +46,7 @@
 		}
 		placed = append(placed, w)
 		r := &run{key: runKey{task: t.ref()}, task: t, worker: w, need: s.step.Need, fills: s.step.Fills}
-		w.runs[r.key] = r
+		w.list = append(w.list, r)
 		w.take(r, 1)
 		t.runs = []*run{r}
 		held = append(held, r)
--- a/decision/cell/health.go
+++ b/decision/cell/health.go
@@ -83,7 +83,7 @@
 	if now < h.asideUntil {
 		return false
 	}
-	return h.aside == 0 || !slices.ContainsFunc(w.sortedRuns(), func(r *run) bool { return r.orderedAt >= h.asideUntil })
+	return h.aside == 0 || !slices.ContainsFunc(w.list, func(r *run) bool { return r.orderedAt >= h.asideUntil })
 }
 
 // cost is the suspicion against the worker as a cost of placing there.
@@ -103,7 +103,7 @@
 	if w.silent || !c.authority {
 		return
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range slices.Clone(w.list) {
 		if r.state != runConfirmed || r.task.of.step.Lasting || r.task.of.step.Gang || r.paced < fullPace || r.percent >= fullPace {
 			continue
 		}
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -41,6 +41,7 @@
 	of      *occurrence
 	index   int
 	step    *job.Step
+	image   imageID
 	tasks   []*task
 	waiting []int // indexes of tasks without a run that may start
 	done    int
@@ -53,12 +54,13 @@
 	index     int
 	done      bool
 	runs      []*run
-	attempt   int // highest attempt used or seen
+	attempt   int   // highest attempt used or seen
 	failed    []int // attempts that ended failed; ends of several workers come in any order
 	saved     string
 	notBefore time.Duration
 	avoid     []fleet.BackendServerID
 	lostAt    time.Duration
+	moves     int // away from servers where it disturbed
 }
 
 func (t *task) ref() job.TaskRef {
@@ -254,15 +256,15 @@
 }
 
 func (c *Cell) openOccurrence(j *jobState, number int) *occurrence {
-	o := newOccurrence(j, number)
+	o := c.newOccurrence(j, number)
 	c.openSteps(o)
 	return o
 }
 
-func newOccurrence(j *jobState, number int) *occurrence {
+func (c *Cell) newOccurrence(j *jobState, number int) *occurrence {
 	o := &occurrence{job: j, number: number, open: len(j.job.Steps)}
 	for i := range j.job.Steps {
-		s := &stepState{of: o, index: i, step: &j.job.Steps[i]}
+		s := &stepState{of: o, index: i, step: &j.job.Steps[i], image: c.disturbance.id(j.job.Steps[i].Image)}
 		s.tasks = make([]*task, s.step.Count)
 		for n := range s.tasks {
 			s.tasks[n] = &task{of: s, index: n}
--- a/decision/cell/pace.go
+++ b/decision/cell/pace.go
@@ -11,11 +11,11 @@
 
 // pacing watches the targets on one worker.
 type pacing struct {
-	serving   int  // lasting tasks with a target
+	serving   int  // runs with a target, confirmed or not
 	watched   bool // some task there has a target and some fills
 	changedAt time.Duration
 	overSince time.Duration
-	calmSince time.Duration
+	pacedAt   time.Duration // last change of a pace
 }
 
 const (
@@ -23,41 +23,52 @@
 	// fill are slowed down. The figures cover half a second, and the platform
 	// bounds the time over the target at several seconds.
 	overBeforePace = 400 * time.Millisecond
-	// calmBeforeRaise is how long targets must be kept before a pace rises.
-	calmBeforeRaise = 1200 * time.Millisecond
-	// keepShare is the share of its target that a paced or newly placed task
-	// may bring a tail to.
-	keepShare = 0.85
-	// calmShare is the share of its target below which a tail counts as calm.
-	calmShare = 0.75
+	// overBeforeHold is how long it may be missed before all of them are held,
+	// whatever the estimates say: two more figures fit into the bound.
+	overBeforeHold = 1700 * time.Millisecond
+	// loadMargin is kept below the load at which a target is missed.
+	loadMargin = 0.04
 	// paceFloor is the pace below which a run is held altogether.
 	paceFloor = 15
-	// paceRaise is the step by which a pace rises again.
-	paceRaise = 30
+	// movePace is the pace below which a run is moved, if that helps: a move
+	// costs the time of a stop and a restore, which is as long as a usual task.
+	movePace = 35
+	// maxMoves bounds the moves of one task.
+	maxMoves = 2
+	// heldFor is how long a run may be held before it gives its place up.
+	heldFor = 1500 * time.Millisecond
 )
 
-// serving returns the confirmed runs with a target that work at full speed.
-func (w *worker) servingRuns() []*run {
-	var list []*run
-	for _, r := range w.sortedRuns() {
-		if r.task.of.step.Lasting && r.task.of.step.Target > 0 && r.state == runConfirmed {
-			list = append(list, r)
+// survey brings the lists of serving and filling runs and the loads on the
+// serving ones up to date after a change on the worker.
+func (c *Cell) survey(w *worker) {
+	if !w.unsurveyed {
+		return
+	}
+	w.unsurveyed = false
+	w.serving, w.fills = w.serving[:0], w.fills[:0]
+	for _, r := range w.list {
+		if r.state != runConfirmed {
+			continue
+		}
+		if r.serves() {
+			w.serving = append(w.serving, r)
+		} else if r.fills {
+			w.fills = append(w.fills, r)
 		}
 	}
-	return list
-}
-
-// fillingRuns returns the confirmed runs that fill.
-func (w *worker) fillingRuns() []*run {
-	var list []*run
-	for _, r := range w.sortedRuns() {
-		if r.fills && r.state == runConfirmed {
-			list = append(list, r)
+	for _, s := range w.serving {
+		s.pressed = 0
+		for _, f := range w.fills {
+			s.pressed += c.disturbance.pressure(s.image, f.image) * f.fullShare() * float64(f.pacedWant) / fullPace
 		}
+		s.limit = c.disturbance.limit(s.image, s.target()) - loadMargin
 	}
-	return list
 }
 
+// serves reports whether a run has a target to keep.
+func (r *run) serves() bool { return r.task.of.step.Lasting && r.task.of.step.Target > 0 }
+
 func (r *run) target() float64 { return float64(r.task.of.step.Target.Milliseconds()) }
 
 // share is the part of the server's processor that a run uses.
@@ -65,27 +76,29 @@
 	return float64(r.figure) / float64(max(1, r.worker.server.Capacity.MilliCPU))
 }
 
+// fullShare is the part that a filling run uses at full pace.
+func (r *run) fullShare() float64 {
+	return float64(r.need.MilliCPU) / float64(max(1, r.worker.server.Capacity.MilliCPU))
+}
+
 // pace learns from a new list and slows the tasks that fill beside tasks that
 // miss their target.
 func (c *Cell) pace(w *worker) {
-	serving, fills := w.servingRuns(), w.fillingRuns()
-	w.pacing.serving = len(serving)
+	w.unsurveyed = true
+	c.survey(w)
+	serving, fills := slices.Clone(w.serving), slices.Clone(w.fills)
 	w.pacing.watched = len(serving) > 0 && len(fills) > 0
 	if len(serving) == 0 {
-		w.pacing.overSince, w.pacing.calmSince = 0, 0
+		w.pacing.overSince = 0
 		for _, r := range fills {
 			c.setPace(r, fullPace)
 		}
 		return
 	}
 	c.learn(w, serving, fills)
-	worst := 0.0
-	for _, r := range serving {
-		if r.percent >= fullPace {
-			worst = max(worst, float64(r.figure)/r.target())
-		}
+	if len(fills) > 0 {
+		c.paceBy(w, serving, fills)
 	}
-	c.paceBy(w, worst, serving, fills)
 }
 
 // learn takes in the figures when nothing has changed while they were made.
@@ -96,7 +109,7 @@
 	shares := sharesOf(fills)
 	for _, r := range serving {
 		if r.percent >= fullPace && r.figure > 0 {
-			c.disturbance.observe(r.task.of.step.Image, r.target(), float64(r.figure), shares)
+			c.disturbance.observe(c.now.Steady, r.image, r.target(), float64(r.figure), &r.served, shares)
 		}
 	}
 }
@@ -105,10 +118,9 @@
 func sharesOf(fills []*run) []imageShare {
 	var shares []imageShare
 	for _, r := range fills {
-		image := r.task.of.step.Image
-		at := slices.IndexFunc(shares, func(s imageShare) bool { return s.image == image })
+		at := slices.IndexFunc(shares, func(s imageShare) bool { return s.image == r.image })
 		if at < 0 {
-			shares = append(shares, imageShare{image: image})
+			shares = append(shares, imageShare{image: r.image})
 			at = len(shares) - 1
 		}
 		shares[at].share += r.share()
@@ -116,57 +128,56 @@
 	return shares
 }
 
-func (c *Cell) paceBy(w *worker, worst float64, serving, fills []*run) {
+func (c *Cell) paceBy(w *worker, serving, fills []*run) {
 	now, p := c.now.Steady, &w.pacing
-	switch {
-	case len(fills) == 0:
-		p.overSince, p.calmSince = 0, 0
-	case worst > 1:
-		p.calmSince = 0
-		if p.overSince == 0 {
-			p.overSince = now
-		}
-		if now-p.overSince >= overBeforePace {
-			c.relieve(serving, fills)
-		}
-	case worst < calmShare:
+	over := slices.ContainsFunc(serving, func(r *run) bool { return r.missesTarget() })
+	if !over {
 		p.overSince = 0
-		if p.calmSince == 0 {
-			p.calmSince = now
-		}
-		if now-p.calmSince >= calmBeforeRaise {
-			p.calmSince = now
-			c.raise(serving, fills)
+	} else if p.overSince == 0 {
+		p.overSince = now
+	}
+	switch {
+	case now-p.pacedAt < figureSpan:
+		// The figures do not show the last change yet.
+	case over && now-p.overSince >= overBeforeHold:
+		for _, r := range fills {
+			c.slowDown(r, 0)
 		}
-	default:
-		p.overSince, p.calmSince = 0, 0
+	case over && now-p.overSince >= overBeforePace:
+		c.relieve(serving, fills)
+	case !over:
+		c.raise(serving, fills)
 	}
 	for _, r := range fills {
 		c.setPace(r, r.pacedWant) // again, if the last order had no answer
 	}
 }
 
-// contribution is by how much a run raises the tail of a serving run, in ms.
-func (c *Cell) contribution(serving, filling *run) float64 {
-	return c.disturbance.slope(serving.task.of.step.Image, filling.task.of.step.Image, serving.target()) * filling.share()
+func (r *run) missesTarget() bool {
+	return r.percent >= fullPace && float64(r.figure) > r.target()
+}
+
+// pressureOn is the load that a filling run adds to a serving one at a share of
+// the server.
+func (c *Cell) pressureOn(serving, filling *run, share float64) float64 {
+	return c.disturbance.pressure(serving.image, filling.image) * share
 }
 
-// relieve slows the runs that raise the tails most until every target is kept
-// by the estimates, or moves them where they disturb nobody.
+// relieve slows the runs that press most until every target is kept by the
+// estimates, or moves them where they disturb nobody.
 func (c *Cell) relieve(serving, fills []*run) {
 	for _, s := range serving {
-		over := float64(s.figure) - keepShare*s.target()
-		if float64(s.figure) <= s.target() || s.percent < fullPace {
+		if !s.missesTarget() {
 			continue
 		}
+		over := c.disturbance.load(s.image, s.target(), float64(s.figure)) - s.limit
 		byHarm := slices.Clone(fills)
-		slices.SortStableFunc(byHarm, func(a, b *run) int { return cmp.Compare(c.contribution(s, b), c.contribution(s, a)) })
-		for _, f := range byHarm {
-			if over <= 0 {
-				break
-			}
-			part := c.contribution(s, f)
-			if part <= 0 && f != byHarm[0] {
+		slices.SortStableFunc(byHarm, func(a, b *run) int {
+			return cmp.Compare(c.pressureOn(s, b, b.share()), c.pressureOn(s, a, a.share()))
+		})
+		for i, f := range byHarm {
+			part := c.pressureOn(s, f, f.share())
+			if over <= 0 || part <= 0 && i > 0 {
 				break
 			}
 			keep := 0.0
@@ -188,7 +199,7 @@
 	if want < paceFloor {
 		want = 0
 	}
-	if want < fullPace/2 && c.moveAway(r) {
+	if want < movePace && c.moveAway(r) {
 		return
 	}
 	c.setPace(r, want)
@@ -197,48 +208,73 @@
 // moveAway stops a run that can resume elsewhere, where it disturbs nobody.
 func (c *Cell) moveAway(r *run) bool {
 	t := r.task
-	if !t.of.step.Checkpoints || t.of.step.Gang || t.saved == "" {
+	if !t.of.step.Checkpoints || t.of.step.Gang || t.moves >= maxMoves {
 		return false
 	}
 	w := c.choose(t)
 	if w == nil || w == r.worker || c.cost(w, t) >= costDisturbs {
 		return false
 	}
+	t.moves++
 	c.stopRun(r, "disturbs")
 	return true
 }
 
-// raise lets paced runs work faster while the targets stay kept by the
-// estimates, those that disturb least first.
+// raise lets paced runs work as fast as the targets allow by the estimates,
+// those that press least first, and moves one that has been held for long.
 func (c *Cell) raise(serving, fills []*run) {
 	paced := slices.DeleteFunc(slices.Clone(fills), func(r *run) bool { return r.pacedWant >= fullPace })
-	slices.SortStableFunc(paced, func(a, b *run) int { return cmp.Compare(c.harmAt(serving, a, 1), c.harmAt(serving, b, 1)) })
+	slices.SortStableFunc(paced, func(a, b *run) int {
+		return cmp.Compare(c.worstPressure(serving, a), c.worstPressure(serving, b))
+	})
 	for _, r := range paced {
-		next := min(fullPace, r.pacedWant+paceRaise)
-		more := float64(next-r.pacedWant) / fullPace * float64(r.need.MilliCPU) / float64(max(1, r.worker.server.Capacity.MilliCPU))
-		if c.harmAt(serving, r, more) > 1 {
-			continue
+		room := c.roomFor(serving, r)
+		next := min(fullPace, r.pacedWant+int(fullPace*room/max(r.fullShare(), minShare)))
+		if next >= paceFloor && next > r.pacedWant {
+			c.setPace(r, next)
+			return
+		}
+		if c.now.Steady-r.pacedAt > heldFor && r.pacedWant == 0 && c.moveAway(r) {
+			return
 		}
-		c.setPace(r, next)
-		return
 	}
 }
 
-// harmAt returns the largest share of keepShare of its target that a serving
-// run reaches when a filling run takes a further share of the server.
-func (c *Cell) harmAt(serving []*run, filling *run, more float64) float64 {
-	return c.harmOf(serving, filling.task.of.step.Image, more)
-}
-
-func (c *Cell) harmOf(serving []*run, image string, more float64) float64 {
+func (c *Cell) worstPressure(serving []*run, filling *run) float64 {
 	worst := 0.0
 	for _, s := range serving {
-		tail := float64(s.figure) + c.disturbance.slope(s.task.of.step.Image, image, s.target())*more
-		worst = max(worst, tail/(keepShare*s.target()))
+		worst = max(worst, c.pressureOn(s, filling, 1))
 	}
 	return worst
 }
 
+// roomFor is the further share of the server that a filling run may use while
+// every target stays kept.
+func (c *Cell) roomFor(serving []*run, filling *run) float64 {
+	room := 1.0
+	for _, s := range serving {
+		left := s.limit - c.disturbance.load(s.image, s.target(), float64(s.figure))
+		room = min(room, left/max(c.pressureOn(s, filling, 1), 0.01))
+	}
+	return max(0, room)
+}
+
+// harmed returns how many of the serving tasks on a worker would newly miss
+// their target beside a further filling task, and the largest load over the
+// limit that one of them would reach.
+func (c *Cell) harmed(w *worker, image imageID, more float64) (count int, worst float64) {
+	c.survey(w)
+	worst = -1
+	for _, s := range w.serving {
+		after := (s.served.ownLoad()+s.served.peakLoad())/2 + s.pressed + c.disturbance.pressure(s.image, image)*more
+		worst = max(worst, after-s.limit)
+		if after > s.limit {
+			count++
+		}
+	}
+	return count, worst
+}
+
 // setPace orders a pace unless it is in force.
 func (c *Cell) setPace(r *run, want int) {
 	if !c.authority || r.state != runConfirmed || want == r.pacedWant && r.paced == want {
@@ -246,7 +282,8 @@
 	}
 	if want != r.pacedWant {
 		c.do(Note{Event: NotePaced, Job: r.key.task.Job, Task: r.key.task.String(), Server: r.worker.server.ID, Detail: map[string]any{"percent": want, "before": r.pacedWant}})
-		r.worker.pacing.changedAt = c.now.Steady
+		r.worker.pacing.changedAt, r.worker.pacing.pacedAt, r.pacedAt = c.now.Steady, c.now.Steady, c.now.Steady
+		r.worker.unsurveyed = true
 	}
 	r.pacedWant = want
 	c.do(Pace{Server: r.worker.server.ID, Address: r.worker.server.Address, Task: r.key.task, Attempt: r.key.attempt, Percent: want})
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -230,7 +230,7 @@
 		return
 	}
 	for _, op := range p.Occurrences {
-		o := newOccurrence(j, op.Number)
+		o := c.newOccurrence(j, op.Number)
 		for _, tp := range op.Tasks {
 			if tp.Step >= len(o.steps) || tp.Index >= len(o.steps[tp.Step].tasks) {
 				continue
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -33,7 +33,12 @@
 	figure    int
 	paced     int // share of its speed, in percent
 	pacedWant int
-	reason    string // why it is being stopped
+	pacedAt   time.Duration
+	image     imageID
+	served    served  // of a task with a target
+	pressed   float64 // load that the fills beside it add
+	limit     float64 // load at which it misses its target, less a margin
+	reason    string  // why it is being stopped
 	stopSent  time.Duration
 	stopped   bool          // the worker has acknowledged the stop
 	stoppedAt time.Duration // when it did
@@ -47,9 +52,10 @@
 func (c *Cell) addRun(t *task, w *worker, attempt int, state runState) *run {
 	r := &run{
 		key: runKey{task: t.ref(), attempt: attempt}, task: t, worker: w, need: t.of.step.Need, fills: t.of.step.Fills,
-		state: state, orderedAt: c.now.Steady, movedAt: c.now.Steady, paced: fullPace, pacedWant: fullPace,
+		state: state, image: t.of.image, orderedAt: c.now.Steady, movedAt: c.now.Steady, paced: fullPace, pacedWant: fullPace,
 	}
 	w.runs[r.key] = r
+	w.list = append(w.list, r)
 	w.take(r, 1)
 	w.changed(r, c.now.Steady)
 	t.runs = append(t.runs, r)
@@ -72,14 +78,18 @@
 }
 
 // changed notes that what the tasks with a target on the worker live beside is
-// not the same any more, and keeps the number of those tasks.
+// not the same any more.
 func (w *worker) changed(r *run, now time.Duration) {
+	w.unsurveyed = true
 	if r.fills {
 		w.pacing.changedAt = now
 	}
+	if !r.serves() {
+		return
+	}
 	w.pacing.serving = 0
-	for _, other := range w.runs {
-		if other.task.of.step.Lasting && other.task.of.step.Target > 0 {
+	for _, other := range w.list {
+		if other.serves() {
 			w.pacing.serving++
 		}
 	}
@@ -87,6 +97,7 @@
 
 func (c *Cell) removeRun(r *run) {
 	delete(r.worker.runs, r.key)
+	r.worker.list = slices.DeleteFunc(r.worker.list, func(other *run) bool { return other == r })
 	r.worker.take(r, -1)
 	r.worker.changed(r, c.now.Steady)
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
@@ -182,6 +193,7 @@
 		r.state = runStopping
 	}
 	r.reason = reason
+	r.worker.unsurveyed = true
 	c.do(Note{Event: NoteStop, Job: r.key.task.Job, Task: r.key.task.String(), Server: r.worker.server.ID, Detail: map[string]any{
 		"attempt": r.key.attempt, "reason": reason, "percent": r.percent,
 	}})
@@ -199,7 +211,7 @@
 	if !c.authority {
 		return
 	}
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if (r.state == runStopping || r.state == runUnsettled) && !r.stopped && c.now.Steady-r.stopSent >= stopRepeat {
 			c.sendStop(r)
 		}
@@ -348,7 +360,7 @@
 		}
 		c.refresh(r, row)
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range slices.Clone(w.list) {
 		if !listed[r.key] {
 			c.unlisted(r, e.Sent)
 		}
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -133,7 +133,7 @@
 // countOf returns the runs of a step on the worker.
 func (w *worker) countOf(s *stepState) int {
 	count := 0
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.task.of == s {
 			count++
 		}
@@ -145,12 +145,12 @@
 // to put the reasons in order: a server under suspicion last, then one where
 // the task would disturb or be slow, then by room.
 const (
-	costSuspect   = 1000.0
-	costAvoid     = 500.0
-	costDisturbs  = 200.0
-	costRemote    = 100.0
-	costPerRun    = 0.01
-	milliCPUPerCo = 1000.0
+	costSuspect     = 5000.0
+	costAvoid       = 2500.0
+	costDisturbs    = 250.0
+	costRemote      = 100.0
+	costPerRun      = 0.01
+	milliCPUPerCore = 1000.0
 )
 
 // cost rates a worker for a task; the lowest is the best.
@@ -166,18 +166,15 @@
 	if s.SameRack {
 		cost += costRemote * float64(c.outsideRack(t.of, w.server.Rack()))
 	}
-	room := float64(w.server.Capacity.MilliCPU-w.used.MilliCPU) / milliCPUPerCo
-	fills := float64(w.fillCPU) / milliCPUPerCo
+	room := float64(w.server.Capacity.MilliCPU-w.used.MilliCPU) / milliCPUPerCore
+	fills := float64(w.fillCPU) / milliCPUPerCore
 	serving := w.pacing.serving
 	switch {
 	case s.Lasting:
 		// Packed, so that other servers stay free of tasks with a target.
 		cost += room + fills*2
 	case s.Fills:
-		cost += fills - room
-		if serving > 0 {
-			cost += c.disturbs(w, s)
-		}
+		cost += c.costOfFill(w, t.of)
 	default:
 		// Beside tasks that last there is room that nothing else should take.
 		if serving == 0 {
@@ -188,18 +185,37 @@
 	return cost + costPerRun*float64(len(w.runs))
 }
 
-// costServing keeps a server without serving tasks for images that disturb: it
-// is more than the room of a server, in cores.
-const costServing = 20.0
+const (
+	// costCrowded is the cost of a server that is full of fills. Beside it,
+	// costServing makes fills take the servers without serving tasks first, and
+	// leaves the second half of those to images that disturb.
+	costCrowded = 60.0
+	costServing = 30.0
+	// costStarved is the cost for each core that a fill would not get.
+	costStarved = 4.0
+	// lastingUse is the share of its need that a serving task uses at most of
+	// the time; the rest is left for what fills.
+	lastingUse = 0.65
+)
 
-// disturbs is the cost of a filling task beside those that serve.
-func (c *Cell) disturbs(w *worker, s *job.Step) float64 {
-	more := float64(s.Need.MilliCPU) / float64(max(1, w.server.Capacity.MilliCPU))
-	harm := c.harmOf(w.servingRuns(), s.Image, more)
-	if harm <= 1 {
-		return costServing * (harm - 1)
+// costOfFill is the cost of a filling task on a worker: where it makes serving
+// tasks miss their targets it is worst.
+func (c *Cell) costOfFill(w *worker, s *stepState) float64 {
+	need := float64(s.step.Need.MilliCPU)
+	capacity := float64(max(1, w.server.Capacity.MilliCPU))
+	left := capacity - lastingUse*float64(w.used.MilliCPU) - float64(w.fillCPU) - need
+	cost := costCrowded * float64(w.fillCPU) / capacity
+	if left < 0 {
+		cost -= costStarved * left / milliCPUPerCore
+	}
+	if w.pacing.serving == 0 {
+		return cost
+	}
+	count, worst := c.harmed(w, s.image, need/capacity)
+	if count == 0 {
+		return cost + costServing*(2+worst)
 	}
-	return costDisturbs * harm
+	return cost + costDisturbs*(1+float64(count)+worst)
 }
 
 // outsideRack returns how many runs of a step are outside a rack.
@@ -217,7 +233,7 @@
 
 // vacate moves lasting tasks away from a server that leaves.
 func (c *Cell) vacate(w *worker) {
-	for _, r := range w.sortedRuns() {
+	for _, r := range slices.Clone(w.list) {
 		if r.state != runConfirmed || !r.task.of.step.Lasting {
 			continue
 		}
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -35,6 +35,12 @@
 	used     fleet.Resources
 	fillCPU  int64
 	runs     map[runKey]*run
+	list     []*run // the same, in the order in which they were added
+	// serving and fills are the confirmed runs with a target and those that
+	// fill; unsurveyed means that they have to be looked up again.
+	serving    []*run
+	fills      []*run
+	unsurveyed bool
 	// orphans is the room of listed runs that belong to no task; they are being
 	// stopped. unknownOrphan means that the need of one is not known.
 	orphans       fleet.Resources
@@ -136,7 +142,7 @@
 	w.sample, w.granted = clockSample{}, 0
 	w.seen, w.recorded, w.lastList = 0, 0, 0
 	w.holdAt = 0
-	for _, r := range w.sortedRuns() {
+	for _, r := range slices.Clone(w.list) {
 		if r.state == runOrdered || r.state == runUnsettled {
 			r.state, r.stopped = runUnsettled, false
 			c.sendStop(r)
@@ -273,7 +279,7 @@
 // life is over, and orders that name it are refused there.
 func (c *Cell) replaced(w *worker) {
 	w.oldUntil = 0
-	for _, r := range w.sortedRuns() {
+	for _, r := range slices.Clone(w.list) {
 		c.runEnded(r, job.EndLost, "")
 	}
 	c.checkBlocked()
@@ -338,7 +344,7 @@
 	c.do(Note{Event: NoteWorkerLapsed, Server: w.server.ID, Detail: map[string]any{
 		"runs": len(w.runs), "silent_ms": (c.now.Steady - w.silentAt).Milliseconds(),
 	}})
-	for _, r := range w.sortedRuns() {
+	for _, r := range slices.Clone(w.list) {
 		c.runEnded(r, job.EndLapsed, "")
 	}
 	c.needsOrder = true
@@ -359,19 +365,3 @@
 	c.needsOrder = true
 	c.do(Note{Event: NoteUnblocked, Detail: map[string]any{"workers": len(c.order)}})
 }
-
-// sortedRuns returns the runs in the order of their tasks, so that decisions do
-// not depend on map order.
-func (w *worker) sortedRuns() []*run {
-	list := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		list = append(list, r)
-	}
-	slices.SortFunc(list, func(a, b *run) int {
-		if a.key.task != b.key.task {
-			return strings.Compare(a.key.task.String(), b.key.task.String())
-		}
-		return a.key.attempt - b.key.attempt
-	})
-	return list
-}
