--- a/decision/cell/gang.go
+++ b/decision/cell/gang.go
@@ -40,7 +40,7 @@
 		}
 	}()
 	for _, t := range s.tasks {
-		w := c.choose(t)
+		w, _ := c.choose(t) // the cost only orders the workers
 		if w == nil {
 			return nil
 		}
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -46,7 +46,9 @@
 	waiting []int // indexes of tasks without a run that may start
 	done    int
 	opened  bool
-	queued  bool // among the ready steps of the cell
+	// openedAt is when the tasks of the step could first start.
+	openedAt time.Duration
+	queued   bool // among the ready steps of the cell
 }
 
 type task struct {
@@ -290,7 +292,7 @@
 	if s.opened {
 		return
 	}
-	s.opened = true
+	s.opened, s.openedAt = true, c.now.Steady
 	for _, t := range s.tasks {
 		if !t.done && len(t.runs) == 0 {
 			s.waiting = append(s.waiting, t.index)
--- a/decision/cell/pace.go
+++ b/decision/cell/pace.go
@@ -13,7 +13,6 @@
 type pacing struct {
 	serving   int  // runs with a target, confirmed or not
 	watched   bool // some task there has a target and some fills
-	changedAt time.Duration
 	overSince time.Duration
 	pacedAt   time.Duration // last change of a pace
 }
@@ -96,17 +95,28 @@
 		return
 	}
 	c.learn(w, serving, fills)
+	if !slices.ContainsFunc(serving, (*run).missesTarget) {
+		w.pacing.overSince = 0
+	} else if w.pacing.overSince == 0 {
+		w.pacing.overSince = c.now.Steady
+	}
 	if len(fills) > 0 {
 		c.paceBy(w, serving, fills)
 	}
 }
 
-// learn takes in the figures when nothing has changed while they were made.
+// learn takes in the figures of a list. The use of the filling runs covers the
+// same time as the tails, so that a run that has just begun shows little yet;
+// one that has just ended is added for as long as it is in the tails.
 func (c *Cell) learn(w *worker, serving, fills []*run) {
-	if c.now.Steady-w.pacing.changedAt < figureSpan {
-		return
+	shares := make([]imageShare, 0, len(fills)+len(w.faded))
+	for _, r := range fills {
+		shares = addShare(shares, r.image, r.share())
+	}
+	w.faded = slices.DeleteFunc(w.faded, func(f fadedFill) bool { return c.now.Steady-f.at >= figureSpan })
+	for _, f := range w.faded {
+		shares = addShare(shares, f.image, f.share*(1-float64(c.now.Steady-f.at)/float64(figureSpan)))
 	}
-	shares := sharesOf(fills)
 	for _, r := range serving {
 		if r.percent >= fullPace && r.figure > 0 {
 			c.disturbance.observe(c.now.Steady, r.image, r.target(), float64(r.figure), &r.served, shares)
@@ -114,28 +124,27 @@
 	}
 }
 
-// sharesOf sums the shares of the runs by image.
-func sharesOf(fills []*run) []imageShare {
-	var shares []imageShare
-	for _, r := range fills {
-		at := slices.IndexFunc(shares, func(s imageShare) bool { return s.image == r.image })
-		if at < 0 {
-			shares = append(shares, imageShare{image: r.image})
-			at = len(shares) - 1
+// fadedFill is a filling run that has ended.
+type fadedFill struct {
+	image imageID
+	share float64
+	at    time.Duration
+}
+
+// addShare adds a run's share to that of its image.
+func addShare(shares []imageShare, image imageID, share float64) []imageShare {
+	for i := range shares {
+		if shares[i].image == image {
+			shares[i].share += share
+			return shares
 		}
-		shares[at].share += r.share()
 	}
-	return shares
+	return append(shares, imageShare{image: image, share: share})
 }
 
 func (c *Cell) paceBy(w *worker, serving, fills []*run) {
 	now, p := c.now.Steady, &w.pacing
-	over := slices.ContainsFunc(serving, func(r *run) bool { return r.missesTarget() })
-	if !over {
-		p.overSince = 0
-	} else if p.overSince == 0 {
-		p.overSince = now
-	}
+	over := p.overSince > 0
 	switch {
 	case now-p.pacedAt < figureSpan:
 		// The figures do not show the last change yet.
@@ -211,8 +220,8 @@
 	if !t.of.step.Checkpoints || t.of.step.Gang || t.moves >= maxMoves {
 		return false
 	}
-	w := c.choose(t)
-	if w == nil || w == r.worker || c.cost(w, t) >= costDisturbs {
+	w, cost := c.choose(t)
+	if w == nil || w == r.worker || cost >= costDisturbs {
 		return false
 	}
 	t.moves++
@@ -259,20 +268,26 @@
 	return max(0, room)
 }
 
-// harmed returns how many of the serving tasks on a worker would newly miss
-// their target beside a further filling task, and the largest load over the
-// limit that one of them would reach.
-func (c *Cell) harmed(w *worker, image imageID, more float64) (count int, worst float64) {
+// harm is what a further filling task would do to the serving tasks on a worker.
+type harm struct {
+	count int     // tasks that would miss their target
+	worst float64 // largest load over the limit, negative below it
+	mean  float64 // load that it adds on average
+}
+
+func (c *Cell) harmBy(w *worker, image imageID, share float64) harm {
 	c.survey(w)
-	worst = -1
+	h := harm{worst: -1}
 	for _, s := range w.serving {
-		after := (s.served.ownLoad()+s.served.peakLoad())/2 + s.pressed + c.disturbance.pressure(s.image, image)*more
-		worst = max(worst, after-s.limit)
+		added := c.disturbance.pressure(s.image, image) * share
+		after := (s.served.ownLoad()+s.served.peakLoad())/2 + s.pressed + added
+		h.worst = max(h.worst, after-s.limit)
+		h.mean += added / float64(len(w.serving))
 		if after > s.limit {
-			count++
+			h.count++
 		}
 	}
-	return count, worst
+	return h
 }
 
 // setPace orders a pace unless it is in force.
@@ -282,7 +297,7 @@
 	}
 	if want != r.pacedWant {
 		c.do(Note{Event: NotePaced, Job: r.key.task.Job, Task: r.key.task.String(), Server: r.worker.server.ID, Detail: map[string]any{"percent": want, "before": r.pacedWant}})
-		r.worker.pacing.changedAt, r.worker.pacing.pacedAt, r.pacedAt = c.now.Steady, c.now.Steady, c.now.Steady
+		r.worker.pacing.pacedAt, r.pacedAt = c.now.Steady, c.now.Steady
 		r.worker.unsurveyed = true
 	}
 	r.pacedWant = want
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -57,7 +57,7 @@
 	w.runs[r.key] = r
 	w.list = append(w.list, r)
 	w.take(r, 1)
-	w.changed(r, c.now.Steady)
+	w.changed(r)
 	t.runs = append(t.runs, r)
 	t.attempt = max(t.attempt, attempt)
 	return r
@@ -79,11 +79,8 @@
 
 // changed notes that what the tasks with a target on the worker live beside is
 // not the same any more.
-func (w *worker) changed(r *run, now time.Duration) {
+func (w *worker) changed(r *run) {
 	w.unsurveyed = true
-	if r.fills {
-		w.pacing.changedAt = now
-	}
 	if !r.serves() {
 		return
 	}
@@ -99,7 +96,10 @@
 	delete(r.worker.runs, r.key)
 	r.worker.list = slices.DeleteFunc(r.worker.list, func(other *run) bool { return other == r })
 	r.worker.take(r, -1)
-	r.worker.changed(r, c.now.Steady)
+	r.worker.changed(r)
+	if r.fills {
+		r.worker.faded = append(r.worker.faded, fadedFill{image: r.image, share: r.share(), at: c.now.Steady})
+	}
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
 	c.needsOrder = true
 }
@@ -166,7 +166,7 @@
 
 func (c *Cell) confirm(r *run) {
 	r.state, r.confirmed, r.movedAt = runConfirmed, c.now.Steady, c.now.Steady
-	r.worker.changed(r, c.now.Steady)
+	r.worker.changed(r)
 	j := r.task.of.of.job
 	if !j.everStarted {
 		j.everStarted = true
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -77,7 +77,10 @@
 		if c.now.Steady < t.notBefore {
 			continue
 		}
-		w := c.choose(t)
+		w, cost := c.choose(t)
+		if w != nil && s.step.Fills && cost >= costDisturbs && c.now.Steady-c.waitingSince(t) < harmlessWait {
+			return // it would cost those it disturbs more than its delay costs
+		}
 		if w == nil {
 			if len(t.avoid) > 0 {
 				continue
@@ -90,9 +93,7 @@
 }
 
 // choose returns the best worker for a task, or nil when none has room.
-func (c *Cell) choose(t *task) *worker {
-	var best *worker
-	var bestCost float64
+func (c *Cell) choose(t *task) (best *worker, bestCost float64) {
 	service := c.queueOf(t.of.of.job).Service
 	for _, w := range c.order {
 		if w.server.Service != service || !c.fits(w, t) {
@@ -102,9 +103,17 @@
 			best, bestCost = w, cost
 		}
 	}
-	return best
+	return best, bestCost
 }
 
+// harmlessWait is how long a filling task waits for a server where it disturbs
+// nobody. A serving task that misses its target costs several times what the
+// delay of a filling one does.
+const harmlessWait = 10 * time.Second
+
+// waitingSince is when a task began to wait for its present run.
+func (c *Cell) waitingSince(t *task) time.Duration { return max(t.of.openedAt, t.lostAt) }
+
 // fits reports whether a task may run on a worker and has room there.
 func (c *Cell) fits(w *worker, t *task) bool {
 	s := t.of.step
@@ -113,6 +122,9 @@
 	}
 	need := s.Need
 	if s.Fills {
+		if w.pacing.overSince > 0 {
+			return false // a serving task there misses its target already
+		}
 		need.MilliCPU = 0
 	}
 	need.Slots = 0
@@ -172,7 +184,7 @@
 	switch {
 	case s.Lasting:
 		// Packed, so that other servers stay free of tasks with a target.
-		cost += room + fills*2
+		cost += room + fills*2 + costMixed*float64(w.mixed(t.of.image))
 	case s.Fills:
 		cost += c.costOfFill(w, t.of)
 	default:
@@ -191,6 +203,12 @@
 	// leaves the second half of those to images that disturb.
 	costCrowded = 60.0
 	costServing = 30.0
+	// costPressure is the cost of the load that the serving tasks get on
+	// average: each image of fills is best beside those that bear it best.
+	costPressure = 200.0
+	// costMixed is the cost of each serving task of another image: beside tasks
+	// of one image there are more fills that all of them bear.
+	costMixed = 0.3
 	// costStarved is the cost for each core that a fill would not get.
 	costStarved = 4.0
 	// lastingUse is the share of its need that a serving task uses at most of
@@ -211,11 +229,22 @@
 	if w.pacing.serving == 0 {
 		return cost
 	}
-	count, worst := c.harmed(w, s.image, need/capacity)
-	if count == 0 {
-		return cost + costServing*(2+worst)
+	h := c.harmBy(w, s.image, need/capacity)
+	if h.count == 0 {
+		return cost + costServing*(1.5+h.worst/2) + costPressure*h.mean
+	}
+	return cost + costDisturbs*(1+float64(h.count)+h.worst)
+}
+
+// mixed returns the number of serving tasks of other images on the worker.
+func (w *worker) mixed(image imageID) int {
+	count := 0
+	for _, r := range w.list {
+		if r.serves() && r.image != image {
+			count++
+		}
 	}
-	return cost + costDisturbs*(1+float64(count)+worst)
+	return count
 }
 
 // outsideRack returns how many runs of a step are outside a rack.
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -41,6 +41,7 @@
 	serving    []*run
 	fills      []*run
 	unsurveyed bool
+	faded      []fadedFill // fills whose ends the figures still cover
 	// orphans is the room of listed runs that belong to no task; they are being
 	// stopped. unknownOrphan means that the need of one is not known.
 	orphans       fleet.Resources
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -29,6 +29,9 @@
 	changeCapacity = 16
 	// tickEvery is the resolution of holds, lapses and due times.
 	tickEvery = 50 * time.Millisecond
+	// publishTicks is the number of ticks between two statuses; counts of
+	// pending jobs may be two seconds old.
+	publishTicks = 4
 	// aliveEvery is how often an idle holder shows in the store that it lives;
 	// the others wait several times as long before they take over.
 	aliveEvery = 300 * time.Millisecond
@@ -110,6 +113,7 @@
 	confirmedAt time.Duration
 	authority   bool
 	configured  bool
+	ticks       int
 }
 
 // New returns the duty.
@@ -321,7 +325,9 @@
 	}
 	d.checkAuthority()
 	d.handle(cell.Tick{})
-	d.publish()
+	if r.ticks++; r.ticks%publishTicks == 0 {
+		d.publish()
+	}
 }
 
 // storeSilent is for how long the append in progress has had no answer.
--- a/scheduler/peers/peers.go
+++ b/scheduler/peers/peers.go
@@ -59,6 +59,8 @@
 	Configurations *message.ConfigurationRing
 	// Status is the state of a local holder.
 	Status *supervise.Ring[holder.Status]
+	// OwnStatus is the same, for the router.
+	OwnStatus *supervise.Ring[holder.Status]
 	// StoreSilent is for how long the store has not answered this instance.
 	StoreSilent *supervise.Ring[time.Duration]
 	// Members are the instances to announce to.
@@ -91,6 +93,7 @@
 		Holders:        supervise.NewRing[message.Holder]("peers.holders", 1, supervise.DropOldest),
 		Configurations: message.NewConfigurationRing("peers.configurations"),
 		Status:         supervise.NewRing[holder.Status]("peers.status", 1, supervise.DropOldest),
+		OwnStatus:      supervise.NewRing[holder.Status]("peers.own-status", 1, supervise.DropOldest),
 		StoreSilent:    supervise.NewRing[time.Duration]("peers.store-silent", 1, supervise.DropOldest),
 		Members:        supervise.NewRing[[]cellrecord.Member]("peers.members", 1, supervise.DropOldest),
 		Handover:       supervise.NewRing[struct{}]("peers.handover", 1, supervise.DropOldest),
@@ -124,7 +127,7 @@
 	s.tree.Start(supervise.Duty{Name: "listener", Run: s.serve})
 	s.tree.Start(supervise.Duty{
 		Name:  "router",
-		Rings: []supervise.Measured{r.Asks, r.Counts, r.Holders, r.Configurations, r.StoreSilent},
+		Rings: []supervise.Measured{r.Asks, r.Counts, r.Holders, r.Configurations, r.StoreSilent, r.OwnStatus},
 		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 			return newRouter(s).run(ctx, dumps)
 		},
--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -74,6 +74,10 @@
 			r.holderChanged(ctx)
 		case r.configuration = <-rings.Configurations.Items():
 		case r.storeSilent = <-rings.StoreSilent.Items():
+		case status := <-rings.OwnStatus.Items():
+			if status.Holds {
+				r.counts = status.Pending
+			}
 		case <-ticker.C:
 			r.beat(ctx)
 		case request := <-dumps:
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -78,7 +78,7 @@
 	p.Holder.Orders, p.Holder.Holds = calls.Orders, calls.Holds
 	p.Holder.Appends, p.Holder.ServersWanted = writer.Appends, servers.Wanted
 	p.Holder.Superseded = p.Election.Superseded
-	p.Holder.Statuses = []*supervise.Ring[holder.Status]{p.PeerRings.Status}
+	p.Holder.Statuses = []*supervise.Ring[holder.Status]{p.PeerRings.Status, p.PeerRings.OwnStatus}
 
 	p.Election.Elected = p.Holder.Elected
 	p.Election.Holders = []*supervise.Ring[message.Holder]{p.PeerRings.Holders}
