Check the attempts of a task before each start

Ruled out: a lost record (both recorded failures were restored). The limit is now also checked before a start.

--- a/decision/cell/gang.go
+++ b/decision/cell/gang.go
@@ -8,6 +8,9 @@
 	if len(s.waiting) < len(s.tasks) {
 		return // members of an earlier run have not ended yet
 	}
+	if c.failIfSpent(s.tasks[0]) {
+		return
+	}
 	attempt := 0
 	for _, t := range s.tasks {
 		if c.now.Steady < t.notBefore {
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -325,10 +325,7 @@
 
 // countFailure counts a failed end and reports whether it ended the job.
 func (c *Cell) countFailure(t *task, w *worker, attempt int) bool {
-	counter := t
-	if t.of.step.Gang {
-		counter = t.of.tasks[0] // a gang fails as a whole
-	}
+	counter := t.failureCounter()
 	if !slices.Contains(counter.failed, attempt) {
 		counter.failed = append(counter.failed, attempt)
 	}
@@ -336,8 +333,24 @@
 	if len(t.avoid) > maxAvoided {
 		t.avoid = t.avoid[1:]
 	}
+	return c.failIfSpent(t)
+}
+
+// failureCounter is the task that keeps the failed attempts: a gang fails as a
+// whole.
+func (t *task) failureCounter() *task {
+	if t.of.step.Gang {
+		return t.of.tasks[0]
+	}
+	return t
+}
+
+// failIfSpent ends the job of a task that has used up its attempts. The limit
+// is checked before each start too: a holder may learn of failures before it
+// knows the configuration.
+func (c *Cell) failIfSpent(t *task) bool {
 	limit := c.queueOf(t.of.of.job).MaxAttempts
-	if t.of.step.Lasting || limit <= 0 || len(counter.failed) < limit {
+	if t.of.step.Lasting || limit <= 0 || len(t.failureCounter().failed) < limit {
 		return false
 	}
 	c.failJob(t.of.of.job)
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -77,6 +77,9 @@
 		if c.now.Steady < t.notBefore {
 			continue
 		}
+		if c.failIfSpent(t) {
+			return
+		}
 		w, cost := c.choose(t)
 		if w != nil && s.step.Fills && cost >= costDisturbs && c.now.Steady-c.waitingSince(t) < harmlessWait {
 			return // it would cost those it disturbs more than its delay costs
