--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -200,13 +201,11 @@
 			w.stored, w.oldUntil = true, oldUntil
 		}
 	}
-	for id, p := range progress {
-		if j := c.jobs[id]; j != nil {
-			c.restoreProgress(j, p)
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if p := progress[id]; p != nil {
+			c.restoreProgress(c.jobs[id], p)
 		}
-	}
-	for _, j := range c.jobs {
-		c.reopen(j)
+		c.reopen(c.jobs[id])
 	}
 	c.blocked = len(c.order) > 0 || len(c.jobs) > 0
 	c.do(Note{Event: NoteRestored, Detail: map[string]any{"jobs": len(c.jobs), "workers": len(c.order), "round": c.round}})
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -167,10 +167,11 @@
 func (c *Cell) confirm(r *run) {
 	r.state, r.confirmed, r.movedAt = runConfirmed, c.now.Steady, c.now.Steady
 	r.worker.changed(r)
-	j := r.task.of.of.job
-	if !j.everStarted {
-		j.everStarted = true
+	if w := r.worker; (r.fills && w.pacing.serving > 0 || r.serves() && w.fillCPU > 0) && w.lookAt == 0 {
+		w.lookAt = c.now.Steady + figureSpan + lapseMargin // the first figures that show it
 	}
+	j := r.task.of.of.job
+	j.everStarted = true
 	if j.ended || r.task.done && len(r.task.runs) > 0 {
 		c.stopRun(r, "task_over")
 	}
