--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -145,8 +145,9 @@
 	for _, w := range b.servers {
 		w.stored = true
 	}
-	for w, cursor := range b.cursors {
-		if w.born != cursor.born || cursor.seen <= w.recorded {
+	for _, w := range c.order {
+		cursor, ok := b.cursors[w]
+		if !ok || w.born != cursor.born || cursor.seen <= w.recorded {
 			continue
 		}
 		w.recorded = cursor.seen
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -140,8 +140,10 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case ask := <-d.rings.Asks.Items():
+			d.checkAuthority()
 			d.ask(ask)
 		case e := <-d.rings.Events.Items():
+			d.checkAuthority()
 			d.workerEvent(e)
 		case committed := <-d.rings.Commits.Items():
 			d.committed(committed)
@@ -306,6 +308,9 @@
 
 func (d *Duty) checkAuthority() {
 	r := d.role
+	if r == nil {
+		return
+	}
 	held := d.clock.Steady()-r.confirmedAt < confirmedFor
 	if held == r.authority {
 		return
@@ -320,6 +325,10 @@
 	if r == nil {
 		return
 	}
+	if slept := d.clock.Suspended(); slept > 0 {
+		d.log.Event("instance_was_suspended", "slept_ms", slept.Milliseconds())
+		r.confirmedAt -= confirmedFor // until the store or a peer confirms it again
+	}
 	if silent := d.storeSilent(); silent > 0 {
 		d.handle(cell.StoreHealth{Waiting: silent})
 	}
