--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -60,6 +60,10 @@
 // takes over does not know which attempts its predecessor used.
 const attemptsPerRound = 1000
 
+// learntEvery spaces the records of what was learnt of the images. They are a
+// kilobyte, and a holder that has lost some seconds of it learns on.
+const learntEvery = 3 * time.Second
+
 // Cell is the state of one cell. Only one goroutine may use it.
 type Cell struct {
 	settings Settings
@@ -74,6 +78,7 @@
 	ready   []*stepState
 
 	disturbance *disturbance
+	learntAt    time.Duration // last record of what was learnt
 
 	authority  bool
 	listRead   bool
@@ -164,6 +169,10 @@
 	}
 	c.removeGone()
 	c.checkBlocked()
+	if c.disturbance.changed && c.now.Steady-c.learntAt >= learntEvery {
+		c.learntAt, c.disturbance.changed = c.now.Steady, false
+		c.gathering.learnt = true
+	}
 	for _, j := range c.jobs {
 		c.openDue(j)
 		c.forget(j)
--- a/decision/cell/disturbance.go
+++ b/decision/cell/disturbance.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // disturbance learns by how much the tasks that fill press on the tasks that
 // serve, for each pair of images.
@@ -15,6 +19,7 @@
 	pressures [][]pressure // by serving and filling image
 	images    []average    // the same for a filling image beside any other
 	idle      []float64    // smallest tail seen of a serving image in ms, 0 for none
+	changed   bool         // since the last record
 }
 
 // imageID numbers the images that a cell has met, so that rating a server needs
@@ -171,6 +176,7 @@
 		s.add(now, load)
 		return
 	}
+	d.changed = true
 	failure := load - s.ownLoad() - pressed
 	for _, f := range fills {
 		learnt := d.pressure(serving, f.image) + learnRate*failure*f.share/norm
@@ -181,3 +187,58 @@
 	// Part of the error is the swing of the task's own load.
 	s.add(now, s.ownLoad()+failure/2)
 }
+
+// LearntRecord is what a holder has learnt of the images, for the next one.
+type LearntRecord struct {
+	Images []string     `json:"images"`
+	Idle   []float64    `json:"idle"` // smallest tail in ms, 0 when none was seen
+	Usual  []float64    `json:"usual"`
+	Pairs  []LearntPair `json:"pairs"`
+}
+
+// LearntPair is the pressure of one image on another; both are places in the
+// list of images.
+type LearntPair struct {
+	Serving  int     `json:"s"`
+	Filling  int     `json:"f"`
+	Pressure float64 `json:"p"`
+}
+
+func (d *disturbance) record() *LearntRecord {
+	r := &LearntRecord{Images: make([]string, len(d.ids)), Idle: slices.Clone(d.idle)}
+	for image, id := range d.ids {
+		r.Images[id] = image
+	}
+	for _, a := range d.images {
+		r.Usual = append(r.Usual, rounded(a.value))
+	}
+	for s, row := range d.pressures {
+		for f, p := range row {
+			if p.known {
+				r.Pairs = append(r.Pairs, LearntPair{Serving: s, Filling: f, Pressure: rounded(p.value)})
+			}
+		}
+	}
+	return r
+}
+
+// rounded keeps records short; the third digit of a pressure is noise.
+func rounded(value float64) float64 { return math.Round(value*100) / 100 }
+
+func (d *disturbance) restore(r *LearntRecord) {
+	ids := make([]imageID, len(r.Images))
+	for i, image := range r.Images {
+		ids[i] = d.id(image)
+		if i < len(r.Idle) {
+			d.idle[ids[i]] = r.Idle[i]
+		}
+		if i < len(r.Usual) {
+			d.images[ids[i]] = average{value: r.Usual[i], count: averageSpan}
+		}
+	}
+	for _, p := range r.Pairs {
+		if p.Serving < len(ids) && p.Filling < len(ids) && p.Serving >= 0 && p.Filling >= 0 {
+			d.pressures[ids[p.Serving]][ids[p.Filling]] = pressure{known: true, value: p.Pressure}
+		}
+	}
+}
--- a/decision/cell/model_test.go
+++ b/decision/cell/model_test.go
@@ -231,7 +231,7 @@
 	}
 	h.confirmed = h.m.now
 	for _, r := range b.Records {
-		if r.Job == nil && r.Progress == nil && r.Server == nil {
+		if r.Dropped() {
 			delete(h.m.records, r.Key)
 			continue
 		}
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -17,6 +17,7 @@
 	jobPrefix      = "job/"
 	progressPrefix = "progress/"
 	serverPrefix   = "server/"
+	learntKey      = Key("learnt")
 )
 
 func jobKey(id fleet.JobID) Key              { return Key(jobPrefix + string(id)) }
@@ -30,6 +31,12 @@
 	Job      *JobRecord      `json:"job,omitempty"`
 	Progress *ProgressRecord `json:"progress,omitempty"`
 	Server   *Server         `json:"server,omitempty"`
+	Learnt   *LearntRecord   `json:"learnt,omitempty"`
+}
+
+// Dropped reports whether the record drops its key.
+func (r Record) Dropped() bool {
+	return r.Job == nil && r.Progress == nil && r.Server == nil && r.Learnt == nil
 }
 
 // JobRecord is an accepted job.
@@ -71,6 +78,7 @@
 	servers []*worker
 	drops   []Key
 	cursors map[*worker]endCursor
+	learnt  bool
 }
 
 // endCursor is the highest end of one life of a worker.
@@ -87,7 +95,7 @@
 
 func (b *batch) empty() bool {
 	return len(b.jobs) == 0 && len(b.cancels) == 0 && len(b.dirty) == 0 && len(b.servers) == 0 &&
-		len(b.drops) == 0 && len(b.cursors) == 0
+		len(b.drops) == 0 && len(b.cursors) == 0 && !b.learnt
 }
 
 func (c *Cell) markDirty(j *jobState) { c.gathering.dirty[j] = true }
@@ -124,6 +132,9 @@
 		server := w.server
 		b.Records = append(b.Records, Record{Key: serverKey(server.ID), Server: &server})
 	}
+	if taken.learnt {
+		b.Records = append(b.Records, Record{Key: learntKey, Learnt: c.disturbance.record()})
+	}
 	for _, key := range taken.drops {
 		b.Records = append(b.Records, Record{Key: key})
 	}
@@ -197,6 +208,8 @@
 			c.restoreJob(r.Job)
 		case r.Progress != nil:
 			progress[fleet.JobID(r.Key[len(progressPrefix):])] = r.Progress
+		case r.Learnt != nil:
+			c.disturbance.restore(r.Learnt)
 		case r.Server != nil:
 			w := c.addWorker(*r.Server)
 			w.stored, w.oldUntil = true, oldUntil
