--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -79,6 +79,8 @@
 
 	disturbance *disturbance
 	learntAt    time.Duration // last record of what was learnt
+	// consolidatedAt is when the last serving task was moved.
+	consolidatedAt time.Duration
 
 	authority  bool
 	listRead   bool
@@ -169,6 +171,7 @@
 	}
 	c.removeGone()
 	c.checkBlocked()
+	c.consolidate()
 	if c.disturbance.changed && c.now.Steady-c.learntAt >= learntEvery {
 		c.learntAt, c.disturbance.changed = c.now.Steady, false
 		c.gathering.learnt = true
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -63,6 +63,8 @@
 	avoid     []fleet.BackendServerID
 	lostAt    time.Duration
 	moves     int // away from servers where it disturbed
+	// consolidatedAt is when the task was last moved to free a server.
+	consolidatedAt time.Duration
 }
 
 func (t *task) ref() job.TaskRef {
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -160,11 +160,14 @@
 // to put the reasons in order: a server under suspicion last, then one where
 // the task would disturb or be slow, then by room.
 const (
-	costSuspect     = 5000.0
-	costAvoid       = 2500.0
-	costDisturbs    = 250.0
-	costRemote      = 100.0
-	costPerRun      = 0.01
+	costSuspect  = 5000.0
+	costAvoid    = 2500.0
+	costDisturbs = 250.0
+	costRemote   = 100.0
+	costPerRun   = 0.01
+	// costDonor keeps lasting tasks away from servers without any, or that are
+	// being freed of them.
+	costDonor       = 100.0
 	milliCPUPerCore = 1000.0
 )
 
@@ -186,6 +189,9 @@
 	serving := w.pacing.serving
 	switch {
 	case s.Lasting:
+		if c.now.Steady < w.donorUntil || serving == 0 {
+			cost += costDonor
+		}
 		// Packed, so that other servers stay free of tasks with a target.
 		cost += room + fills*2 + costMixed*float64(w.mixed(t.of.image))
 	case s.Fills:
@@ -208,7 +214,7 @@
 	costServing = 30.0
 	// costPressure is the cost of the load that the serving tasks get on
 	// average: each image of fills is best beside those that bear it best.
-	costPressure = 200.0
+	costPressure = 400.0
 	// costMixed is the cost of each serving task of another image: beside tasks
 	// of one image there are more fills that all of them bear.
 	costMixed = 0.3
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -25,17 +25,18 @@
 	born   int64
 	fenced bool
 	// silent means that the last call got no answer; misses counts them.
-	silent   bool
-	misses   int
-	silentAt time.Duration
-	heardAt  time.Duration
-	oldUntil time.Duration // an earlier holder may use it until then; 0 when not
-	sample   clockSample
-	granted  time.Duration // latest lease end sent, on the worker's clock
-	used     fleet.Resources
-	fillCPU  int64
-	runs     map[runKey]*run
-	list     []*run // the same, in the order in which they were added
+	silent     bool
+	misses     int
+	silentAt   time.Duration
+	heardAt    time.Duration
+	donorUntil time.Duration // no lasting task is wanted until then
+	oldUntil   time.Duration // an earlier holder may use it until then; 0 when not
+	sample     clockSample
+	granted    time.Duration // latest lease end sent, on the worker's clock
+	used       fleet.Resources
+	fillCPU    int64
+	runs       map[runKey]*run
+	list       []*run // the same, in the order in which they were added
 	// serving and fills are the confirmed runs with a target and those that
 	// fill; unsurveyed means that they have to be looked up again.
 	serving    []*run
