--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -101,7 +101,7 @@
 
 // lease is how long a worker goes on without its holder: a takeover takes two
 // or three seconds, and the work of a dead worker waits for it.
-const lease = 6 * time.Second
+const lease = 8 * time.Second
 
 func cellSettings(b settings.Bounds) cell.Settings {
 	s := cell.DefaultSettings()
