--- /dev/null
+++ b/decision/cell/fixture_test.go
@@ -0,0 +1,105 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// fixture drives a cell by hand: each test answers the actions itself.
+type fixture struct {
+	t       *testing.T
+	cell    *Cell
+	now     time.Duration
+	actions []Action
+	records map[Key]Record
+}
+
+const testJob fleet.JobID = "00000000000000aa"
+
+func newFixture(t *testing.T, round int, records ...Record) *fixture {
+	t.Helper()
+	f := &fixture{t: t, cell: New(DefaultSettings(), round), now: time.Second, records: map[Key]Record{}}
+	f.cell.Restore(f.moment(), records)
+	return f
+}
+
+func (f *fixture) moment() Moment { return Moment{Steady: f.now, Wall: time.Unix(1000, 0).Add(f.now)} }
+
+// handle applies an event, makes records durable at once and keeps the actions.
+func (f *fixture) handle(e Event) {
+	f.cell.Handle(f.moment(), e)
+	f.actions = append(f.actions, f.cell.Actions()...)
+	for b, ok := f.cell.TakeBatch(); ok; b, ok = f.cell.TakeBatch() {
+		for _, r := range b.Records {
+			f.records[r.Key] = r
+		}
+		f.cell.Handle(f.moment(), Committed{Batch: b.Number})
+		f.actions = append(f.actions, f.cell.Actions()...)
+	}
+}
+
+// pass lets time pass in ticks.
+func (f *fixture) pass(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.now += 50 * time.Millisecond
+		f.handle(Tick{})
+	}
+}
+
+func take[A Action](f *fixture) []A {
+	var found []A
+	var rest []Action
+	for _, a := range f.actions {
+		if wanted, ok := a.(A); ok {
+			found = append(found, wanted)
+			continue
+		}
+		rest = append(rest, a)
+	}
+	f.actions = rest
+	return found
+}
+
+func (f *fixture) queues() {
+	f.handle(QueuesChanged{Queues: []QueueSettings{{Name: "q", Service: "s", MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second}}})
+}
+
+func testServer(id fleet.BackendServerID) Server {
+	return Server{ID: id, Address: string(id), Service: "s", Born: 1, Capacity: fleet.Resources{MilliCPU: 16000, MemoryMiB: 64000}, Labels: []string{"a", "r1"}}
+}
+
+// answerHolds answers every hold that waits with the given rows of its server.
+func (f *fixture) answerHolds(running map[fleet.BackendServerID][]RunningRow, finished map[fleet.BackendServerID][]FinishedRow) {
+	for _, h := range take[Hold](f) {
+		f.handle(Held{
+			Server: h.Server, Number: h.Number, Sent: f.now, OK: true, Born: 1, Clock: f.now,
+			Running: running[h.Server], Finished: finished[h.Server],
+		})
+	}
+}
+
+// ready lists servers, reads the list and fences them.
+func (f *fixture) ready(servers ...Server) {
+	f.queues()
+	for _, s := range servers {
+		f.handle(ServerSeen{Server: s})
+	}
+	f.handle(ServersRead{})
+	f.answerHolds(nil, nil)
+	f.handle(Tick{})
+}
+
+func (f *fixture) submit(id fleet.JobID, steps ...job.Step) {
+	f.handle(Submitted{Token: 1, Job: job.Job{ID: id, Queue: "q", Steps: steps}})
+}
+
+func (f *fixture) accept(s Start) {
+	f.handle(StartAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, Outcome: StartAccepted, Sent: f.now})
+}
+
+func oneTask() job.Step {
+	return job.Step{Count: 1, Need: fleet.Resources{MilliCPU: 9000, MemoryMiB: 1000}, Estimate: time.Second}
+}
--- /dev/null
+++ b/decision/cell/regression_test.go
@@ -0,0 +1,246 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// Guards against a silent worker whose lease moves on with every unanswered
+// call, so that its tasks never start again (LOST, asante-sockyard scale-2).
+func TestSilentWorkerLapses(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"), testServer("b"))
+	f.submit(testJob, oneTask())
+	start := take[Start](f)[0]
+	f.accept(start)
+	for range 60 { // 15 s of holds without an answer
+		f.pass(250 * time.Millisecond)
+		for _, h := range take[Hold](f) {
+			f.handle(Held{Server: h.Server, Number: h.Number, Sent: f.now, OK: h.Server != start.Server, Born: 1, Clock: f.now})
+		}
+	}
+	again := take[Start](f)
+	if len(again) == 0 || again[0].Server == start.Server || again[0].Attempt <= start.Attempt {
+		t.Fatalf("the task of a lapsed worker was started %+v", again)
+	}
+}
+
+// Guards against two runs of a task: while the lease may still hold, the task of
+// a silent worker must not start again.
+func TestSilentWorkerKeepsItsTask(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"), testServer("b"))
+	f.submit(testJob, oneTask())
+	start := take[Start](f)[0]
+	f.accept(start)
+	f.pass(DefaultSettings().Lease - 500*time.Millisecond)
+	for _, h := range take[Hold](f) {
+		f.handle(Held{Server: h.Server, Number: h.Number, Sent: f.now, OK: h.Server != start.Server, Born: 1, Clock: f.now})
+	}
+	if again := take[Start](f); len(again) != 0 {
+		t.Fatalf("started again before the lease has lapsed: %+v", again)
+	}
+}
+
+// Guards against a start without an answer that is ordered elsewhere before its
+// worker has confirmed that it will never run.
+func TestUnansweredStartIsSettledFirst(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"), testServer("b"))
+	f.submit(testJob, oneTask())
+	start := take[Start](f)[0]
+	f.handle(StartAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, Outcome: StartUnknown, Sent: f.now})
+	stop := take[Stop](f)
+	if len(stop) != 1 || stop[0].Attempt != start.Attempt {
+		t.Fatalf("stops: %+v", stop)
+	}
+	if again := take[Start](f); len(again) != 0 {
+		t.Fatalf("started again before it was settled: %+v", again)
+	}
+	f.handle(StopAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, OK: true})
+	f.now += time.Millisecond
+	f.pass(50 * time.Millisecond)
+	f.answerHolds(nil, nil)
+	f.pass(100 * time.Millisecond)
+	f.answerHolds(nil, nil)
+	if again := take[Start](f); len(again) != 1 || again[0].Attempt <= start.Attempt {
+		t.Fatalf("after it was settled: %+v", again)
+	}
+}
+
+// restored returns the records of a job that an earlier holder accepted, with
+// the servers that it knew.
+func restored(step job.Step, servers ...Server) []Record {
+	records := []Record{{Key: jobKey(testJob), Job: &JobRecord{Job: job.Job{ID: testJob, Queue: "q", Steps: []job.Step{step}}, Accepted: time.Unix(1000, 0)}}}
+	for _, s := range servers {
+		records = append(records, Record{Key: serverKey(s.ID), Server: &s})
+	}
+	return records
+}
+
+// Guards against a task that starts after a takeover while a worker that may
+// run it has not been fenced, also where copies are allowed (TWICE,
+// asante-sockyard trouble-1).
+func TestTakeoverWaitsForEveryWorker(t *testing.T) {
+	step := oneTask()
+	step.Copies = true
+	f := newFixture(t, 2, restored(step, testServer("a"), testServer("b"))...)
+	f.queues()
+	f.handle(ServerSeen{Server: testServer("a")})
+	f.handle(ServerSeen{Server: testServer("b")})
+	f.handle(ServersRead{})
+	for _, h := range take[Hold](f) {
+		f.handle(Held{Server: h.Server, Number: h.Number, Sent: f.now, OK: h.Server == "a", Born: 1, Clock: f.now})
+	}
+	f.pass(time.Second)
+	if early := take[Start](f); len(early) != 0 {
+		t.Fatalf("started before b was fenced: %+v", early)
+	}
+	f.answerHolds(nil, nil)
+	f.pass(100 * time.Millisecond)
+	if starts := take[Start](f); len(starts) != 1 || starts[0].Attempt <= attemptsPerRound {
+		t.Fatalf("after both were fenced: %+v", starts)
+	}
+}
+
+// Guards against a takeover that waits for the lease of a worker whose address
+// another one has taken (asante-sockyard scale-2: 12.7 s).
+func TestReplacedWorkerDoesNotBlock(t *testing.T) {
+	f := newFixture(t, 2, restored(oneTask(), testServer("a"), testServer("b"))...)
+	f.queues()
+	f.handle(ServerSeen{Server: testServer("a")})
+	f.handle(ServersRead{})
+	f.pass(50 * time.Millisecond)
+	for _, h := range take[Hold](f) {
+		f.handle(Held{Server: h.Server, Number: h.Number, Sent: f.now, OK: h.Server == "a", OtherLife: h.Server == "b", Born: 1, Clock: f.now})
+	}
+	f.pass(100 * time.Millisecond)
+	if starts := take[Start](f); len(starts) != 1 {
+		t.Fatalf("starts: %+v", starts)
+	}
+}
+
+// Guards against room that is given away while a run that belongs to no task is
+// still being stopped (LIMIT after a takeover).
+func TestRunWithoutTaskTakesRoom(t *testing.T) {
+	const ended fleet.JobID = "00000000000000bb"
+	records := restored(oneTask(), testServer("a"))
+	records = append(records,
+		Record{Key: jobKey(ended), Job: &JobRecord{Job: job.Job{ID: ended, Queue: "q", Steps: []job.Step{oneTask()}}, Accepted: time.Unix(1000, 0)}},
+		Record{Key: progressKey(ended), Progress: &ProgressRecord{Cancelled: true}})
+	f := newFixture(t, 2, records...)
+	f.queues()
+	f.handle(ServerSeen{Server: testServer("a")})
+	f.handle(ServersRead{})
+	running := map[fleet.BackendServerID][]RunningRow{"a": {{Task: job.TaskRef{Job: ended}, Attempt: 1, Percent: 10}}}
+	f.answerHolds(running, nil)
+	f.pass(100 * time.Millisecond)
+	if stops := take[Stop](f); len(stops) == 0 || stops[0].Task.Job != ended {
+		t.Fatalf("stops: %+v", stops)
+	}
+	if starts := take[Start](f); len(starts) != 0 {
+		t.Fatalf("18 of 16 cores are taken by %+v", starts)
+	}
+	f.answerHolds(nil, nil)
+	f.pass(100 * time.Millisecond)
+	if starts := take[Start](f); len(starts) != 1 {
+		t.Fatalf("the room stays taken: %+v", starts)
+	}
+}
+
+// Guards against failed attempts that are not counted because their ends come
+// from several workers in another order (BUDGET, cafaf-turnos trouble-1).
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	f := newFixture(t, 2, restored(oneTask(), testServer("a"), testServer("b"))...)
+	f.queues()
+	f.handle(ServerSeen{Server: testServer("a")})
+	f.handle(ServerSeen{Server: testServer("b")})
+	f.handle(ServersRead{})
+	ref := job.TaskRef{Job: testJob}
+	finished := map[fleet.BackendServerID][]FinishedRow{
+		"a": {{Number: 1, Task: ref, Attempt: 2, End: job.EndFailed}},
+		"b": {{Number: 1, Task: ref, Attempt: 1, End: job.EndFailed}},
+	}
+	f.answerHolds(nil, finished)
+	f.pass(100 * time.Millisecond)
+	if starts := take[Start](f); len(starts) != 0 {
+		t.Fatalf("started after two failures of two: %+v", starts)
+	}
+	f.handle(StateWanted{Token: 9, ID: testJob})
+	if replies := take[Reply](f); len(replies) != 1 || replies[0].Reply.State != job.Failed {
+		t.Fatalf("replies: %+v", replies)
+	}
+}
+
+// Guards against a task that starts because its failures were learnt before the
+// configuration that limits them (BUDGET, cafaf-turnos trouble-2).
+func TestFailuresBeforeConfiguration(t *testing.T) {
+	records := restored(oneTask(), testServer("a"))
+	records = append(records, Record{Key: progressKey(testJob), Progress: &ProgressRecord{
+		Started: true, Occurrences: []OccurrenceProgress{{Tasks: []TaskProgress{{Failed: []int{1, 2}}}}},
+	}})
+	f := newFixture(t, 2, records...)
+	f.handle(ServerSeen{Server: testServer("a")})
+	f.handle(ServersRead{})
+	f.answerHolds(nil, nil)
+	f.queues()
+	f.pass(100 * time.Millisecond)
+	if starts := take[Start](f); len(starts) != 0 {
+		t.Fatalf("started after two failures of two: %+v", starts)
+	}
+}
+
+// Guards against an end that is acknowledged before its record is durable.
+func TestEndIsRecordedBeforeItsAcknowledgement(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"))
+	f.submit(testJob, oneTask())
+	start := take[Start](f)[0]
+	f.accept(start)
+	f.pass(50 * time.Millisecond)
+	holds := take[Hold](f)
+	for _, h := range holds {
+		f.cell.Handle(f.moment(), Held{
+			Server: h.Server, Number: h.Number, Sent: f.now, OK: true, Born: 1, Clock: f.now,
+			Finished: []FinishedRow{{Number: 1, Task: start.Task, Attempt: start.Attempt, End: job.EndDone}},
+		})
+	}
+	if len(holds) == 0 {
+		t.Fatal("no hold was sent")
+	}
+	f.actions = append(f.actions, f.cell.Actions()...)
+	for _, h := range take[Hold](f) {
+		if h.Ack != 0 {
+			t.Fatalf("acknowledged up to %d before the record", h.Ack)
+		}
+	}
+	f.handle(Tick{}) // records, and holds again
+	if holds := take[Hold](f); len(holds) == 0 || holds[0].Ack != 1 {
+		t.Fatalf("after the record: %+v", holds)
+	}
+}
+
+// Guards against a job that is turned away with servers free, and against one
+// that is answered as stored while the store is silent.
+func TestSilentStoreTurnsJobsAway(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"))
+	take[Reply](f)
+	f.handle(StoreHealth{Waiting: storeSlow + time.Millisecond})
+	f.submit(testJob, oneTask())
+	replies := take[Reply](f)
+	if len(replies) != 1 || replies[0].Reply.Verdict != NotStored || replies[0].Reply.RetryAfter <= 0 {
+		t.Fatalf("replies: %+v", replies)
+	}
+	if starts := take[Start](f); len(starts) != 0 {
+		t.Fatalf("a rejected job was started: %+v", starts)
+	}
+	f.handle(StoreHealth{})
+	f.submit(testJob, oneTask())
+	if starts := take[Start](f); len(starts) != 1 {
+		t.Fatalf("starts: %+v", starts)
+	}
+}
