--- a/decision/cell/regression_test.go
+++ b/decision/cell/regression_test.go
@@ -211,13 +211,21 @@
 	if len(holds) == 0 {
 		t.Fatal("no hold was sent")
 	}
+	for range 10 { // half a second without an answer of the store
+		f.now += 50 * time.Millisecond
+		f.cell.Handle(f.moment(), Tick{})
+	}
 	f.actions = append(f.actions, f.cell.Actions()...)
-	for _, h := range take[Hold](f) {
+	waiting := take[Hold](f)
+	for _, h := range waiting {
 		if h.Ack != 0 {
 			t.Fatalf("acknowledged up to %d before the record", h.Ack)
 		}
 	}
-	f.handle(Tick{}) // records, and holds again
+	f.handle(Tick{}) // the store answers
+	for _, h := range waiting {
+		f.handle(Held{Server: h.Server, Number: h.Number, Sent: f.now, OK: true, Born: 1, Clock: f.now})
+	}
 	if holds := take[Hold](f); len(holds) == 0 || holds[0].Ack != 1 {
 		t.Fatalf("after the record: %+v", holds)
 	}
