--- /dev/null
+++ b/scheduler/settings/settings_test.go
@@ -0,0 +1,84 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+
+	"lacewingfork.example/lacewingfork/findings"
+	"lacewingfork.example/lacewingfork/findings/tomlfile"
+)
+
+const complete = `[instance]
+id = "entry-1"
+region = "accra"
+data_centre = "accra-1"
+processor = 0.16
+memory_mib = 284
+[listen]
+callers = "127.0.0.1:8161"
+peers = "127.0.0.1:7720"
+operations = "127.0.0.1:8167"
+[store]
+address = "127.0.0.1:8169"
+[bounds]
+lease_max = "10000ms"
+`
+
+// Guards against settings that the platform's template fills in and that are
+// read as something else.
+func TestComplete(t *testing.T) {
+	s, err := Parse("boot.toml", []byte(complete))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Instance.Processor != 0.16 || s.Instance.MemoryMiB != 284 || s.Bounds.LeaseMax.Seconds() != 10 || s.Process.LogLevel != "info" {
+		t.Errorf("got %+v", s)
+	}
+}
+
+// Guards against findings that come one at a time or without their place.
+func TestFindings(t *testing.T) {
+	text := strings.ReplaceAll(complete, `"127.0.0.1:7720"`, `"here"`)
+	text = strings.ReplaceAll(text, "processor = 0.16", `processor = "much"`) + "colour = 1\n"
+	_, err := Parse("boot.toml", []byte(text))
+	var found *findings.Error
+	if !errors.As(err, &found) || len(found.Findings) != 3 {
+		t.Fatalf("got %v, want three findings", err)
+	}
+	for _, f := range found.Findings {
+		if f.Row == 0 || f.File != "boot.toml" {
+			t.Errorf("finding without its place: %+v", f)
+		}
+	}
+}
+
+// Guards against a page that differs from the settings. UPDATE_DOCS=1 writes it.
+func TestSettingsPage(t *testing.T) {
+	var want strings.Builder
+	for _, s := range Sections() {
+		want.WriteString("\n#### [" + s.Name + "]\n\n" + tomlfile.Markdown("", s.Keys))
+	}
+	const page = "../../docs/OPERATIONS.md"
+	const begin, end = "<!-- scheduler settings: begin -->\n", "<!-- scheduler settings: end -->"
+	data, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, rest, found := strings.Cut(string(data), begin)
+	got, after, closed := strings.Cut(rest, end)
+	if !found || !closed {
+		t.Fatalf("%s has no place for the settings of the scheduler", page)
+	}
+	if got == want.String() {
+		return
+	}
+	if os.Getenv("UPDATE_DOCS") == "" {
+		t.Fatalf("%s differs from the settings; write it with UPDATE_DOCS=1", page)
+	}
+	if err := os.WriteFile(page, []byte(before+begin+want.String()+end+after), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
