--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -207,6 +207,8 @@
 		Deadline time.Duration
 		// Wait lets the answer wait for an end.
 		Wait time.Duration
+		// Extra marks a look beside the hold that waits at the same worker.
+		Extra bool
 	}
 	// Start orders a run.
 	Start struct {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -47,8 +47,7 @@
 	// stopped. unknownOrphan means that the need of one is not known.
 	orphans       fleet.Resources
 	unknownOrphan bool
-	holding       uint64 // number of the hold in flight, 0 when none
-	holdingAt     time.Duration
+	holding       uint64        // number of the hold in flight, 0 when none
 	holdAt        time.Duration // time of the next hold
 	lookAt        time.Duration // time of an extra look; 0 when none is wanted
 	looking       uint64
@@ -184,12 +183,12 @@
 		return
 	}
 	if w.holding == 0 && c.now.Steady >= w.holdAt {
-		w.holding, w.holdingAt = c.sendHold(w, c.waitAt(w)), c.now.Steady
+		w.holding = c.sendHold(w, c.waitAt(w), false)
 		return
 	}
 	if w.lookAt > 0 && c.now.Steady >= w.lookAt && w.looking == 0 {
 		w.lookAt = 0
-		w.looking = c.sendHold(w, 0)
+		w.looking = c.sendHold(w, 0, true)
 	}
 }
 
@@ -204,9 +203,9 @@
 	}
 }
 
-func (c *Cell) sendHold(w *worker, wait time.Duration) uint64 {
+func (c *Cell) sendHold(w *worker, wait time.Duration, extra bool) uint64 {
 	c.holdNumber++
-	h := Hold{Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: w.recorded, Wait: wait}
+	h := Hold{Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: w.recorded, Wait: wait, Extra: extra}
 	// A worker that does not answer gets no lease with the call: the call may
 	// still be carried out, and its lease would never count as lapsed.
 	if len(w.runs) > 0 && w.sample.known && !w.silent {
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -379,11 +379,11 @@
 		d.log.Event("worker_knows_later_epoch", "epoch", r.epoch, "server", a.Server)
 		d.end("fenced_by_worker")
 	case cell.Hold:
-		if a.Wait == 0 {
+		if a.Extra {
 			d.order(ctx, a)
 			return
 		}
-		if d.rings.Holds.Put(ctx, message.Order{Epoch: r.epoch, Action: a}) != nil {
+		if d.rings.Holds.Put(ctx, message.Order{Epoch: r.epoch, Action: a, At: d.clock.Steady()}) != nil {
 			d.handle(cell.Held{Server: a.Server, Number: a.Number, Sent: d.clock.Steady()})
 		}
 	default:
@@ -394,7 +394,7 @@
 // order sends a call to the workers. An order that finds the ring full was not
 // sent, so that it counts as refused or unanswered.
 func (d *Duty) order(ctx context.Context, a cell.Action) {
-	if d.rings.Orders.Put(ctx, message.Order{Epoch: d.role.epoch, Action: a}) == nil {
+	if d.rings.Orders.Put(ctx, message.Order{Epoch: d.role.epoch, Action: a, At: d.clock.Steady()}) == nil {
 		return
 	}
 	switch a := a.(type) {
--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -96,6 +96,7 @@
 type Order struct {
 	Epoch  fleet.Epoch
 	Action cell.Action
+	At     time.Duration // when it was ordered, on the steady clock
 }
 
 // ServerChange is a change of the server list; Whole means that the list has
--- a/scheduler/workers/workers.go
+++ b/scheduler/workers/workers.go
@@ -14,6 +14,7 @@
 
 	"lacewingfork.example/lacewingfork/decision/cell"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/clock"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/message"
 	"lacewingfork.example/lacewingfork/supervise"
@@ -22,7 +23,7 @@
 const (
 	// orderDuties is the number of orders in progress at a time: 670 starts a
 	// second of 20 ms each between regions, and as many that get no answer.
-	orderDuties = 48
+	orderDuties = 64
 	// orderCapacity covers the start of a job of the largest width in every
 	// queue at once.
 	orderCapacity = 8192
@@ -31,6 +32,9 @@
 	// orderTimeout is many round trips between regions, and below the time
 	// after which an order that had no answer is carried out all the same.
 	orderTimeout = 700 * time.Millisecond
+	// staleStart is the age from which a start is no longer sent: its job may
+	// have been cancelled and its worker silent since it was ordered.
+	staleStart = time.Second
 	// idleHold ends the duty of a worker that is no longer held.
 	idleHold = 30 * time.Second
 )
@@ -39,6 +43,7 @@
 type Supervisor struct {
 	tree    *supervise.Tree
 	workers api.Workers
+	clock   *clock.Clock
 	events  *supervise.Ring[message.WorkerEvent]
 	calls   *prometheus.HistogramVec
 
@@ -50,9 +55,9 @@
 }
 
 // New adds the supervisor below root. The answers go to events.
-func New(root *supervise.Tree, workers api.Workers, events *supervise.Ring[message.WorkerEvent], registry prometheus.Registerer) *Supervisor {
+func New(root *supervise.Tree, workers api.Workers, c *clock.Clock, events *supervise.Ring[message.WorkerEvent], registry prometheus.Registerer) *Supervisor {
 	s := &Supervisor{
-		tree: root.Child("workers", supervise.DefaultIntensity), workers: workers, events: events,
+		tree: root.Child("workers", supervise.DefaultIntensity), workers: workers, clock: c, events: events,
 		Orders: supervise.NewRing[message.Order]("workers.orders", orderCapacity, supervise.Refuse),
 		Holds:  supervise.NewRing[message.Order]("workers.holds", holdCapacity, supervise.Refuse),
 		idle:   supervise.NewRing[fleet.BackendServerID]("workers.idle", holdCapacity, supervise.Wait),
@@ -183,6 +188,9 @@
 		held := s.workers.Hold(ctx, o.Epoch, a)
 		return held, "hold", held.OK
 	case cell.Start:
+		if s.clock.Steady()-o.At > staleStart {
+			return cell.StartAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Outcome: cell.StartRefused, Sent: o.At}, "start", true
+		}
 		started := s.workers.Start(ctx, o.Epoch, a)
 		return started, "start", started.Outcome != cell.StartUnknown
 	case cell.Stop:
