Bound the starts without an answer

Ruled out: the block after the takeover (it ended at 45.6 s). At most 96 starts are without an answer now, and one that was not sent is no evidence.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -82,6 +82,7 @@
 	// consolidatedAt is when the last serving task was moved.
 	consolidatedAt time.Duration
 
+	ordered    int // starts without an answer yet
 	authority  bool
 	listRead   bool
 	blocked    bool // tasks of restored jobs may still run somewhere unknown
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -190,6 +190,7 @@
 	StartNoRoom                       // the server guards its capacity
 	StartRefused                      // nothing was done
 	StartNever                        // another life answered, or the order is not valid
+	StartNotSent                      // the order waited for too long and was not sent
 )
 
 // Action is something that a Cell wants done.
--- a/decision/cell/regression_test.go
+++ b/decision/cell/regression_test.go
@@ -252,3 +252,26 @@
 		t.Fatalf("starts: %+v", starts)
 	}
 }
+
+// Guards against starts that are ordered faster than they can be sent: behind a
+// thousand of them the most pressing work waits for seconds (LOST,
+// asante-sockyard-grown trouble-1).
+func TestStartsWithoutAnswerAreBounded(t *testing.T) {
+	f := newFixture(t, 1)
+	servers := make([]Server, 40)
+	for i := range servers {
+		servers[i] = testServer(fleet.BackendServerID("s" + string(rune('A'+i))))
+	}
+	f.ready(servers...)
+	many := oneTask()
+	many.Count, many.Need = 3*maxOrdered, fleet.Resources{MilliCPU: 100, MemoryMiB: 10}
+	f.submit(testJob, many)
+	starts := take[Start](f)
+	if len(starts) != maxOrdered {
+		t.Fatalf("%d starts are without an answer, want %d", len(starts), maxOrdered)
+	}
+	f.accept(starts[0])
+	if next := take[Start](f); len(next) != 1 {
+		t.Fatalf("one answer was followed by %d starts", len(next))
+	}
+}
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -54,6 +54,9 @@
 		key: runKey{task: t.ref(), attempt: attempt}, task: t, worker: w, need: t.of.step.Need, fills: t.of.step.Fills,
 		state: state, image: t.of.image, orderedAt: c.now.Steady, movedAt: c.now.Steady, paced: fullPace, pacedWant: fullPace,
 	}
+	if state == runOrdered {
+		c.ordered++
+	}
 	w.runs[r.key] = r
 	w.list = append(w.list, r)
 	w.take(r, 1)
@@ -63,6 +66,15 @@
 	return r
 }
 
+// setState changes what is known of a run and keeps the number of starts that
+// have no answer yet.
+func (c *Cell) setState(r *run, state runState) {
+	if r.state == runOrdered && state != runOrdered {
+		c.ordered--
+	}
+	r.state = state
+}
+
 // take adds the need of a run to what is used, or gives it back with sign -1.
 func (w *worker) take(r *run, sign int64) {
 	need := r.need
@@ -93,6 +105,9 @@
 }
 
 func (c *Cell) removeRun(r *run) {
+	if r.state == runOrdered {
+		c.ordered--
+	}
 	delete(r.worker.runs, r.key)
 	r.worker.list = slices.DeleteFunc(r.worker.list, func(other *run) bool { return other == r })
 	r.worker.take(r, -1)
@@ -130,6 +145,7 @@
 	if r == nil || r.state != runOrdered {
 		return
 	}
+	c.needsOrder = true
 	if e.Outcome != StartAccepted {
 		c.do(Note{Event: NoteStartAnswered, Job: e.Task.Job, Task: e.Task.String(), Server: e.Server, Detail: map[string]any{
 			"attempt": e.Attempt, "outcome": startOutcomeNames[e.Outcome], "took_ms": (c.now.Steady - e.Sent).Milliseconds(),
@@ -140,7 +156,8 @@
 	case StartAccepted:
 		c.confirm(r)
 	case StartUnknown:
-		r.state, r.reason = runUnsettled, "start_unanswered"
+		c.setState(r, runUnsettled)
+		r.reason = "start_unanswered"
 		c.sendStop(r)
 	case StartFenced:
 		c.do(Superseded{Server: e.Server})
@@ -149,6 +166,8 @@
 		c.giveBack(r, orderPause)
 		w.silent, w.holdAt = true, 0 // until the next hold tells who answers there
 		c.holdIfDue(w)
+	case StartNotSent:
+		c.giveBack(r, orderPause)
 	default: // StartOld, StartLate, StartNoRoom, StartRefused: nothing was done
 		w.health.refused(c.now.Steady)
 		c.giveBack(r, orderPause)
@@ -158,14 +177,15 @@
 // startOutcomeNames are the outcomes in the log.
 var startOutcomeNames = map[StartOutcome]string{
 	StartUnknown: "unknown", StartAccepted: "accepted", StartFenced: "fenced", StartOld: "old_attempt",
-	StartLate: "late", StartNoRoom: "no_room", StartRefused: "refused", StartNever: "other_life",
+	StartLate: "late", StartNoRoom: "no_room", StartRefused: "refused", StartNever: "other_life", StartNotSent: "not_sent",
 }
 
 // orderPause keeps a task from being offered to refusing servers in a tight loop.
 const orderPause = 50 * time.Millisecond
 
 func (c *Cell) confirm(r *run) {
-	r.state, r.confirmed, r.movedAt = runConfirmed, c.now.Steady, c.now.Steady
+	c.setState(r, runConfirmed)
+	r.confirmed, r.movedAt = c.now.Steady, c.now.Steady
 	r.worker.changed(r)
 	if w := r.worker; (r.fills && w.pacing.serving > 0 || r.serves() && w.fillCPU > 0) && w.lookAt == 0 {
 		w.lookAt = c.now.Steady + figureSpan + lapseMargin // the first figures that show it
@@ -191,7 +211,7 @@
 		return
 	}
 	if r.state != runUnsettled {
-		r.state = runStopping
+		c.setState(r, runStopping)
 	}
 	r.reason = reason
 	r.worker.unsurveyed = true
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -24,6 +24,9 @@
 	})
 	slices.SortStableFunc(c.ready, c.compareSteps)
 	for _, s := range c.ready {
+		if c.ordered >= maxOrdered {
+			return // the answers bring the next pass
+		}
 		if c.blocked && s.of.job.restored {
 			continue
 		}
@@ -35,6 +38,10 @@
 	}
 }
 
+// maxOrdered bounds the starts without an answer. There are 64 order duties; what
+// is ordered beyond them waits, and the most pressing work would wait behind it.
+const maxOrdered = 96
+
 // compareSteps orders by the queue's priority, then by the time at which the
 // job misses its objective.
 func (c *Cell) compareSteps(a, b *stepState) int {
@@ -77,7 +84,7 @@
 		if c.now.Steady < t.notBefore {
 			continue
 		}
-		if c.failIfSpent(t) {
+		if c.failIfSpent(t) || c.ordered >= maxOrdered {
 			return
 		}
 		w, cost := c.choose(t)
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -145,7 +145,8 @@
 	w.holdAt = 0
 	for _, r := range slices.Clone(w.list) {
 		if r.state == runOrdered || r.state == runUnsettled {
-			r.state, r.stopped = runUnsettled, false
+			c.setState(r, runUnsettled)
+			r.stopped = false
 			c.sendStop(r)
 			continue
 		}
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -399,7 +399,7 @@
 	}
 	switch a := a.(type) {
 	case cell.Start:
-		d.handle(cell.StartAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Outcome: cell.StartRefused, Sent: d.clock.Steady()})
+		d.handle(cell.StartAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Outcome: cell.StartNotSent, Sent: d.clock.Steady()})
 	case cell.Hold:
 		d.handle(cell.Held{Server: a.Server, Number: a.Number, Sent: d.clock.Steady()})
 	}
--- a/scheduler/workers/workers.go
+++ b/scheduler/workers/workers.go
@@ -189,7 +189,7 @@
 		return held, "hold", held.OK
 	case cell.Start:
 		if s.clock.Steady()-o.At > staleStart {
-			return cell.StartAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Outcome: cell.StartRefused, Sent: o.At}, "start", true
+			return cell.StartAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Outcome: cell.StartNotSent, Sent: o.At}, "start", true
 		}
 		started := s.workers.Start(ctx, o.Epoch, a)
 		return started, "start", started.Outcome != cell.StartUnknown
