--- /dev/null
+++ b/decision/cell/bench_test.go
@@ -0,0 +1,58 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// BenchmarkTask is the cost of a task from its submission to its acknowledged
+// end: a submission, a record, a start, its answer, a list with its end, a record.
+func BenchmarkTask(b *testing.B) {
+	for _, workers := range []int{66, 350, 1000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := benchCell(workers)
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				f.now += time.Millisecond
+				f.submit(fleet.JobID(fmt.Sprintf("%016x", 1<<32+n)), oneTask())
+				start := take[Start](f)[0]
+				f.accept(start)
+				w := f.cell.workers[start.Server]
+				f.handle(Held{
+					Server: start.Server, Number: w.holding, Sent: f.now, OK: true, Born: 1, Clock: f.now,
+					Finished: []FinishedRow{{Number: w.seen + 1, Task: start.Task, Attempt: start.Attempt, End: job.EndDone}},
+				})
+				f.actions = f.actions[:0]
+			}
+		})
+	}
+}
+
+// benchJobs is the number of jobs that run meanwhile, as on a deployment of today.
+const benchJobs = 200
+
+func benchCell(workers int) *fixture {
+	f := &fixture{cell: New(DefaultSettings(), 1), now: time.Second, records: map[Key]Record{}}
+	f.queues()
+	for i := range workers {
+		f.handle(ServerSeen{Server: testServer(fleet.BackendServerID(fmt.Sprintf("s-%04d", i)))})
+	}
+	f.handle(ServersRead{})
+	f.answerHolds(nil, nil)
+	f.handle(Tick{})
+	small := oneTask()
+	small.Need = fleet.Resources{MilliCPU: 1000, MemoryMiB: 100}
+	for i := range benchJobs {
+		f.submit(fleet.JobID(fmt.Sprintf("%016x", i)), small)
+		for _, s := range take[Start](f) {
+			f.accept(s)
+		}
+	}
+	f.handle(Tick{})
+	f.actions = nil
+	return f
+}
