--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -15,7 +15,6 @@
 	"lacewingfork.example/lacewingfork/decision/job"
 	"lacewingfork.example/lacewingfork/fleet"
 	"lacewingfork.example/lacewingfork/internal/clock"
-	"lacewingfork.example/lacewingfork/records/cellrecord"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/logs"
 	"lacewingfork.example/lacewingfork/scheduler/message"
@@ -347,117 +346,6 @@
 	return d.clock.Steady() - d.role.writingAt
 }
 
-// carryOut sends the actions of the decisions and what has to be recorded.
-func (d *Duty) carryOut(ctx context.Context) {
-	r := d.role
-	if r == nil {
-		return
-	}
-	for _, a := range r.cell.Actions() {
-		d.act(ctx, a)
-		if d.role != r {
-			return
-		}
-	}
-	d.write(ctx)
-}
-
-func (d *Duty) act(ctx context.Context, a cell.Action) {
-	r := d.role
-	switch a := a.(type) {
-	case cell.Reply:
-		ask, ok := r.tokens[a.Token]
-		if !ok {
-			return
-		}
-		delete(r.tokens, a.Token)
-		d.metrics.answered(ask.Kind, a.Reply)
-		d.reply(ask, message.Answer{ID: ask.ID, Reply: a.Reply})
-	case cell.Note:
-		d.note(a)
-	case cell.Superseded:
-		d.log.Event("worker_knows_later_epoch", "epoch", r.epoch, "server", a.Server)
-		d.end("fenced_by_worker")
-	case cell.Hold:
-		if a.Extra {
-			d.order(ctx, a)
-			return
-		}
-		if d.rings.Holds.Put(ctx, message.Order{Epoch: r.epoch, Action: a, At: d.clock.Steady()}) != nil {
-			d.handle(cell.Held{Server: a.Server, Number: a.Number, Sent: d.clock.Steady()})
-		}
-	default:
-		d.order(ctx, a)
-	}
-}
-
-// order sends a call to the workers. An order that finds the ring full was not
-// sent, so that it counts as refused or unanswered.
-func (d *Duty) order(ctx context.Context, a cell.Action) {
-	if d.rings.Orders.Put(ctx, message.Order{Epoch: d.role.epoch, Action: a, At: d.clock.Steady()}) == nil {
-		return
-	}
-	switch a := a.(type) {
-	case cell.Start:
-		d.handle(cell.StartAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Outcome: cell.StartNotSent, Sent: d.clock.Steady()})
-	case cell.Hold:
-		d.handle(cell.Held{Server: a.Server, Number: a.Number, Sent: d.clock.Steady()})
-	}
-}
-
-func (d *Duty) note(n cell.Note) {
-	d.metrics.noted(n)
-	pairs := make([]any, 0, 8+2*len(n.Detail))
-	pairs = append(pairs, "epoch", d.role.epoch)
-	if n.Job != "" {
-		pairs = append(pairs, "job", n.Job)
-	}
-	if n.Task != "" {
-		pairs = append(pairs, "task", n.Task)
-	}
-	if n.Server != "" {
-		pairs = append(pairs, "server", n.Server)
-	}
-	for key, value := range n.Detail {
-		pairs = append(pairs, key, value)
-	}
-	d.log.Event(string(n.Event), pairs...)
-}
-
-// write sends the next batch when the writer is free, or shows that the holder
-// lives.
-func (d *Duty) write(ctx context.Context) {
-	r := d.role
-	if r.writing {
-		return
-	}
-	batch, ok := r.cell.TakeBatch()
-	var items []api.Item
-	switch {
-	case ok:
-		encoded, err := cellrecord.Encode(batch.Records)
-		if err != nil {
-			d.log.Event("record_not_encoded", "error", err)
-			d.end("record_not_encoded")
-			return
-		}
-		items = encoded
-		if len(items) == 0 { // only ends to acknowledge that change no record
-			d.handle(cell.Committed{Batch: batch.Number})
-			d.carryOut(ctx)
-			return
-		}
-	case d.clock.Steady()-r.wroteAt >= aliveEvery:
-		items = []api.Item{{Key: cellrecord.AliveKey, Value: []byte("{}")}}
-	default:
-		return
-	}
-	r.sequence++
-	r.writing, r.writingAt = true, d.clock.Steady()
-	a := store.Append{Epoch: r.epoch, Sequence: r.sequence, Batch: batch.Number, Items: items}
-	_ = d.rings.Appends.Put(ctx, a) // the newest wins; the writer is free
-}
-
 func (d *Duty) publish() {
 	status := Status{StoreSilent: d.storeSilent()}
 	if d.role != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -20,6 +19,7 @@
 	"go.uber.org/fx"
 
 	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/internal/listen"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/logs"
 	"lacewingfork.example/lacewingfork/scheduler/settings"
@@ -30,42 +30,12 @@
 // that the platform's kill and not fx ends a stop that takes too long.
 const stopAllowance = 5 * time.Second
 
-// Listeners are the sockets of an entry instance. They outlive restarts of the
-// duties that serve them.
-type Listeners struct {
-	Callers    net.Listener
-	Peers      net.Listener
-	Operations net.Listener
-}
+// Listeners are the sockets of an entry instance.
+type Listeners = listen.Listeners
 
 // Listen opens all sockets or none.
 func Listen(s settings.Listen) (*Listeners, error) {
-	l := &Listeners{}
-	for _, socket := range []struct {
-		name, address string
-		place         *net.Listener
-	}{
-		{"callers", s.Callers, &l.Callers},
-		{"peers", s.Peers, &l.Peers},
-		{"operations", s.Operations, &l.Operations},
-	} {
-		listener, err := net.Listen("tcp", socket.address)
-		if err != nil {
-			l.Close()
-			return nil, errors.Wrapf(err, "listen for %s", socket.name)
-		}
-		*socket.place = listener
-	}
-	return l, nil
-}
-
-// Close closes the sockets that are open.
-func (l *Listeners) Close() {
-	for _, listener := range []net.Listener{l.Callers, l.Peers, l.Operations} {
-		if listener != nil {
-			_ = listener.Close() // the process ends
-		}
-	}
+	return listen.Open(listen.Addresses{Callers: s.Callers, Peers: s.Peers, Operations: s.Operations})
 }
 
 // New returns the application of one entry instance. Log lines go to output.
