--- a/scheduler/workers/workers_test.go
+++ b/scheduler/workers/workers_test.go
@@ -22,9 +22,11 @@
 	_ = c.starts.Put(ctx, s) // it has room for every start of the test
 	return cell.StartAnswered{Outcome: cell.StartAccepted}
 }
+
 func (c counting) Stop(context.Context, fleet.Epoch, cell.Stop) cell.StopAnswered {
 	return cell.StopAnswered{}
 }
+
 func (c counting) Pace(context.Context, fleet.Epoch, cell.Pace) cell.PaceAnswered {
 	return cell.PaceAnswered{}
 }
