Take the time to hold fills from the platform's bound; log what sets a worker aside

The share of the bound is that of today's 1.7 s of 4 s, so that deployments with another bound keep it too. The slowdown of remote data comes from the settings. An unused setting (stop_time) goes.

--- a/decision/cell/ends.go
+++ b/decision/cell/ends.go
@@ -45,7 +45,9 @@
 		c.waitAgain(t)
 		return
 	}
+	before := w.health.asideUntil
 	w.health.ended(c.now.Steady, r, end)
+	c.noteHealth(w, before, string(end))
 	c.applyEnd(t, w, r.key.attempt, end, saved)
 }
 
--- a/decision/cell/health.go
+++ b/decision/cell/health.go
@@ -77,6 +77,21 @@
 	}
 }
 
+// noteHealth logs that a worker has been set aside or is trusted again; before is
+// the end of its time aside before the evidence came in.
+func (c *Cell) noteHealth(w *worker, before time.Duration, evidence string) {
+	after := w.health.asideUntil
+	switch {
+	case after == before:
+	case after == 0:
+		c.do(Note{Event: NoteWorkerCleared, Server: w.server.ID, Detail: map[string]any{"evidence": evidence}})
+	default:
+		c.do(Note{Event: NoteWorkerSuspect, Server: w.server.ID, Detail: map[string]any{
+			"evidence": evidence, "failed_jobs": len(w.health.failedJobs), "refusals": w.health.refusals, "aside_ms": (after - c.now.Steady).Milliseconds(),
+		}})
+	}
+}
+
 // open reports whether the worker may get a task. After its time aside it gets
 // one at a time until one is done.
 func (h *health) open(now time.Duration, w *worker) bool {
@@ -116,8 +131,9 @@
 		}
 		w.health.stalls++
 		if w.health.stalls >= jobsForAside {
+			before := w.health.asideUntil
 			w.health.setAside(c.now.Steady)
-			c.do(Note{Event: NoteWorkerSuspect, Server: w.server.ID, Detail: map[string]any{"stalls": w.health.stalls}})
+			c.noteHealth(w, before, "stalls")
 		}
 		r.task.avoid = append(r.task.avoid, w.server.ID)
 		c.stopRun(r, "stands_still")
--- a/decision/cell/pace.go
+++ b/decision/cell/pace.go
@@ -22,9 +22,9 @@
 	// fill are slowed down. The figures cover half a second, and the platform
 	// bounds the time over the target at several seconds.
 	overBeforePace = 400 * time.Millisecond
-	// overBeforeHold is how long it may be missed before all of them are held,
-	// whatever the estimates say: two more figures fit into the bound.
-	overBeforeHold = 1700 * time.Millisecond
+	// holdShare is the share of the platform's bound after which all of them are
+	// held, whatever the estimates say: two more figures fit into the rest.
+	holdShare = 0.425
 	// loadMargin is kept below the load at which a target is missed.
 	loadMargin = 0.04
 	// paceFloor is the pace below which a run is held altogether.
@@ -148,7 +148,7 @@
 	switch {
 	case now-p.pacedAt < figureSpan:
 		// The figures do not show the last change yet.
-	case over && now-p.overSince >= overBeforeHold:
+	case over && now-p.overSince >= time.Duration(holdShare*float64(c.settings.ImpactTime)):
 		for _, r := range fills {
 			c.slowDown(r, 0)
 		}
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -168,7 +168,9 @@
 	case StartNotSent:
 		c.giveBack(r, orderPause)
 	default: // StartOld, StartLate, StartNoRoom, StartRefused: nothing was done
+		before := w.health.asideUntil
 		w.health.refused(c.now.Steady)
+		c.noteHealth(w, before, "refusals")
 		c.giveBack(r, orderPause)
 	}
 }
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -170,7 +170,7 @@
 	costSuspect  = 5000.0
 	costAvoid    = 2500.0
 	costDisturbs = 250.0
-	costRemote   = 100.0
+	costRemote   = 200.0
 	costPerRun   = 0.01
 	// costDonor keeps lasting tasks away from servers without any, or that are
 	// being freed of them.
@@ -186,10 +186,10 @@
 		cost += costAvoid
 	}
 	if s.DataRack != "" && w.server.Rack() != s.DataRack {
-		cost += costRemote
+		cost += costRemote * (c.settings.RemoteFactor - 1)
 	}
 	if s.SameRack {
-		cost += costRemote * float64(c.outsideRack(t.of, w.server.Rack()))
+		cost += costRemote * (c.settings.RemoteFactor - 1) * float64(c.outsideRack(t.of, w.server.Rack()))
 	}
 	room := float64(w.server.Capacity.MilliCPU-w.used.MilliCPU) / milliCPUPerCore
 	fills := float64(w.fillCPU) / milliCPUPerCore
--- a/scheduler/settings/settings.go
+++ b/scheduler/settings/settings.go
@@ -46,7 +46,6 @@
 // Bounds are the bounds that the platform states.
 type Bounds struct {
 	LeaseMax     time.Duration
-	StopTime     time.Duration
 	StatusKept   time.Duration
 	Impact       time.Duration
 	RemoteFactor float64
@@ -138,10 +137,6 @@
 			Name: "lease_max", Meaning: "longest lease that a worker grants",
 			Default: 10 * time.Second, Min: time.Second, Max: time.Hour, Field: func(s *Settings) any { return &s.Bounds.LeaseMax },
 		},
-		{
-			Name: "stop_time", Meaning: "longest time that a stop takes on a worker",
-			Default: 900 * time.Millisecond, Min: time.Millisecond, Max: time.Minute, Field: func(s *Settings) any { return &s.Bounds.StopTime },
-		},
 		{
 			Name: "status_kept", Meaning: "how long the state of a finished job can be asked for",
 			Default: 2 * time.Minute, Min: time.Second, Max: 24 * time.Hour, Field: func(s *Settings) any { return &s.Bounds.StatusKept },
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -106,7 +106,7 @@
 func cellSettings(b settings.Bounds) cell.Settings {
 	s := cell.DefaultSettings()
 	s.HoldMax, s.Lease = b.LeaseMax, min(lease, b.LeaseMax)
-	s.StopTime, s.KeepStatus, s.ImpactTime, s.RemoteFactor = b.StopTime, b.StatusKept, b.Impact, b.RemoteFactor
+	s.KeepStatus, s.ImpactTime, s.RemoteFactor = b.StatusKept, b.Impact, b.RemoteFactor
 	return s
 }
 
