Turn jobs away that were surely not stored

Ruled out: lost appends (the store executed none of them). They are now answered 503 as soon as that is known, with 3 s to return in a long outage.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -33,8 +33,6 @@
 	HoldMax time.Duration
 	// AuthorityBound is how long a holder that was superseded may go on.
 	AuthorityBound time.Duration
-	// StopTime bounds how long a stop takes on a worker.
-	StopTime time.Duration
 	// KeepStatus is how long the state of a finished job can be asked for.
 	KeepStatus time.Duration
 	// RemoteFactor is the slowdown of a task that is far from its data.
@@ -47,7 +45,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Lease: 6 * time.Second, HoldMax: 10 * time.Second, AuthorityBound: 2500 * time.Millisecond,
-		StopTime: 900 * time.Millisecond, KeepStatus: 2 * time.Minute, RemoteFactor: 1.5,
+		KeepStatus: 2 * time.Minute, RemoteFactor: 1.5,
 		ImpactTime: 4 * time.Second,
 	}
 }
@@ -138,8 +136,13 @@
 		c.paceAnswered(e)
 	case Committed:
 		c.committed(e.Batch)
+	case BatchRefused:
+		c.batchRefused(e.Batch)
 	case StoreHealth:
 		c.storeWait = e.Waiting
+		if c.storeWait > storeSlow {
+			c.gathering.jobs = c.turnAway(c.gathering.jobs)
+		}
 	case AuthorityChanged:
 		c.authority = e.Held
 		c.needsOrder = true
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -26,9 +26,7 @@
 	DataCentre fleet.DataCentre      `json:"data_centre"`
 	Labels     []string              `json:"labels,omitempty"`
 	Capacity   fleet.Resources       `json:"capacity"`
-	// Guards means that the server itself rejects what does not fit.
-	Guards   bool `json:"guards,omitempty"`
-	Draining bool `json:"draining,omitempty"`
+	Draining   bool                  `json:"draining,omitempty"`
 	// Born identifies the life of the worker; it grows with each restart
 	// under the same identifier. 0 means unknown.
 	Born int64 `json:"born,omitempty"`
@@ -132,6 +130,8 @@
 	}
 	// Committed means that a batch is durable.
 	Committed struct{ Batch uint64 }
+	// BatchRefused means that a batch was surely not stored and is not on its way.
+	BatchRefused struct{ Batch uint64 }
 	// StoreHealth says since when the store has left an append unanswered;
 	// 0 means that it answers.
 	StoreHealth struct{ Waiting time.Duration }
@@ -153,6 +153,7 @@
 func (StopAnswered) isEvent()     {}
 func (PaceAnswered) isEvent()     {}
 func (Committed) isEvent()        {}
+func (BatchRefused) isEvent()     {}
 func (StoreHealth) isEvent()      {}
 func (AuthorityChanged) isEvent() {}
 func (Tick) isEvent()             {}
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -91,11 +91,22 @@
 
 // storeSlow is how long an append may stay unanswered before further jobs are
 // turned away: a caller who waits for the store has to come back in time.
-const storeSlow = 700 * time.Millisecond
+const storeSlow = 500 * time.Millisecond
+
+// retryFirst and retryLater are the times to return while the store does not
+// answer. An outage that has lasted for a second lasts for several, and callers
+// come again only a few times.
+const (
+	retryFirst = time.Second
+	retryLater = 3 * time.Second
+)
 
-// retryStore spreads the returns of callers who were turned away while the
-// store does not answer; appends are tried again within a second.
-const retryStore = time.Second
+func (c *Cell) retryAfter() time.Duration {
+	if c.storeWait > retryFirst {
+		return retryLater
+	}
+	return retryFirst
+}
 
 func (c *Cell) submit(e Submitted) {
 	if j, known := c.jobs[e.Job.ID]; known {
@@ -137,12 +148,29 @@
 }
 
 func (c *Cell) reject(e Submitted, reason string) {
-	c.do(Reply{Token: e.Token, Reply: JobReply{Verdict: NotStored, RetryAfter: retryStore, Reason: reason}})
+	c.do(Reply{Token: e.Token, Reply: JobReply{Verdict: NotStored, RetryAfter: c.retryAfter(), Reason: reason}})
 	c.do(Note{Event: NoteRejected, Job: e.Job.ID, Detail: map[string]any{
 		"reason": reason, "store_waiting_ms": c.storeWait.Milliseconds(), "jobs": len(c.jobs),
 	}})
 }
 
+// turnAway answers the callers of jobs that are not stored and not on their way
+// to the store, so that they can come again. It returns an empty list.
+func (c *Cell) turnAway(jobs []*jobState) []*jobState {
+	for _, j := range jobs {
+		for _, token := range j.waiting {
+			c.reject(Submitted{Token: token, Job: j.job}, "store_silent")
+		}
+		for _, token := range j.cancelWaiting {
+			c.do(Reply{Token: token, Reply: JobReply{Verdict: NoSuchJob}})
+		}
+		delete(c.gathering.dirty, j)
+		c.gathering.cancels = slices.DeleteFunc(c.gathering.cancels, func(other *jobState) bool { return other == j })
+		delete(c.jobs, j.job.ID)
+	}
+	return nil
+}
+
 // jobStored opens a job whose record is durable.
 func (c *Cell) jobStored(j *jobState) {
 	j.stored = true
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -170,6 +170,30 @@
 	c.needsOrder = true
 }
 
+// batchRefused takes a batch back that was surely not stored. Its jobs are turned
+// away; the rest is recorded with the next one.
+func (c *Cell) batchRefused(number uint64) {
+	b := c.inFlight
+	if b == nil || b.number != number {
+		return
+	}
+	c.inFlight = nil
+	next := c.gathering
+	next.cancels = append(b.cancels, next.cancels...)
+	next.servers = append(b.servers, next.servers...)
+	next.drops = append(b.drops, next.drops...)
+	next.learnt = next.learnt || b.learnt
+	for j := range b.dirty {
+		next.dirty[j] = true
+	}
+	for w, cursor := range b.cursors {
+		if _, newer := next.cursors[w]; !newer {
+			next.cursors[w] = cursor
+		}
+	}
+	c.turnAway(b.jobs)
+}
+
 func (j *jobState) progress() ProgressRecord {
 	p := ProgressRecord{Cancelled: j.cancelled, Failed: j.failed, Started: j.everStarted}
 	for number := range j.closed {
--- a/decision/cell/regression_test.go
+++ b/decision/cell/regression_test.go
@@ -275,3 +275,41 @@
 		t.Fatalf("one answer was followed by %d starts", len(next))
 	}
 }
+
+// Guards against callers who wait for their deadline and may not come again
+// although their job was surely not stored: it had gathered behind an append
+// without an answer, or the store has turned its append away.
+func TestUnsentJobsAreTurnedAway(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"))
+	take[Reply](f)
+	submit := func(id fleet.JobID, token Token) {
+		f.cell.Handle(f.moment(), Submitted{Token: token, Job: job.Job{ID: id, Queue: "q", Steps: []job.Step{oneTask()}}})
+	}
+	submit("00000000000000d1", 11)
+	b, ok := f.cell.TakeBatch() // on its way to a store that does not answer
+	if !ok {
+		t.Fatal("no batch")
+	}
+	submit("00000000000000d2", 12)
+	f.cell.Handle(f.moment(), StoreHealth{Waiting: storeSlow + time.Millisecond})
+	f.actions = append(f.actions, f.cell.Actions()...)
+	replies := take[Reply](f)
+	if len(replies) != 1 || replies[0].Token != 12 || replies[0].Reply.Verdict != NotStored {
+		t.Fatalf("behind the append: %+v", replies)
+	}
+	f.cell.Handle(f.moment(), BatchRefused{Batch: b.Number})
+	f.actions = append(f.actions, f.cell.Actions()...)
+	replies = take[Reply](f)
+	if len(replies) != 1 || replies[0].Token != 11 || replies[0].Reply.Verdict != NotStored {
+		t.Fatalf("in the refused append: %+v", replies)
+	}
+	f.handle(StoreHealth{})
+	if starts := take[Start](f); len(starts) != 0 {
+		t.Fatalf("a job that was turned away was started: %+v", starts)
+	}
+	f.submit("00000000000000d1", oneTask()) // the caller comes again
+	if starts := take[Start](f); len(starts) != 1 {
+		t.Fatalf("starts: %+v", starts)
+	}
+}
--- a/scheduler/holder/actions.go
+++ b/scheduler/holder/actions.go
@@ -116,7 +116,10 @@
 		return
 	}
 	r.sequence++
-	r.writing, r.writingAt = true, d.clock.Steady()
+	r.writing = true
+	if r.silentSince == 0 {
+		r.silentSince = d.clock.Steady()
+	}
 	a := store.Append{Epoch: r.epoch, Sequence: r.sequence, Batch: batch.Number, Items: items}
 	_ = d.rings.Appends.Put(ctx, a) // the newest wins; the writer is free
 }
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -107,7 +107,7 @@
 	nextToken   cell.Token
 	sequence    uint64
 	writing     bool
-	writingAt   time.Duration
+	silentSince time.Duration // begin of the first append since the last acknowledgement
 	wroteAt     time.Duration
 	confirmedAt time.Duration
 	authority   bool
@@ -265,7 +265,14 @@
 		d.end("fenced_by_store")
 		return
 	}
-	r.writing, r.wroteAt, r.confirmedAt = false, d.clock.Steady(), d.clock.Steady()
+	if c.Refused {
+		r.writing, r.wroteAt = false, d.clock.Steady()
+		r.sequence-- // the store has not seen it
+		d.handle(cell.StoreHealth{Waiting: d.storeSilent()})
+		d.handle(cell.BatchRefused{Batch: c.Batch})
+		return
+	}
+	r.writing, r.silentSince, r.wroteAt, r.confirmedAt = false, 0, d.clock.Steady(), d.clock.Steady()
 	d.handle(cell.StoreHealth{})
 	if c.Batch > 0 {
 		d.handle(cell.Committed{Batch: c.Batch})
@@ -338,12 +345,12 @@
 	}
 }
 
-// storeSilent is for how long the append in progress has had no answer.
+// storeSilent is for how long the store has acknowledged none of the appends.
 func (d *Duty) storeSilent() time.Duration {
-	if d.role == nil || !d.role.writing {
+	if d.role == nil || d.role.silentSince == 0 {
 		return 0
 	}
-	return d.clock.Steady() - d.role.writingAt
+	return d.clock.Steady() - d.role.silentSince
 }
 
 func (d *Duty) publish() {
--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -83,7 +83,9 @@
 	Batch uint64
 	// Lost means that another instance holds the cell.
 	Lost bool
-	Took time.Duration
+	// Refused means that the append was surely not executed and is given up.
+	Refused bool
+	Took    time.Duration
 }
 
 // WorkerEvent is an answer of a worker for the holder of an epoch.
--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -280,6 +280,10 @@
 		switch {
 		case now > q.ask.Until:
 			delete(r.pending, id)
+		case !q.sent && now > q.ask.Until-2*beatEvery:
+			// It was never sent, which the caller can still be told in time.
+			delete(r.pending, id)
+			r.reply(q, cell.JobReply{Verdict: cell.NotStored, RetryAfter: time.Second, Reason: "no_holder"})
 		case !q.open && !r.up() && now-max(q.since, r.downSince) > unsentLimit:
 			delete(r.pending, id)
 			r.reply(q, cell.JobReply{Verdict: notDone(q), RetryAfter: time.Second, Reason: "no_holder"})
--- a/scheduler/store/store.go
+++ b/scheduler/store/store.go
@@ -26,6 +26,9 @@
 	// retryPause spaces appends that the store turns away; the store takes
 	// several hundred calls a second.
 	retryPause = 100 * time.Millisecond
+	// refuseAfter is for how long an append is repeated that the store turns
+	// away each time: its callers can then be told that nothing was stored.
+	refuseAfter = 400 * time.Millisecond
 )
 
 // Append is a batch of records for the cell's topic.
@@ -79,9 +82,10 @@
 // write repeats one append until the store has decided it, or until a newer one
 // waits, which means that the holder has changed.
 func (w *Writer) write(ctx context.Context, a Append) error {
-	begun := time.Now()
+	begun, open := time.Now(), false
 	for failed := 0; ; failed++ {
 		err := w.try(ctx, a)
+		open = open || err != nil && !errors.Is(err, api.ErrUnavailable)
 		switch {
 		case err == nil:
 			if failed > 0 {
@@ -95,6 +99,9 @@
 			return ctx.Err()
 		case w.Appends.Stats().Depth > 0:
 			return nil
+		case !open && time.Since(begun) >= refuseAfter:
+			w.log.Event("store_append_refused", "epoch", a.Epoch, "sequence", a.Sequence, "error", err)
+			return w.results.Put(ctx, message.Committed{Epoch: a.Epoch, Batch: a.Batch, Refused: true, Took: time.Since(begun)})
 		}
 		if failed == 0 {
 			w.log.Event("store_append_failed", "epoch", a.Epoch, "sequence", a.Sequence, "error", err)
