Report why the last attempt failed when no time is left for another

Cause: the pause before a further attempt fits, but on a busy processor it takes the rest of the deadline, and the attempt that is then not sent hid the reason of the one before. Ruled out: another process on the closed port. The new test plays it in virtual time: it fails on the fifth of 4,000 deadlines before the change and passes after it.

--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -34,13 +34,15 @@
 	reason     outcome.Reason
 	retryAfter time.Duration
 	cause      error
+	// unsent means that no time was left to send the attempt.
+	unsent bool
 }
 
 func (c *Client) send(ctx context.Context, address string, a attempt) end {
 	deadline, _ := ctx.Deadline()
 	remaining := time.Until(deadline)
 	if ctx.Err() != nil || remaining < time.Millisecond {
-		return end{notRun: true, reason: outcome.DeadlineExceeded, cause: context.Cause(ctx)}
+		return end{notRun: true, unsent: true, reason: outcome.DeadlineExceeded, cause: context.Cause(ctx)}
 	}
 	if limit := c.settings.AttemptTimeout; limit > 0 {
 		var cancel context.CancelFunc
--- a/caller/retry.go
+++ b/caller/retry.go
@@ -75,9 +75,15 @@
 	c.budget.request()
 	start := c.next.Add(1)
 	maybeRun := false
+	var last end
 	for n := 1; ; n++ {
 		address := c.settings.Addresses[(start+uint64(n))%uint64(len(c.settings.Addresses))]
 		end := c.send(ctx, address, a)
+		if end.unsent && n > 1 {
+			// The pause took the rest of the time; the attempt before it says why.
+			return nil, last.err(n-1, maybeRun)
+		}
+		last = end
 		if end.answer != nil {
 			end.answer.Attempts = n
 			return end.answer, nil
