Let sound work of a lasting task reopen a worker that was set aside

Cause, shown by a test that failed first: a worker that was set aside gets one run at a time until one ends done, which a lasting task never does. Two seconds at full work now speak for the worker.

--- a/cmd/lacewingfork-entry/main.go
+++ b/cmd/lacewingfork-entry/main.go
@@ -81,10 +81,12 @@
 		logger.Error("cannot build the instance", "event", "build_failed", "error", err)
 		return exitFailed
 	}
-	_ = json.NewEncoder(stdout).Encode(ready{
+	if err := json.NewEncoder(stdout).Encode(ready{
 		Event: "ready", Instance: string(s.Instance.ID), Callers: listeners.Callers.Addr().String(),
 		Peers: listeners.Peers.Addr().String(), Operations: listeners.Operations.Addr().String(),
-	})
+	}); err != nil {
+		logger.Error("cannot announce the addresses", "event", "ready_not_written", "error", err)
+	}
 	return serve(app, logger)
 }
 
--- a/cmd/lacewingfork/internal/cli/publish.go
+++ b/cmd/lacewingfork/internal/cli/publish.go
@@ -123,6 +123,7 @@
 		ctx = limited
 	}
 	var found *configuration.Result
+	// Without a verdict the caller reports that it is open, whatever the last read's error.
 	_ = f.until(ctx, readWait, func(bool) bool {
 		a.progress("waiting for the verdict on %s, %d s", id, int(time.Since(started).Seconds()))
 		found = f.verdict(id)
--- a/cmd/lacewingfork/internal/cli/stream.go
+++ b/cmd/lacewingfork/internal/cli/stream.go
@@ -65,6 +65,7 @@
 	}
 	for i, entry := range list {
 		at := configuration.Position{Offset: record.Offset, Index: i}
+		// The verdict stays in the fold; an unreadable entry changes nothing there.
 		f.fold, _, _ = entries.Apply(f.fold, at, entry.Data)
 	}
 }
--- a/decision/cell/health.go
+++ b/decision/cell/health.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// soundAfter is how long a lasting task has to be at work until it speaks for its
+// worker: such a task never ends done. A worker that fails what it starts does so
+// within its work, which is shorter.
+const soundAfter = 2 * time.Second
+
+// sound clears a worker whose time aside has passed and that does sound work.
+func (h *health) sound() {
+	if h.aside > 0 {
+		h.failedJobs = h.failedJobs[:0]
+		h.aside, h.asideUntil, h.stalls = 0, 0, 0
+	}
+}
+
 func (h *health) setAside(now time.Duration) {
 	if h.asideUntil > now {
 		return
--- a/decision/cell/lists.go
+++ b/decision/cell/lists.go
@@ -39,6 +39,12 @@
 		r.percent, r.movedAt = row.Percent, c.now.Steady
 	}
 	r.figure = row.Figure
+	if r.task.of.step.Lasting && r.percent >= fullPace && r.orderedAt >= r.worker.health.asideUntil &&
+		c.now.Steady-r.confirmed >= soundAfter {
+		before := r.worker.health.asideUntil
+		r.worker.health.sound()
+		c.noteHealth(r.worker, before, "sound_work")
+	}
 	if row.Saved != "" && r.task.of.step.Checkpoints {
 		r.task.saved = row.Saved
 	}
--- a/decision/cell/regression_test.go
+++ b/decision/cell/regression_test.go
@@ -313,3 +313,29 @@
 		t.Fatalf("starts: %+v", starts)
 	}
 }
+
+// Guards against a worker that was set aside and stays closed behind a lasting
+// task: such a task never ends done, so that the rest of the room is never used
+// again (suspected cause of LOST, asante-sockyard scale-2, hunt seed 629891876796).
+func TestLastingTaskReopensWorker(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"))
+	w := f.cell.workers["a"]
+	w.health.setAside(f.now)
+	f.pass(firstAside + 100*time.Millisecond)
+	f.submit("00000000000000f1", lastingStep(1))
+	starts := take[Start](f)
+	if len(starts) != 1 {
+		t.Fatalf("the first task after the time aside: %+v", starts)
+	}
+	f.accept(starts[0])
+	running := map[fleet.BackendServerID][]RunningRow{"a": {{Task: starts[0].Task, Attempt: starts[0].Attempt, Percent: 100, Figure: 5}}}
+	for range 50 {
+		f.pass(100 * time.Millisecond)
+		f.answerHolds(running, nil)
+	}
+	f.submit("00000000000000f2", lastingStep(1))
+	if starts := take[Start](f); len(starts) != 1 {
+		t.Errorf("after five seconds of sound work the worker gets nothing: %+v", starts)
+	}
+}
--- a/entry/platform/writer.go
+++ b/entry/platform/writer.go
@@ -48,9 +48,9 @@
 	var calls []*appendRing
 	var duties []supervise.Duty
 	for _, stream := range streams {
-		ring := newCallRing[appendQuestion, fleet.Offset]("log-append." + stream.Name + ".calls")
+		ring := newCallRing[appendQuestion, fleet.Offset]("stream-append." + stream.Name + ".calls")
 		calls = append(calls, ring)
-		duties = append(duties, callDuty("log-append/"+stream.Name, ring, func(ctx context.Context, q appendQuestion) (fleet.Offset, error) {
+		duties = append(duties, callDuty("stream-append/"+stream.Name, ring, func(ctx context.Context, q appendQuestion) (fleet.Offset, error) {
 			return log.Append(ctx, q.stream, q.data)
 		}))
 	}
