Read the cell only once its holder has gone silent

Cause: an instance that lost its link to the holder read all records of the cell (2 to 3 MB) before it looked whether the holder still appends.

Ruled out: the processor (0.21 of 0.8 cores at the most) and the store, which was stable.

Change: api.Store.End returns the end of a partition without its records; the election looks there whether the holder appends and reads the cell last.

--- a/scheduler/api/api.go
+++ b/scheduler/api/api.go
@@ -77,6 +77,9 @@
 	// Read returns the records from an offset on and waits for one when there
 	// is none. Records that cannot be read are left out.
 	Read(ctx context.Context, topic Topic, from fleet.Offset, wait time.Duration) (items []Item, end fleet.Offset, err error)
+	// End returns the end of the partition, without the records. It waits
+	// until the end is beyond an offset, but no longer than wait.
+	End(ctx context.Context, topic Topic, beyond fleet.Offset, wait time.Duration) (fleet.Offset, error)
 }
 
 // Workers are the calls to the agents on the backend servers. An answer that
--- a/scheduler/election/seek.go
+++ b/scheduler/election/seek.go
@@ -49,11 +49,17 @@
 	return election.Rank(list, d.settings.Instance, d.holder.Instance)
 }
 
-// takeOver reads the records of the cell, looks whether the holder still
-// appends and claims the cell if it does not. The claim fails if anything was
-// appended since the records were read, so what was read is complete.
+// takeOver looks whether the holder still appends and, if it does not, reads the
+// records of the cell and claims it. The claim fails if anything was appended
+// since the records were read, so what was read is complete. The records are
+// megabytes, which the link between two regions does not carry for every instance
+// that has lost its holder, so that they are read last.
 func (d *Duty) takeOver(ctx context.Context) {
 	begun := d.clock.Steady()
+	if d.holderAppends(ctx) {
+		d.lastTry = d.clock.Steady()
+		return
+	}
 	items, end, err := d.readCell(ctx)
 	if err != nil {
 		return
@@ -63,15 +69,6 @@
 		d.log.Event("record_unreadable", "key", key)
 	}
 	d.round = max(d.round, decoded.Holder.Round)
-	if decoded.Holder.Epoch > 0 && !d.urgent && d.appendsSince(ctx, end) {
-		d.lastTry = d.clock.Steady()
-		d.log.Event("holder_alive_in_store", "epoch", decoded.Holder.Epoch, "holder", decoded.Holder.Instance)
-		if decoded.Holder.Epoch > d.holder.Epoch && decoded.Holder.Instance != d.settings.Instance {
-			h := decoded.Holder
-			d.follow(message.Holder{Epoch: h.Epoch, Instance: h.Instance, Address: h.Address}, "cell")
-		}
-		return
-	}
 	round := d.round + 1
 	claim := cellrecord.Holder{
 		Epoch: election.NextEpoch(round, rand.Uint32()), Round: round, Instance: d.settings.Instance, Address: d.settings.Address,
@@ -100,18 +97,41 @@
 	return items, end, err
 }
 
-// appendsSince reports whether the holder appends within the window in which it
-// would have to show itself.
-func (d *Duty) appendsSince(ctx context.Context, end fleet.Offset) bool {
+// holderAppends reports whether the holder appends within the window in which it
+// would have to show itself, or whether that cannot be told. A cell without any
+// record never had a holder, and a handover says that it has none now.
+func (d *Duty) holderAppends(ctx context.Context) bool {
+	if d.urgent {
+		return false
+	}
 	window := election.SilentWindow
 	if d.refused {
 		window = election.RefusedWindow
 	}
-	ctx, cancel := context.WithTimeout(ctx, window+callTimeout)
+	end, err := d.end(ctx, 0, 0)
+	if err != nil {
+		return true
+	}
+	if end == 0 {
+		return false
+	}
+	next, err := d.end(ctx, end, window)
+	if err != nil {
+		return true
+	}
+	if next > end {
+		d.log.Event("holder_alive_in_store", "epoch", d.holder.Epoch, "holder", d.holder.Instance, "appended", next-end)
+		return true
+	}
+	return false
+}
+
+func (d *Duty) end(ctx context.Context, beyond fleet.Offset, wait time.Duration) (fleet.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	_, next, err := d.store.Read(ctx, cellrecord.CellTopic, end, window)
+	end, err := d.store.End(ctx, cellrecord.CellTopic, beyond, wait)
 	d.tellStore(err)
-	return err != nil || next > end
+	return end, err
 }
 
 func (d *Duty) claim(ctx context.Context, claim cellrecord.Holder, end fleet.Offset) error {
--- /dev/null
+++ b/scheduler/election/seek_test.go
@@ -0,0 +1,127 @@
+package election
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/records/cellrecord"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/logs"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// fakeStore is a store in which another instance holds the cell.
+type fakeStore struct {
+	mu        sync.Mutex
+	end       fleet.Offset
+	cellReads int
+	claims    int
+}
+
+func (s *fakeStore) Append(_ context.Context, a api.Append) (fleet.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.Topic != cellrecord.CellTopic {
+		return 1, nil
+	}
+	if a.At != s.end {
+		return s.end, api.ErrMoved
+	}
+	s.claims++
+	s.end++
+	return s.end, nil
+}
+
+func (s *fakeStore) Newest(_ context.Context, topic api.Topic) ([]api.Item, fleet.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	holder, err := cellrecord.EncodeValue(cellrecord.HolderKey, cellrecord.Holder{Epoch: 1 << 16, Round: 1, Instance: "other", Address: "other"})
+	if err != nil {
+		return nil, 0, err
+	}
+	if topic == cellrecord.CellTopic {
+		s.cellReads++
+	}
+	return []api.Item{holder}, s.end, nil
+}
+
+func (s *fakeStore) Read(context.Context, api.Topic, fleet.Offset, time.Duration) ([]api.Item, fleet.Offset, error) {
+	return nil, 0, api.ErrUnavailable
+}
+
+func (s *fakeStore) End(ctx context.Context, _ api.Topic, beyond fleet.Offset, wait time.Duration) (fleet.Offset, error) {
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		end := s.end
+		s.mu.Unlock()
+		if end > beyond {
+			return end, nil
+		}
+		select {
+		case <-deadline:
+			return end, nil
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (s *fakeStore) append() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end++
+}
+
+func (s *fakeStore) counts() (cellReads, claims int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cellReads, s.claims
+}
+
+// Guards against instances that read all records of the cell while its holder
+// lives: after a power loss of everything fifteen of them did, which filled the
+// link between the regions for half a minute (asante-sockyard-grown trouble-1,
+// seed 207946457509). A holder that is silent has to be taken over all the same.
+func TestCellIsReadOnlyOnceTheHolderIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{end: 40}
+		rings := NewRings()
+		rings.Elected = supervise.NewRing[message.Elected]("elected", 1, supervise.DropOldest)
+		rings.StoreSilent = supervise.NewRing[time.Duration]("silent", 1, supervise.DropOldest)
+		rings.Members = supervise.NewRing[[]cellrecord.Member]("members", 1, supervise.DropOldest)
+		tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
+		lines := logs.New()
+		lines.Start(tree, io.Discard, "self", log.InfoLevel)
+		New(rings, Settings{Instance: "self", Processor: 1}, store, clock.New(), lines).Start(tree)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = tree.Serve(ctx) // it ends with the context
+		}()
+		for range 100 { // the holder shows itself every 100 ms, without a link to it
+			time.Sleep(100 * time.Millisecond)
+			store.append()
+		}
+		if reads, claims := store.counts(); reads != 0 || claims != 0 {
+			t.Errorf("the cell was read %d times and claimed %d times while its holder appended", reads, claims)
+		}
+		time.Sleep(5 * time.Second)
+		if reads, claims := store.counts(); reads != 1 || claims != 1 {
+			t.Errorf("the cell was read %d times and claimed %d times after its holder went silent, want once", reads, claims)
+		}
+		cancel()
+		<-ended
+	})
+}
