--- a/decision/cell/disturbance.go
+++ b/decision/cell/disturbance.go
@@ -32,6 +32,9 @@
 	known bool
 	value float64
 	count int // observations
+	// triedUntil is until when a first task of the filling image is being tried
+	// beside one of the serving image.
+	triedUntil time.Duration
 }
 
 // average is a mean that follows slow changes.
@@ -159,6 +162,28 @@
 // on, load and pressure cannot be told apart, and one would drift with the other.
 const pressedShare = 0.5
 
+const (
+	// triedAfter is the number of observations after which a pair is known: a
+	// task is seen in two figures of several serving tasks.
+	triedAfter = 6
+	// tryFor is the time until a first task of a pair shows in the figures.
+	tryFor = 1200 * time.Millisecond
+)
+
+// trying reports whether nothing is known of a pair yet and a first task of it is
+// under way: until its figures arrive another one could do the same harm.
+func (d *disturbance) trying(serving, filling imageID, now time.Duration) bool {
+	p := d.pressures[serving][filling]
+	return p.count < triedAfter && now < p.triedUntil
+}
+
+// try notes that a task of a filling image starts beside a serving image.
+func (d *disturbance) try(serving, filling imageID, now time.Duration) {
+	if p := &d.pressures[serving][filling]; p.count < triedAfter {
+		p.triedUntil = now + tryFor
+	}
+}
+
 // learn corrects a pressure by the error of one observation.
 func (p *pressure) learn(before, failure float64) {
 	p.count++
--- a/decision/cell/pace.go
+++ b/decision/cell/pace.go
@@ -278,6 +278,18 @@
 	mean  float64 // load that it adds on average
 }
 
+// tryBeside notes the serving images beside which a filling run starts.
+func (c *Cell) tryBeside(r *run) {
+	if !r.fills {
+		return
+	}
+	for _, other := range r.worker.list {
+		if other.serves() {
+			c.disturbance.try(other.image, r.image, c.now.Steady)
+		}
+	}
+}
+
 // placeMargin is kept below the limit when a filling task is placed: loads are
 // known to a tenth.
 const placeMargin = 0.1
@@ -291,7 +303,7 @@
 		over := after + placeMargin - s.limit
 		h.worst = max(h.worst, over)
 		h.mean += added / float64(len(w.serving))
-		if over > 0 {
+		if over > 0 || c.disturbance.trying(s.image, image, c.now.Steady) {
 			h.count++
 		}
 	}
--- a/decision/cell/placing_test.go
+++ b/decision/cell/placing_test.go
@@ -28,6 +28,35 @@
 	}
 }
 
+// Guards against an image of which nothing is known that is started beside many
+// targets at once: whatever it does to the first one it does to all.
+func TestUnknownImageIsTriedOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"), testServer("b"), testServer("c"))
+	spread := lastingStep(3)
+	spread.MaxPerServer = 1
+	f.submit("00000000000000b1", spread)
+	for _, s := range take[Start](f) {
+		f.accept(s)
+	}
+	many := fillStep("unknown", 500)
+	many.Count = 6
+	f.submit("00000000000000b2", many)
+	first := take[Start](f)
+	if len(first) != 1 {
+		t.Fatalf("%d tasks of an unknown image were started at once, want 1", len(first))
+	}
+	f.accept(first[0])
+	d := f.cell.disturbance
+	for range triedAfter {
+		d.observe(d.id("serving"), 18, 7, usualLoad, []segment{{weight: 1, shares: addShare(nil, d.id("unknown"), 0.03)}})
+	}
+	f.pass(100 * time.Millisecond)
+	if rest := take[Start](f); len(rest) != 5 {
+		t.Errorf("%d tasks were started once the image is known to be harmless, want 5", len(rest))
+	}
+}
+
 // Guards against serving tasks of two images on one server while there are servers
 // for each: hardly any filling task is harmless to both.
 func TestServingImagesAreKeptApart(t *testing.T) {
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -122,6 +122,7 @@
 func (c *Cell) startRun(t *task, w *worker, ticket string) {
 	attempt := max(t.attempt, (c.round-1)*attemptsPerRound) + 1
 	r := c.addRun(t, w, attempt, runOrdered)
+	c.tryBeside(r)
 	j := t.of.of.job
 	deadline := c.leaseEnd(w)
 	w.granted = max(w.granted, deadline)
