--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SKIP = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 TEST_FLAGS = -race -count=1 -timeout 15m $(SKIP)
 
-.PHONY: test format vet lint build unit demo stay proto bench
+.PHONY: test format vet lint build unit soak demo stay proto bench
 
 test: format vet lint build unit
 
@@ -32,6 +32,12 @@
 	@if [ -n "$(PROPERTY_PACKAGES)" ]; then echo go test $(TEST_FLAGS) -rapid.seed=$(SEED) $(PROPERTY_PACKAGES); \
 	go test $(TEST_FLAGS) $(PROPERTY_PACKAGES) -rapid.seed=$(SEED) -rapid.nofailfile; fi
 
+# Plays random faults on real processes: RUNS seeds from SEED on, SECONDS each.
+soak: RUNS ?= 1
+soak: SECONDS ?= 12
+soak:
+	SOAK_SEED=$(SEED) SOAK_RUNS=$(RUNS) SOAK_SECONDS=$(SECONDS) go test -count=1 -v -timeout 60m ./soak
+
 demo:
 	@mkdir -p bin
 	go build -o bin/ ./cmd/...
--- a/decision/cell/regression_test.go
+++ b/decision/cell/regression_test.go
@@ -339,3 +339,30 @@
 		t.Errorf("after five seconds of sound work the worker gets nothing: %+v", starts)
 	}
 }
+
+// Guards against a takeover that waits for the lease of servers that had left
+// before it: replaced one after the other they are many, and lasting tasks waited
+// for 10.7 s (LOST, cafaf-turnos mix, seed 624077553595).
+func TestServerThatLeftIsForgotten(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"), testServer("b"))
+	f.submit(testJob, oneTask())
+	start := take[Start](f)[0]
+	f.accept(start)
+	f.pass(50 * time.Millisecond)
+	f.answerHolds(nil, map[fleet.BackendServerID][]FinishedRow{
+		start.Server: {{Number: 1, Task: start.Task, Attempt: start.Attempt, End: job.EndDone}},
+	})
+	f.handle(ServerGone{ID: start.Server})
+	f.pass(100 * time.Millisecond)
+	if r := f.records[serverKey(start.Server)]; r.Dropped() {
+		t.Fatal("a server that still answers was forgotten")
+	}
+	for _, h := range take[Hold](f) {
+		f.handle(Held{Server: h.Server, Number: h.Number, Sent: f.now, OK: h.Server != start.Server, Born: 1, Clock: f.now})
+	}
+	f.pass(100 * time.Millisecond)
+	if r, ok := f.records[serverKey(start.Server)]; !ok || !r.Dropped() {
+		t.Error("the record of a server that has left and runs nothing was not dropped")
+	}
+}
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -81,9 +81,6 @@
 	drainLease = 1500 * time.Millisecond
 	// lapseMargin covers the rounding of clocks to milliseconds.
 	lapseMargin = 50 * time.Millisecond
-	// maxMisses is the number of unanswered calls after which a server that is
-	// no longer listed and runs nothing is forgotten.
-	maxMisses = 3
 )
 
 // usable reports whether a run may be started on the worker.
@@ -154,10 +151,12 @@
 	}
 }
 
-// removeGone forgets workers that are not listed, do not answer and run nothing.
+// removeGone forgets workers that are not listed, do not answer and run nothing. A
+// later holder waits for every worker that it has a record of, so that records of
+// workers that have left would hold it up.
 func (c *Cell) removeGone() {
 	c.order = slices.DeleteFunc(c.order, func(w *worker) bool {
-		if w.listed || len(w.runs) > 0 || w.misses < maxMisses || w.oldUntil > 0 || c.now.Steady < w.lapseBy() {
+		if w.listed || len(w.runs) > 0 || w.orphaned() || w.misses == 0 || w.oldUntil > 0 {
 			return false
 		}
 		if w.stored {
@@ -168,6 +167,9 @@
 	})
 }
 
+// orphaned reports whether the newest list shows runs that belong to no task.
+func (w *worker) orphaned() bool { return w.unknownOrphan || w.orphans != fleet.Resources{} }
+
 // lapseBy is the time at which everything on the worker has surely ended if no
 // further call reaches it.
 func (w *worker) lapseBy() time.Duration {
