Wait for late orders to an earlier life of a worker

Cause: a start without an answer went to a worker that restarted under its identifier and then fell silent. The restart had reset the lease that was granted, so that the worker counted as lapsed at once and the task was started elsewhere; the next life carried the first start out two seconds later.

Ruled out from the lines of the holder: a stop that was answered by the earlier life (none was answered), a takeover (none between).

Change: an unsettled order to an earlier life keeps its worker from lapsing until the order can no longer be carried out and its lease would have run out.

--- a/decision/cell/regression_test.go
+++ b/decision/cell/regression_test.go
@@ -366,3 +366,30 @@
 		t.Error("the record of a server that has left and runs nothing was not dropped")
 	}
 }
+
+// Guards against a start that is carried out by the next life of its worker while
+// the task runs elsewhere: the order had no answer, the worker restarted under its
+// identifier and fell silent, and having no lease yet it counted as lapsed (TWICE,
+// soak seed 1007: late_orders, restart_worker).
+func TestLateOrderOutlivesARestart(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ready(testServer("a"), testServer("b"))
+	f.submit(testJob, oneTask())
+	start := take[Start](f)[0]
+	f.handle(StartAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, Outcome: StartUnknown, Sent: f.now})
+	begun, silent := f.now, false
+	for f.now-begun < 20*time.Second {
+		f.pass(250 * time.Millisecond)
+		for _, h := range take[Hold](f) {
+			f.handle(Held{Server: h.Server, Number: h.Number, Sent: f.now, OK: h.Server != start.Server || !silent, Born: 2, Clock: f.now})
+		}
+		silent = true // after the first list of the next life
+		if again := take[Start](f); len(again) != 0 {
+			t.Fatalf("started again %v after an order that may still be carried out: %+v", f.now-begun, again)
+		}
+	}
+	f.pass(5 * time.Second)
+	if again := take[Start](f); len(again) == 0 {
+		t.Error("the task was not started again once the order had surely lapsed")
+	}
+}
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -33,6 +33,9 @@
 	oldUntil   time.Duration // an earlier holder may use it until then; 0 when not
 	sample     clockSample
 	granted    time.Duration // latest lease end sent, on the worker's clock
+	// lateUntil is until when an order to an earlier life may still run in the
+	// present one; 0 when none may.
+	lateUntil time.Duration
 	used       fleet.Resources
 	fillCPU    int64
 	runs       map[runKey]*run
@@ -79,6 +82,9 @@
 	// drainLease is the lease at a server that leaves: whoever ends with it is
 	// known to have ended soon after.
 	drainLease = 1500 * time.Millisecond
+	// lateOrder is for how long an order without an answer may still be carried
+	// out; the platform states seconds, its troubles up to twelve.
+	lateOrder = 12 * time.Second
 	// lapseMargin covers the rounding of clocks to milliseconds.
 	lapseMargin = 50 * time.Millisecond
 )
@@ -144,6 +150,7 @@
 		if r.state == runOrdered || r.state == runUnsettled {
 			c.setState(r, runUnsettled)
 			r.stopped = false
+			w.lateUntil = max(w.lateUntil, r.orderedAt+lateOrder+time.Duration(float64(c.settings.HoldMax)/(1-clockDrift)))
 			c.sendStop(r)
 			continue
 		}
@@ -174,10 +181,10 @@
 // further call reaches it.
 func (w *worker) lapseBy() time.Duration {
 	if w.granted == 0 || !w.sample.known {
-		return 0
+		return w.lateUntil
 	}
 	left := float64(w.granted-w.sample.clock) / (1 - clockDrift)
-	return w.sample.received + time.Duration(left) + lapseMargin
+	return max(w.lateUntil, w.sample.received+time.Duration(left)+lapseMargin)
 }
 
 // holdIfDue sends the next hold of a worker, or an extra look.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -56,13 +56,25 @@
 	}
 	seed := setting(t, "SOAK_SEED", usualSeed)
 	seconds := setting(t, "SOAK_SECONDS", int64(usualDuration/time.Second))
+	var seeds []int64
 	for n := range setting(t, "SOAK_RUNS", 1) {
-		t.Run(fmt.Sprintf("seed %d", seed+n), func(t *testing.T) {
-			play(t, binary, seed+n, time.Duration(seconds)*time.Second)
+		seeds = append(seeds, seed+n)
+	}
+	if os.Getenv("SOAK_SEED") == "" {
+		seeds = append(seeds, regressionSeeds...)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			play(t, binary, seed, time.Duration(seconds)*time.Second)
 		})
 	}
 }
 
+// regressionSeeds are the seeds that found something.
+var regressionSeeds = []int64{
+	1007, // a late order was carried out by the next life of its worker
+}
+
 func play(t *testing.T, binary string, seed int64, duration time.Duration) {
 	w := newWorld(t, binary)
 	random := rand.New(rand.NewPCG(uint64(seed), 1))
