Ask the advisor before starts of the queues that have one

Cause: a start on a queue with an advisor is rejected without a ticket, so that jobs of such a queue never ran.

Change: a step of such a queue asks for its thirty best workers with room, two calls at a time and again after a pause when the advisor is busy; what it refuses stays refused, tickets count from the call and for one life of their worker, and one that a worker rejects is asked for again. The address is a setting.

--- a/cmd/lacewingfork-scheduler/main.go
+++ b/cmd/lacewingfork-scheduler/main.go
@@ -70,7 +70,7 @@
 	}
 	defer listeners.Close()
 	c := clock.New()
-	return serve(scheduler.New(s, listeners, platform.New(s.Store.Address, c.Steady), c, stdout), stderr)
+	return serve(scheduler.New(s, listeners, platform.New(s.Store.Address, s.Advisor.Address, c.Steady), c, stdout), stderr)
 }
 
 // serve runs the application until a stop signal or a failure, and returns the
--- /dev/null
+++ b/decision/cell/advice.go
@@ -0,0 +1,158 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// AdvisorSettings belong to a queue whose policy only an advisor knows: it says
+// which workers may run a step, and gives a ticket for each. Valid is 0 for a
+// queue without one.
+type AdvisorSettings struct {
+	// Decide and Period are the time of a call and that of each worker named.
+	Decide time.Duration
+	Period time.Duration
+	// Valid is how long a ticket is good for.
+	Valid time.Duration
+}
+
+// Time returns how long a call takes that names a number of workers.
+func (a AdvisorSettings) Time(workers int) time.Duration {
+	return a.Decide + time.Duration(workers)*a.Period
+}
+
+// Eligible is a worker that may run a step, with its ticket.
+type Eligible struct {
+	Server fleet.BackendServerID
+	Ticket string
+}
+
+// StepRef names one step of one occurrence of a job.
+type StepRef struct {
+	Job        fleet.JobID
+	Occurrence int
+	Step       int
+}
+
+const (
+	// maxAdvised is the number of workers in a call; the objective of a job
+	// counts one call on thirty workers for each step.
+	maxAdvised = 30
+	// maxAsking bounds the calls on their way: the advisor handles one at a time
+	// for each calling instance.
+	maxAsking = 2
+	// advicePause spaces the calls for a step that were turned away.
+	advicePause = 200 * time.Millisecond
+	// ticketMargin is the part of a ticket's validity that a start may take.
+	ticketMargin = 200 * time.Millisecond
+)
+
+// advice is what the advisor has said of a step.
+type advice struct {
+	asking  bool
+	nextAt  time.Duration
+	tickets map[fleet.BackendServerID]ticket
+	refused map[fleet.BackendServerID]bool // they may not run the step, which does not change
+}
+
+type ticket struct {
+	text  string
+	until time.Duration
+	born  int64 // life of the worker that it is good for
+}
+
+// ticketFor returns the ticket for a start of a step on a worker, and whether the
+// start is allowed. Queues without an advisor need none.
+func (c *Cell) ticketFor(s *stepState, w *worker) (string, bool) {
+	if c.queueOf(s.of.job).Advisor.Valid == 0 {
+		return "", true
+	}
+	t, ok := s.advice.tickets[w.server.ID]
+	return t.text, ok && t.born == w.born && c.now.Steady < t.until
+}
+
+// advise asks for advice on a step that has waiting tasks and no worker with room
+// and a ticket. It returns false when the step cannot be started yet.
+func (c *Cell) advise(s *stepState) bool {
+	settings := c.queueOf(s.of.job).Advisor
+	if settings.Valid == 0 {
+		return true
+	}
+	t := s.tasks[s.waiting[0]]
+	if w, _ := c.choose(t); w != nil {
+		return true
+	}
+	if s.advice.asking || c.now.Steady < s.advice.nextAt || c.asking >= maxAsking {
+		return false
+	}
+	workers := c.adviceCandidates(t)
+	if len(workers) == 0 {
+		return false
+	}
+	s.advice.asking = true
+	c.asking++
+	c.do(Advise{Step: s.ref(), Workers: workers, Takes: settings.Time(len(workers))})
+	c.do(Note{Event: NoteAdviceAsked, Job: s.of.job.job.ID, Detail: map[string]any{"step": s.index, "workers": len(workers)}})
+	return false
+}
+
+// adviceCandidates returns the best workers of which the advisor has not said that
+// they may not run the step.
+func (c *Cell) adviceCandidates(t *task) []fleet.BackendServerID {
+	type candidate struct {
+		id   fleet.BackendServerID
+		cost float64
+	}
+	var found []candidate
+	service := c.queueOf(t.of.of.job).Service
+	for _, w := range c.order {
+		if w.server.Service == service && !t.of.advice.refused[w.server.ID] && c.hasRoom(w, t) {
+			found = append(found, candidate{w.server.ID, c.cost(w, t)})
+		}
+	}
+	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	ids := make([]fleet.BackendServerID, 0, maxAdvised)
+	for _, f := range found[:min(len(found), maxAdvised)] {
+		ids = append(ids, f.id)
+	}
+	return ids
+}
+
+func (s *stepState) ref() StepRef {
+	return StepRef{Job: s.of.job.job.ID, Occurrence: s.of.number, Step: s.index}
+}
+
+// advised takes in the answer of the advisor.
+func (c *Cell) advised(e Advised) {
+	c.asking = max(0, c.asking-1)
+	c.needsOrder = true
+	t := c.lookup(job.TaskRef{Job: e.Step.Job, Occurrence: e.Step.Occurrence, Step: e.Step.Step})
+	if t == nil {
+		return // the job has ended meanwhile
+	}
+	s := t.of
+	s.advice.asking = false
+	c.do(Note{Event: NoteAdvised, Job: e.Step.Job, Detail: map[string]any{
+		"step": e.Step.Step, "ok": e.OK, "named": len(e.Named), "eligible": len(e.Eligible), "took_ms": (c.now.Steady - e.Sent).Milliseconds(),
+	}})
+	if !e.OK {
+		s.advice.nextAt = c.now.Steady + advicePause
+		return
+	}
+	if s.advice.tickets == nil {
+		s.advice.tickets, s.advice.refused = map[fleet.BackendServerID]ticket{}, map[fleet.BackendServerID]bool{}
+	}
+	for _, id := range e.Named {
+		s.advice.refused[id] = true
+	}
+	for _, eligible := range e.Eligible {
+		delete(s.advice.refused, eligible.Server)
+		if w := c.workers[eligible.Server]; w != nil {
+			s.advice.tickets[eligible.Server] = ticket{text: eligible.Ticket, until: e.Sent + e.Valid - ticketMargin, born: w.born}
+		}
+	}
+}
--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -81,6 +81,7 @@
 	consolidatedAt time.Duration
 
 	ordered    int // starts without an answer yet
+	asking     int // calls of the advisor without an answer yet
 	authority  bool
 	listRead   bool
 	blocked    bool // tasks of restored jobs may still run somewhere unknown
@@ -134,6 +135,8 @@
 		c.stopAnswered(e)
 	case PaceAnswered:
 		c.paceAnswered(e)
+	case Advised:
+		c.advised(e)
 	case Committed:
 		c.committed(e.Batch)
 	case BatchRefused:
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -55,6 +55,8 @@
 	// SlackFactor and TargetLatency give the objective of a job.
 	SlackFactor   float64
 	TargetLatency time.Duration
+	// Advisor says which workers may run a step of the queue.
+	Advisor AdvisorSettings
 }
 
 // Event is something that a Cell is told.
@@ -128,6 +130,15 @@
 		Percent int
 		OK      bool
 	}
+	// Advised is the answer to an Advise.
+	Advised struct {
+		Step     StepRef
+		Named    []fleet.BackendServerID
+		OK       bool
+		Eligible []Eligible
+		Valid    time.Duration // of the tickets
+		Sent     time.Duration
+	}
 	// Committed means that a batch is durable.
 	Committed struct{ Batch uint64 }
 	// BatchRefused means that a batch was surely not stored and is not on its way.
@@ -152,6 +163,7 @@
 func (StartAnswered) isEvent()    {}
 func (StopAnswered) isEvent()     {}
 func (PaceAnswered) isEvent()     {}
+func (Advised) isEvent()          {}
 func (Committed) isEvent()        {}
 func (BatchRefused) isEvent()     {}
 func (StoreHealth) isEvent()      {}
@@ -192,6 +204,7 @@
 	StartRefused                      // nothing was done
 	StartNever                        // another life answered, or the order is not valid
 	StartNotSent                      // the order waited for too long and was not sent
+	StartNoTicket                     // its ticket is not good any more; nothing was done
 )
 
 // Action is something that a Cell wants done.
@@ -238,6 +251,13 @@
 		Attempt int
 		Percent int
 	}
+	// Advise asks the advisor which workers may run a step.
+	Advise struct {
+		Step    StepRef
+		Workers []fleet.BackendServerID
+		// Takes is the time that the advisor needs for the answer.
+		Takes time.Duration
+	}
 	// Reply answers a caller.
 	Reply struct {
 		Token Token
@@ -259,6 +279,7 @@
 func (Start) isAction()      {}
 func (Stop) isAction()       {}
 func (Pace) isAction()       {}
+func (Advise) isAction()     {}
 func (Reply) isAction()      {}
 func (Superseded) isAction() {}
 func (Note) isAction()       {}
@@ -312,4 +333,6 @@
 	NoteQueuesChanged  NoteEvent = "queues_changed"
 	NoteBadSubmission  NoteEvent = "job_unreadable"
 	NoteRunUnexplained NoteEvent = "run_without_task"
+	NoteAdviceAsked    NoteEvent = "advice_asked"
+	NoteAdvised        NoteEvent = "advice_given"
 )
--- a/decision/cell/gang.go
+++ b/decision/cell/gang.go
@@ -25,7 +25,7 @@
 	saved := s.gangCheckpoint()
 	for i, t := range s.tasks {
 		t.attempt, t.saved = attempt, saved
-		c.startRun(t, placed[i], "")
+		c.startRun(t, placed[i])
 	}
 	s.waiting = nil
 }
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -44,6 +44,7 @@
 	index   int
 	step    *job.Step
 	image   imageID
+	advice  advice // of a queue with an advisor
 	served  served // load of its tasks, if they have a target
 	tasks   []*task
 	waiting []int // indexes of tasks without a run that may start
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -119,11 +119,12 @@
 }
 
 // startRun orders a run of a waiting task.
-func (c *Cell) startRun(t *task, w *worker, ticket string) {
+func (c *Cell) startRun(t *task, w *worker) {
 	attempt := max(t.attempt, (c.round-1)*attemptsPerRound) + 1
 	r := c.addRun(t, w, attempt, runOrdered)
 	c.tryBeside(r)
 	j := t.of.of.job
+	ticket, _ := c.ticketFor(t.of, w) // choose has checked that it is good
 	deadline := c.leaseEnd(w)
 	w.granted = max(w.granted, deadline)
 	c.do(Start{
@@ -168,6 +169,9 @@
 		c.holdIfDue(w)
 	case StartNotSent:
 		c.giveBack(r, orderPause)
+	case StartNoTicket:
+		delete(r.task.of.advice.tickets, w.server.ID)
+		c.giveBack(r, orderPause)
 	default: // StartOld, StartLate, StartNoRoom, StartRefused: nothing was done
 		before := w.health.asideUntil
 		w.health.refused(c.now.Steady)
@@ -179,7 +183,7 @@
 // startOutcomeNames are the outcomes in the log.
 var startOutcomeNames = map[StartOutcome]string{
 	StartUnknown: "unknown", StartAccepted: "accepted", StartFenced: "fenced", StartOld: "old_attempt",
-	StartLate: "late", StartNoRoom: "no_room", StartRefused: "refused", StartNever: "other_life", StartNotSent: "not_sent",
+	StartLate: "late", StartNoRoom: "no_room", StartRefused: "refused", StartNever: "other_life", StartNotSent: "not_sent", StartNoTicket: "no_ticket",
 }
 
 // orderPause keeps a task from being offered to refusing servers in a tight loop.
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -31,6 +31,9 @@
 		if c.blocked && s.of.job.restored {
 			continue
 		}
+		if !c.advise(s) {
+			continue
+		}
 		if s.step.Gang {
 			c.startGang(s)
 			continue
@@ -112,17 +115,22 @@
 			return
 		}
 		s.waiting = slices.DeleteFunc(s.waiting, func(i int) bool { return i == index })
-		c.startRun(t, w, "")
+		c.startRun(t, w)
 	}
 }
 
 // choose returns the best worker for a task, or nil when none has room.
 func (c *Cell) choose(t *task) (best *worker, bestCost float64) {
-	service := c.queueOf(t.of.of.job).Service
+	queue := c.queueOf(t.of.of.job)
 	for _, w := range c.order {
-		if w.server.Service != service || !c.fits(w, t) {
+		if w.server.Service != queue.Service || !c.hasRoom(w, t) {
 			continue
 		}
+		if queue.Advisor.Valid > 0 {
+			if _, allowed := c.ticketFor(t.of, w); !allowed {
+				continue
+			}
+		}
 		if cost := c.cost(w, t); best == nil || cost < bestCost {
 			best, bestCost = w, cost
 		}
@@ -166,6 +174,13 @@
 
 // fits reports whether a task may run on a worker and has room there.
 func (c *Cell) fits(w *worker, t *task) bool {
+	_, allowed := c.ticketFor(t.of, w)
+	return allowed && c.hasRoom(w, t)
+}
+
+// hasRoom reports whether a task has room on a worker that it could run on, if the
+// advisor of its queue allows that.
+func (c *Cell) hasRoom(w *worker, t *task) bool {
 	s := t.of.step
 	if !w.usable() || !w.health.open(c.now.Steady, w) {
 		return false
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -36,10 +36,10 @@
 	// lateUntil is until when an order to an earlier life may still run in the
 	// present one; 0 when none may.
 	lateUntil time.Duration
-	used       fleet.Resources
-	fillCPU    int64
-	runs       map[runKey]*run
-	list       []*run // the same, in the order in which they were added
+	used      fleet.Resources
+	fillCPU   int64
+	runs      map[runKey]*run
+	list      []*run // the same, in the order in which they were added
 	// serving and fills are the confirmed runs with a target and those that
 	// fill; unsurveyed means that they have to be looked up again.
 	serving    []*run
--- a/scheduler/api/api.go
+++ b/scheduler/api/api.go
@@ -91,6 +91,11 @@
 	Pace(ctx context.Context, epoch fleet.Epoch, p cell.Pace) cell.PaceAnswered
 }
 
+// Advisor says which workers may run a step of a queue that asks it.
+type Advisor interface {
+	Advise(ctx context.Context, a cell.Advise) cell.Advised
+}
+
 // Configuration is what the operators published.
 type Configuration struct {
 	Version int64
@@ -145,6 +150,7 @@
 type Platform struct {
 	Store   Store
 	Workers Workers
+	Advisor Advisor
 	Records Records
 	Callers Callers
 }
--- a/scheduler/holder/actions.go
+++ b/scheduler/holder/actions.go
@@ -65,6 +65,8 @@
 		d.handle(cell.StartAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Outcome: cell.StartNotSent, Sent: d.clock.Steady()})
 	case cell.Hold:
 		d.handle(cell.Held{Server: a.Server, Number: a.Number, Sent: d.clock.Steady()})
+	case cell.Advise:
+		d.handle(cell.Advised{Step: a.Step, Named: a.Workers, Sent: d.clock.Steady()})
 	}
 }
 
--- a/scheduler/settings/settings.go
+++ b/scheduler/settings/settings.go
@@ -20,6 +20,7 @@
 	Instance Instance
 	Listen   Listen
 	Store    Store
+	Advisor  Advisor
 	Bounds   Bounds
 	Process  Process
 }
@@ -43,6 +44,9 @@
 // Store is the platform's store.
 type Store struct{ Address string }
 
+// Advisor is the service that knows the policy of some queues.
+type Advisor struct{ Address string }
+
 // Bounds are the bounds that the platform states.
 type Bounds struct {
 	LeaseMax     time.Duration
@@ -132,6 +136,12 @@
 			Range: listenRange, Valid: isAddress, Field: func(s *Settings) any { return &s.Store.Address },
 		},
 	}},
+	{Name: "advisor", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "address", Meaning: "address of the platform's advisor; empty where no queue has one", Default: "",
+			Range: "IP:port or an empty text", Valid: isAddressOrEmpty, Field: func(s *Settings) any { return &s.Advisor.Address },
+		},
+	}},
 	{Name: "bounds", Keys: []tomlfile.Key[Settings]{
 		{
 			Name: "lease_max", Meaning: "longest lease that a worker grants",
@@ -167,6 +177,8 @@
 
 func notEmpty(text string) bool { return text != "" }
 
+func isAddressOrEmpty(text string) bool { return text == "" || isAddress(text) }
+
 func isAddress(text string) bool {
 	_, err := netip.ParseAddrPort(text)
 	return err == nil
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -73,7 +73,7 @@
 	stores := p.Tree.Child("store", supervise.DefaultIntensity)
 	writer := store.NewWriter(stores, p.Platform.Store, p.Log, p.Holder.Commits, p.Registry)
 	servers := store.NewServers(stores, p.Platform.Store, p.Platform.Records, p.Log, p.Holder.Servers)
-	calls := workers.New(p.Tree, p.Platform.Workers, p.Clock, p.Holder.Events, p.Registry)
+	calls := workers.New(p.Tree, p.Platform.Workers, p.Platform.Advisor, p.Clock, p.Holder.Events, p.Registry)
 
 	p.Holder.Orders, p.Holder.Holds = calls.Orders, calls.Holds
 	p.Holder.Appends, p.Holder.ServersWanted = writer.Appends, servers.Wanted
--- a/scheduler/workers/workers.go
+++ b/scheduler/workers/workers.go
@@ -32,6 +32,9 @@
 	// orderTimeout is many round trips between regions, and below the time
 	// after which an order that had no answer is carried out all the same.
 	orderTimeout = 700 * time.Millisecond
+	// adviceCalls is the number of calls that an advisor handles for this
+	// instance before one that has just been made, and that one.
+	adviceCalls = 3
 	// staleStart is the age from which a start is no longer sent: its job may
 	// have been cancelled and its worker silent since it was ordered.
 	staleStart = time.Second
@@ -43,6 +46,7 @@
 type Supervisor struct {
 	tree    *supervise.Tree
 	workers api.Workers
+	advisor api.Advisor
 	clock   *clock.Clock
 	events  *supervise.Ring[message.WorkerEvent]
 	calls   *prometheus.HistogramVec
@@ -55,9 +59,9 @@
 }
 
 // New adds the supervisor below root. The answers go to events.
-func New(root *supervise.Tree, workers api.Workers, c *clock.Clock, events *supervise.Ring[message.WorkerEvent], registry prometheus.Registerer) *Supervisor {
+func New(root *supervise.Tree, workers api.Workers, advisor api.Advisor, c *clock.Clock, events *supervise.Ring[message.WorkerEvent], registry prometheus.Registerer) *Supervisor {
 	s := &Supervisor{
-		tree: root.Child("workers", supervise.DefaultIntensity), workers: workers, clock: c, events: events,
+		tree: root.Child("workers", supervise.DefaultIntensity), workers: workers, advisor: advisor, clock: c, events: events,
 		Orders: supervise.NewRing[message.Order]("workers.orders", orderCapacity, supervise.Refuse),
 		Holds:  supervise.NewRing[message.Order]("workers.holds", holdCapacity, supervise.Refuse),
 		idle:   supervise.NewRing[fleet.BackendServerID]("workers.idle", holdCapacity, supervise.Wait),
@@ -164,6 +168,9 @@
 	if h, ok := o.Action.(cell.Hold); ok {
 		waits = h.Wait
 	}
+	if a, ok := o.Action.(cell.Advise); ok {
+		timeout += adviceCalls * a.Takes
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+waits)
 	defer cancel()
 	begun := time.Now()
@@ -199,6 +206,9 @@
 	case cell.Pace:
 		paced := s.workers.Pace(ctx, o.Epoch, a)
 		return paced, "pace", paced.OK
+	case cell.Advise:
+		advised := s.advisor.Advise(ctx, a)
+		return advised, "advise", advised.OK
 	default:
 		return nil, "", false
 	}
--- a/scheduler/workers/workers_test.go
+++ b/scheduler/workers/workers_test.go
@@ -39,7 +39,7 @@
 	workers := counting{starts: supervise.NewRing[cell.Start]("test.starts", 4, supervise.Refuse)}
 	tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
 	c := clock.New()
-	s := New(tree, workers, c, events, prometheus.NewRegistry())
+	s := New(tree, workers, nil, c, events, prometheus.NewRegistry())
 	ctx := context.Background()
 	s.call(ctx, message.Order{Action: cell.Start{}, At: c.Steady() - staleStart - time.Millisecond})
 	if got := (<-events.Items()).Event.(cell.StartAnswered); got.Outcome != cell.StartNotSent {
