Answer SIGHUP: read and check the settings, log what has changed

Cause: the signal was ignored without a line, so that nobody could tell whether a changed file is in force. Change: a duty reads the settings again and logs the sections that differ or the findings; a change takes effect at the next start, as every section names sockets, identities or bounds that others rely on.

--- a/cmd/lacewingfork-scheduler/main.go
+++ b/cmd/lacewingfork-scheduler/main.go
@@ -70,14 +70,15 @@
 	}
 	defer listeners.Close()
 	c := clock.New()
-	return serve(scheduler.New(s, listeners, platform.New(s.Store.Address, s.Advisor.Address, c.Steady), c, stdout), stderr)
+	reload := func() (settings.Settings, error) { return settings.Load(o.Settings) }
+	return serve(scheduler.New(s, listeners, platform.New(s.Store.Address, s.Advisor.Address, c.Steady), c, stdout, reload), stderr)
 }
 
 // serve runs the application until a stop signal or a failure, and returns the
 // exit code.
 func serve(app *fx.App, stderr io.Writer) int {
-	// A reload must not end the process; the settings are read at the start.
-	signal.Ignore(syscall.SIGHUP)
+	// A reload must not end the process before its duty listens.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	if err := app.Start(context.Background()); err != nil {
 		_, _ = fmt.Fprintln(stderr, err) // nothing is left to report to
 		return exitFailed
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,8 +38,9 @@
 	return listen.Open(listen.Addresses{Callers: s.Callers, Peers: s.Peers, Operations: s.Operations})
 }
 
-// New returns the application of one entry instance. Log lines go to output.
-func New(s settings.Settings, l *Listeners, p api.Platform, c *clock.Clock, output io.Writer) *fx.App {
+// New returns the application of one entry instance. Log lines go to output;
+// reload, unless nil, reads the settings again on SIGHUP.
+func New(s settings.Settings, l *Listeners, p api.Platform, c *clock.Clock, output io.Writer, reload Reload) *fx.App {
 	return fx.New(
 		fx.NopLogger,
 		fx.StopTimeout(s.Bounds.Grace+stopAllowance),
@@ -52,6 +53,7 @@
 				level = log.InfoLevel // the settings were checked when they were read
 			}
 			lines.Start(tree, output, s.Instance.ID, level)
+			startReload(tree, reload, s, lines)
 		}),
 		fx.Invoke(run),
 	)
