Leave 20 ms between the appends of the holder

Cause: with one append on its way at a time and the next one sent at once, the holder made up to 90 calls of the store a second, each of which is priced.

Change: the next append gathers for 20 ms.

--- a/scheduler/holder/actions.go
+++ b/scheduler/holder/actions.go
@@ -93,8 +93,8 @@
 // lives.
 func (d *Duty) write(ctx context.Context) {
 	r := d.role
-	if r.writing {
-		return
+	if r.writing || d.clock.Steady()-r.wroteAt < gatherFor {
+		return // the next event or tick comes back to it
 	}
 	batch, ok := r.cell.TakeBatch()
 	var items []api.Item
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -34,6 +34,9 @@
 	// aliveEvery is how often an idle holder shows in the store that it lives;
 	// the others wait several times as long before they take over.
 	aliveEvery = 300 * time.Millisecond
+	// gatherFor is the least time between the answer to an append and the next
+	// one: each call of the store is priced, and an append takes 4 ms.
+	gatherFor = 20 * time.Millisecond
 	// drainAtOnce bounds the events that are applied before their actions are
 	// carried out.
 	drainAtOnce = 64
