--- a/cmd/lacewingfork-entry/main.go
+++ b/cmd/lacewingfork-entry/main.go
@@ -61,7 +61,7 @@
 	}
 	s, err := settings.Load(o.Settings)
 	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
+		_, _ = fmt.Fprintln(stderr, err) // nothing is left to report to
 		return exitSettings
 	}
 	debug.SetMemoryLimit(memoryLimit)
--- a/decision/task/fold_test.go
+++ b/decision/task/fold_test.go
@@ -175,7 +175,7 @@
 			},
 			"repeat": func(t *rapid.T) { // of the newest record
 				if len(log) == 0 {
-					t.Skip("empty")
+					t.Skip("empty") // rapid draws another action; the test goes on
 				}
 				before := f.Snapshot()
 				if v := apply(log[len(log)-1]); v == Accepted {
