Log why a task waits

A log of the landed code gives the wait of a start, nothing about a task that still waits and no reason. task_waits names the main reason, counts the workers by what each of them lacks, and shows what the runs of the service occupy. The first line follows after 1 s, each further one after twice the time.

feasible now asks obstacleTo, which returns the first obstacle in place of false; the checks and their order are those of before.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -166,6 +166,7 @@
 	if c.needsScheduling {
 		c.needsScheduling = false
 		c.schedule()
+		c.reportWaits()
 	}
 	actions := c.actions
 	c.actions = nil
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -342,4 +342,5 @@
 	NoteRunWithoutTask     NoteEvent = "run_without_task"
 	NoteAdviceRequested    NoteEvent = "advice_asked"
 	NoteAdviceReceived     NoteEvent = "advice_given"
+	NoteTaskWaits          NoteEvent = "task_waits"
 )
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -56,6 +56,10 @@
 	// openedAt is the time from which the tasks of the step could start.
 	openedAt time.Duration
 	inReady  bool // the step is in Cell.ready
+	// nextWaitReport is the length of the wait that began at waitReportSince at
+	// which it is logged.
+	nextWaitReport  time.Duration
+	waitReportSince time.Duration
 }
 
 // task is one task of a step.
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -188,31 +188,42 @@
 
 // feasible reports whether a worker is suitable for a task and has room for it.
 // It does not consider tickets of the queue's advisor.
-func (c *Cell) feasible(w *worker, t *task) bool {
+func (c *Cell) feasible(w *worker, t *task) bool { return c.obstacleTo(w, t) == obstacleNone }
+
+// obstacleTo returns the first reason why a worker cannot run a task.
+func (c *Cell) obstacleTo(w *worker, t *task) obstacle {
 	s := t.step.spec
-	if !w.usable() || !w.health.acceptsTask(c.now.Steady, w) {
-		return false
+	if !w.usable() {
+		return obstacleUnusable
+	}
+	if !w.health.acceptsTask(c.now.Steady, w) {
+		return obstacleQuarantine
 	}
 	need := s.Need
 	if s.BestEffort {
 		if w.throttling.overSince > 0 {
-			return false // a serving task there already misses its target
+			return obstacleMissedTarget // of a serving task there
 		}
 		need.MilliCPU = 0
 	}
-	need.Slots = 0
 	if w.unknownOrphan {
-		return false
+		return obstacleOrphan
 	}
 	free := w.server.Capacity.Sub(w.used).Sub(w.orphanResources)
-	free.Slots = 0
-	if !need.Fits(free) {
-		return false
-	}
-	if s.Label != "" && !slices.Contains(w.server.Labels, s.Label) {
-		return false
+	switch {
+	case need.MilliCPU > free.MilliCPU:
+		return obstacleProcessor
+	case need.MemoryMiB > free.MemoryMiB:
+		return obstacleMemory
+	case need.Accelerators > free.Accelerators:
+		return obstacleAccelerators
+	case s.Label != "" && !slices.Contains(w.server.Labels, s.Label):
+		return obstacleLabel
+	case s.MaxPerServer > 0 && w.runsOfStep(t.step) >= s.MaxPerServer:
+		return obstacleMaxPerServer
+	default:
+		return obstacleNone
 	}
-	return s.MaxPerServer == 0 || w.runsOfStep(t.step) < s.MaxPerServer
 }
 
 // runsOfStep returns the number of runs of a step on the worker.
--- /dev/null
+++ b/decision/cell/waits.go
@@ -0,0 +1,148 @@
+package cell
+
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// obstacle is a reason why a worker cannot run a task.
+type obstacle int
+
+const (
+	obstacleNone         obstacle = iota
+	obstacleUnusable              // not listed, not fenced, unreachable or draining
+	obstacleQuarantine            // it has failed tasks, or one is being tried there
+	obstacleMissedTarget          // a serving task there misses its target
+	obstacleOrphan                // a run of unknown need is being stopped there
+	obstacleProcessor
+	obstacleMemory
+	obstacleAccelerators
+	obstacleLabel
+	obstacleMaxPerServer
+	obstacleCount
+)
+
+// obstacleNames are the names of the obstacles in the log. A worker without an
+// obstacle has room for the task.
+var obstacleNames = [obstacleCount]string{
+	"with_room", "unusable", "set_aside", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit",
+}
+
+// Reasons in the log for the wait of a step that are not obstacles of workers.
+const (
+	waitTakeover     = "takeover"          // a run of an earlier holder may still exist
+	waitRetry        = "retry_delay"       // the last start was not accepted
+	waitStarts       = "unanswered_starts" // maxUnansweredStarts
+	waitAdvice       = "advice"            // no valid ticket of the advisor
+	waitInterference = "interference"      // it would disturb serving tasks
+	waitGang         = "gang"              // there is room for some of its tasks only
+)
+
+// firstWaitReport is how long a step waits until its wait is logged. Each
+// further line follows after twice the time of the one before, so that a step
+// has a few lines at most.
+const firstWaitReport = time.Second
+
+// reportWaits logs the steps that have waited for long and the reasons.
+func (c *Cell) reportWaits() {
+	for _, s := range c.ready {
+		if len(s.waiting) == 0 || s.occurrence.job.ended {
+			continue
+		}
+		t := s.tasks[s.waiting[0]]
+		since := c.waitingSince(t)
+		if s.waitReportSince != since {
+			s.waitReportSince, s.nextWaitReport = since, firstWaitReport
+		}
+		if waited := c.now.Steady - since; waited >= s.nextWaitReport {
+			s.nextWaitReport = 2 * waited
+			c.reportWait(t, waited)
+		}
+	}
+}
+
+// reportWait logs why a task waits: the number of workers by their obstacle, and
+// what occupies the processors of the service.
+func (c *Cell) reportWait(t *task, waited time.Duration) {
+	s := t.step
+	j := s.occurrence.job
+	service := c.queueOf(j).Service
+	var workers [obstacleCount]int
+	for _, w := range c.sortedWorkers {
+		if w.server.Service == service {
+			workers[c.obstacleTo(w, t)]++
+		}
+	}
+	detail := map[string]any{
+		"step": s.index, "waiting": len(s.waiting), "waited_ms": waited.Milliseconds(), "reason": c.waitReason(t, workers),
+		"late": c.lateness(s) > 0, "objective_in_ms": (c.objectiveAt(j) - c.now.Steady).Milliseconds(),
+		"milli_cpu": s.spec.Need.MilliCPU, "memory_mib": s.spec.Need.MemoryMiB,
+	}
+	for o, count := range workers {
+		if count > 0 {
+			detail["workers_"+obstacleNames[o]] = count
+		}
+	}
+	u := c.usage(service)
+	detail["capacity_milli_cpu"], detail["long_running_milli_cpu"], detail["other_milli_cpu"] = u.capacity.MilliCPU, u.longRunning.MilliCPU, u.other.MilliCPU
+	detail["capacity_mib"], detail["best_effort_mib"] = u.capacity.MemoryMiB, u.bestEffort.MemoryMiB
+	c.emit(Note{Event: NoteTaskWaits, Job: j.job.ID, Task: t.ref().String(), Detail: detail})
+}
+
+// waitReason returns the main reason why a task waits, given the number of
+// workers by their obstacle.
+func (c *Cell) waitReason(t *task, workers [obstacleCount]int) string {
+	s := t.step
+	switch {
+	case c.blocked && s.occurrence.job.restored:
+		return waitTakeover
+	case c.now.Steady < t.notBefore:
+		return waitRetry
+	case workers[obstacleNone] == 0:
+		most := obstacleUnusable
+		for o := most; o < obstacleCount; o++ {
+			if workers[o] > workers[most] {
+				most = o
+			}
+		}
+		return obstacleNames[most]
+	case c.unansweredStarts >= maxUnansweredStarts:
+		return waitStarts
+	case c.queueOf(s.occurrence.job).Advisor.TicketValidity > 0:
+		return waitAdvice
+	case s.spec.Gang:
+		return waitGang
+	default:
+		return waitInterference
+	}
+}
+
+// usage is what the runs of a service occupy, by kind of task.
+type usage struct {
+	capacity    fleet.Resources // of the usable workers
+	longRunning fleet.Resources
+	bestEffort  fleet.Resources
+	other       fleet.Resources
+}
+
+func (c *Cell) usage(service fleet.Service) usage {
+	var u usage
+	for _, w := range c.sortedWorkers {
+		if w.server.Service != service || !w.usable() {
+			continue
+		}
+		u.capacity = u.capacity.Add(w.server.Capacity)
+		for _, r := range w.runsInOrder {
+			switch {
+			case r.task.step.spec.LongRunning:
+				u.longRunning = u.longRunning.Add(r.need)
+			case r.bestEffort:
+				u.bestEffort = u.bestEffort.Add(r.need)
+			default:
+				u.other = u.other.Add(r.need)
+			}
+		}
+	}
+	return u
+}
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -14,6 +14,7 @@
 	acceptSeconds   prometheus.Histogram
 	taskWaitSeconds prometheus.Histogram
 	jobSeconds      prometheus.Histogram
+	taskWaits       *prometheus.CounterVec
 	takeovers       prometheus.Counter
 	unreadResponses prometheus.Counter
 }
@@ -33,6 +34,9 @@
 		taskWaitSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lacewingfork_task_wait_seconds", Help: "Time from a job's arrival, or a lost run, to the order of a task's start.", Buckets: seconds,
 		}),
+		taskWaits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingfork_task_waits_total", Help: "Logged waits of tasks for a start, by reason.",
+		}, []string{"reason"}),
 		jobSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lacewingfork_job_seconds", Help: "Time from a job's arrival to its final state.", Buckets: seconds,
 		}),
@@ -43,7 +47,7 @@
 			Name: "lacewingfork_answers_unread_total", Help: "Responses dropped because the caller no longer waited.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.jobSeconds, m.takeovers, m.unreadResponses)
+	registry.MustRegister(m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.jobSeconds, m.takeovers, m.unreadResponses)
 	return m
 }
 
@@ -67,6 +71,10 @@
 		observe(m.acceptSeconds, n, "to_store_us", 1e6)
 	case cell.NoteStartOrdered:
 		observe(m.taskWaitSeconds, n, "waited_ms", 1e3)
+	case cell.NoteTaskWaits:
+		if reason, ok := n.Detail["reason"].(string); ok {
+			m.taskWaits.WithLabelValues(reason).Inc()
+		}
 	case cell.NoteJobEnded:
 		observe(m.jobSeconds, n, "after_ms", 1e3)
 	}
