Start long-running tasks last on a service that they crowd

Cause: a step that can no longer meet its objective is ordered after every step that still can. A step of long-running tasks counts as able to meet it for good, and its objective is soon in the past, so a waiting one came first of all. Where long-running tasks need more than the service has, each processor that any task gave back went to them and stayed with them; the other tasks of the same priority lived on fragments of 4 cores a server, too small for the tasks of the large jobs.

Change: where long-running tasks occupy most of the processors in use of a service, further ones come after the other steps of their priority.

Ruled out: memory held by best-effort tasks (no wait is no_memory). That late jobs starve behind newer ones alone: with this change they are served.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -79,6 +79,9 @@
 	workers       map[fleet.BackendServerID]*worker
 	sortedWorkers []*worker // by identifier, so that decisions do not depend on map order
 	ready         []*stepState
+	// longRunningExcess is the processor use of long-running tasks less that of
+	// all others, by service.
+	longRunningExcess map[fleet.Service]int64
 
 	interference           *interferenceModel
 	interferenceRecordedAt time.Duration // time of the last record of the model
@@ -106,7 +109,7 @@
 	c := &Cell{
 		settings: settings, round: max(1, round), authority: true,
 		queues: map[job.Queue]QueueSettings{}, retiredQueues: map[job.Queue]QueueSettings{}, jobs: map[fleet.JobID]*jobState{},
-		workers: map[fleet.BackendServerID]*worker{},
+		workers: map[fleet.BackendServerID]*worker{}, longRunningExcess: map[fleet.Service]int64{},
 	}
 	c.nextBatch, c.interference = newBatch(1), newInterferenceModel()
 	c.batchNumber = 1
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -80,6 +80,9 @@
 		w.bestEffortCPU += sign * need.MilliCPU
 		need.MilliCPU = 0
 	}
+	if r.task.step.spec.LongRunning {
+		w.longRunningCPU += sign * need.MilliCPU
+	}
 	if sign > 0 {
 		w.used = w.used.Add(need)
 	} else {
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -24,6 +24,9 @@
 		s.inReady = false
 		return true
 	})
+	if slices.ContainsFunc(c.ready, func(s *stepState) bool { return s.spec.LongRunning }) {
+		c.measureCrowding()
+	}
 	slices.SortStableFunc(c.ready, c.compareSteps)
 	for _, s := range c.ready {
 		if c.unansweredStarts >= maxUnansweredStarts {
@@ -48,11 +51,22 @@
 // wait behind them.
 const maxUnansweredStarts = 96
 
+// measureCrowding determines on which services long-running tasks occupy most of
+// the processors in use.
+func (c *Cell) measureCrowding() {
+	clear(c.longRunningExcess)
+	for _, w := range c.sortedWorkers {
+		c.longRunningExcess[w.server.Service] += 2*w.longRunningCPU - w.used.MilliCPU
+	}
+}
+
 // compareSteps orders steps by the priority of the queue, then puts the steps
-// that can still meet their objective first, by the time of the objective.
+// that can still meet their objective first, by the time of the objective. On a
+// service crowded by long-running tasks, further ones come last.
 func (c *Cell) compareSteps(a, b *stepState) int {
 	return cmp.Or(
 		cmp.Compare(c.queueOf(a.occurrence.job).Priority, c.queueOf(b.occurrence.job).Priority),
+		cmp.Compare(c.crowding(a), c.crowding(b)),
 		cmp.Compare(c.lateness(a), c.lateness(b)),
 		cmp.Compare(c.objectiveAt(a.occurrence.job), c.objectiveAt(b.occurrence.job)),
 		strings.Compare(string(a.occurrence.job.job.ID), string(b.occurrence.job.job.ID)),
@@ -61,6 +75,16 @@
 	)
 }
 
+// crowding returns 1 for a step of long-running tasks on a crowded service and 0
+// for any other. A long-running task never returns its capacity and is never
+// late, so it would take whatever the other tasks return.
+func (c *Cell) crowding(s *stepState) int {
+	if s.spec.LongRunning && c.longRunningExcess[c.queueOf(s.occurrence.job).Service] > 0 {
+		return 1
+	}
+	return 0
+}
+
 // lateness returns 0 for a step that can still meet its objective and 1 for any
 // other. If late steps came first at peak load, every job behind them would be
 // late too.
