--- a/decision/cell/bench_test.go
+++ b/decision/cell/bench_test.go
@@ -59,3 +59,33 @@
 	f.actions = nil
 	return f
 }
+
+// BenchmarkPreemptionVictim measures the search for a long-running task to preempt,
+// which is made at most once in preemptInterval.
+func BenchmarkPreemptionVictim(b *testing.B) {
+	for _, workers := range []int{66, 350, 1000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := newBenchFixture(workers)
+			step := longRunningStep(workers)
+			step.Need.MilliCPU = 12000 // one on each server
+			f.submit("000000000000c001", step)
+			for starts := takeActions[Start](f); len(starts) > 0; starts = takeActions[Start](f) {
+				for _, s := range starts {
+					f.acceptStart(s)
+				}
+			}
+			for _, w := range f.cell.sortedWorkers {
+				for _, r := range w.runsInOrder {
+					r.percent = fullSpeed
+				}
+			}
+			f.submit("000000000000b001", job.Step{Count: 1, Need: fleet.Resources{MilliCPU: 9000, MemoryMiB: 1000}, Estimate: time.Second})
+			waiting := f.cell.jobs["000000000000b001"].occurrences[0].steps[0].tasks[0]
+			for b.Loop() {
+				if f.cell.preemptionVictim(waiting) == nil {
+					b.Fatal("no long-running task can be preempted")
+				}
+			}
+		})
+	}
+}
