Let long-running jobs of the crowded service end by cancellation

The simulation failed each long-running task after a minute. A failed task has to start again, a cancelled job gives its capacity back and another one asks for it: the two compete differently.

--- a/decision/cell/crowded_test.go
+++ b/decision/cell/crowded_test.go
@@ -14,8 +14,8 @@
 )
 
 // crowdedService simulates a service whose long-running tasks need more than its
-// capacity, and jobs of the same priority that arrive meanwhile. Its workers run
-// every task for the time given by duration and fail long-running tasks at random.
+// capacity, and jobs of the same priority that arrive meanwhile. Long-running jobs
+// are cancelled and replaced by others; now and then one of their tasks fails.
 type crowdedService struct {
 	*fixture
 	random  *rand.Rand // of the submissions
@@ -24,11 +24,21 @@
 	held    []Hold
 	heldAt  map[uint64]time.Duration
 	jobs    map[fleet.JobID]*crowdedJob
+	long    []longRunningJob
+	longID  int
+}
+
+// longRunningJob is a long-running job that has not been cancelled.
+type longRunningJob struct {
+	id       fleet.JobID
+	milliCPU int64 // need of all its tasks
+	until    time.Duration
 }
 
 type crowdedWorker struct {
 	runs     map[runKey]time.Duration // time of the end
 	stopped  map[runKey]bool
+	long     map[runKey]bool
 	finished []FinishedRow
 	ends     int64
 }
@@ -46,7 +56,8 @@
 	// capacity, finiteShare that of all other tasks.
 	longRunningShare = 1.05
 	finiteShare      = 0.04
-	meanLife         = 70 * time.Second // of a long-running task, until it fails
+	meanStay         = 70 * time.Second // of a long-running job, until it is cancelled
+	meanLife         = 20 * time.Minute // of a long-running task, until it fails
 	taskTime         = 700 * time.Millisecond
 )
 
@@ -62,7 +73,7 @@
 	for i := range crowdedServers {
 		server := testServer(fleet.BackendServerID(fmt.Sprintf("server-%02d", i)))
 		server.Capacity = fleet.Resources{MilliCPU: crowdedMilliCPU, MemoryMiB: 256000}
-		s.workers[server.ID] = &crowdedWorker{runs: map[runKey]time.Duration{}, stopped: map[runKey]bool{}}
+		s.workers[server.ID] = &crowdedWorker{runs: map[runKey]time.Duration{}, stopped: map[runKey]bool{}, long: map[runKey]bool{}}
 		s.handle(ServerListed{Server: server})
 	}
 	s.handle(ServerListRead{})
@@ -72,6 +83,9 @@
 // run lets time pass in steps of a tick, with the workers' answers.
 func (s *crowdedService) run(d time.Duration) {
 	for end := s.now + d; s.now < end; {
+		if len(s.long) > 0 {
+			s.replaceLongRunning()
+		}
 		s.answerOrders()
 		s.advance(50 * time.Millisecond)
 		s.endRuns()
@@ -85,7 +99,8 @@
 		if start.Spec == "long" {
 			life = time.Duration(s.lives.ExpFloat64() * float64(meanLife))
 		}
-		s.workers[start.Server].runs[runKey{start.Task, start.Attempt}] = s.now + life
+		w, key := s.workers[start.Server], runKey{start.Task, start.Attempt}
+		w.runs[key], w.long[key] = s.now+life, start.Spec == "long"
 		s.acceptStart(start)
 	}
 	for _, stop := range takeActions[Stop](s.fixture) {
@@ -109,7 +124,7 @@
 			switch {
 			case w.stopped[key]:
 				end = job.EndStopped
-			case s.cell.jobs[key.task.Job].job.Spec == "long":
+			case w.long[key]:
 				end = job.EndFailed
 			}
 			w.ends++
@@ -156,15 +171,30 @@
 	}
 }
 
-// submitLongRunning submits long-running jobs of six tasks until their need is
-// longRunningShare of the capacity.
-func (s *crowdedService) submitLongRunning() {
-	var need float64
-	for n := 0; need < longRunningShare*crowdedServers*crowdedMilliCPU; n++ {
-		cpu := 9000 + s.random.Int64N(9000)
-		need += float64(6 * cpu)
+// replaceLongRunning cancels the long-running jobs whose time has come, and submits
+// others of six tasks while the need of all is below longRunningShare of the
+// capacity.
+func (s *crowdedService) replaceLongRunning() {
+	need := int64(0)
+	s.long = slices.DeleteFunc(s.long, func(j longRunningJob) bool {
+		if s.now < j.until {
+			need += j.milliCPU
+			return false
+		}
+		s.handle(CancelRequested{Token: 1, Queue: "long", ID: j.id})
+		return true
+	})
+	for float64(need) < longRunningShare*crowdedServers*crowdedMilliCPU {
+		cpu := 9000 + s.lives.Int64N(9000)
+		s.longID++
+		j := longRunningJob{
+			id: fleet.JobID(fmt.Sprintf("%016x", 1<<40+s.longID)), milliCPU: 6 * cpu,
+			until: s.now + time.Duration(s.lives.ExpFloat64()*float64(meanStay)),
+		}
 		step := job.Step{Count: 6, Need: fleet.Resources{MilliCPU: cpu, MemoryMiB: 25000}, LongRunning: true}
-		s.handle(Submitted{Token: 1, Job: job.Job{ID: fleet.JobID(fmt.Sprintf("%016x", 1<<40+n)), Queue: "long", Spec: "long", Steps: []job.Step{step}}})
+		s.handle(Submitted{Token: 1, Job: job.Job{ID: j.id, Queue: "long", Spec: "long", Steps: []job.Step{step}}})
+		s.long = append(s.long, j)
+		need += j.milliCPU
 	}
 }
 
@@ -207,7 +237,7 @@
 	for seed := range uint64(8) {
 		s := newCrowdedService(t, seed)
 		s.run(500 * time.Millisecond)
-		s.submitLongRunning()
+		s.replaceLongRunning()
 		s.run(5 * time.Second)
 		began, offered := s.now, 0.0
 		for n := 0; s.now-began < 40*time.Second; s.run(50 * time.Millisecond) {
