Start a long-running task that has run before within seconds

On a crowded service long-running tasks came last without a bound, so a stream of short tasks took every processor that became free, 60 times a second; what is free on the workers between an end and the next start was room for the waiting task at each moment.

Change: only new long-running tasks come last. One that has run before (failed, lost, stopped or preempted) has its former place in the order once it has waited for 5 s; the platform expects it back within 6 s.

Test: TestFailedLongRunningTaskRestartsDespiteShortTasks fails on the code before (no start within 6 s although a task ends every 0.5 s).

--- a/decision/cell/crowded_test.go
+++ b/decision/cell/crowded_test.go
@@ -278,3 +278,38 @@
 		t.Errorf("got starts %+v, want one of the long-running task, which has waited longest", starts)
 	}
 }
+
+// Guards against a failed long-running task that waits for good behind a stream of
+// short ones on a crowded service (LOST, asante-sockyard trouble-2).
+func TestFailedLongRunningTaskRestartsDespiteShortTasks(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setUpServers(testServer("a"), testServer("b"))
+	large := longRunningStep(1)
+	large.Need.MilliCPU = 15000
+	f.submit("00000000000000c1", large)
+	f.submit("00000000000000c2", large)
+	starts := takeActions[Start](f)
+	failing, running := starts[0], map[fleet.BackendServerID][]RunningRow{}
+	for _, s := range starts {
+		f.acceptStart(s)
+		running[s.Server] = []RunningRow{{Task: s.Task, Attempt: s.Attempt, Percent: 50}}
+	}
+	running[failing.Server] = nil
+	short := job.Step{Count: 40, Need: fleet.Resources{MilliCPU: 15000, MemoryMiB: 1000}, Estimate: 500 * time.Millisecond}
+	f.submit("00000000000000b1", short)
+	ended, end := failing, job.EndFailed
+	for n := int64(1); f.now < 7*time.Second; n++ {
+		f.answerHolds(running, map[fleet.BackendServerID][]FinishedRow{failing.Server: {{Number: n, Task: ended.Task, Attempt: ended.Attempt, End: end}}})
+		f.advance(500 * time.Millisecond)
+		starts = takeActions[Start](f)
+		if len(starts) != 1 {
+			t.Fatalf("got starts %+v after an end, want one", starts)
+		}
+		if starts[0].Task == failing.Task {
+			return
+		}
+		f.acceptStart(starts[0])
+		ended, end = starts[0], job.EndDone
+	}
+	t.Error("the failed task did not start again within 6 s, although a short task ended every 0.5 s")
+}
--- a/decision/cell/preempt.go
+++ b/decision/cell/preempt.go
@@ -13,10 +13,9 @@
 	preemptAfter = 300 * time.Millisecond
 	// preemptInterval is the time between two preemptions.
 	preemptInterval = 100 * time.Millisecond
-	// preemptedDelay is how long a preempted task leaves its capacity to the tasks
-	// that wait for it, also while none of them does. Otherwise each gap between
-	// two short tasks would end in another preemption. The platform expects a
-	// long-running task back within 6 s of its last run.
+	// preemptedDelay is how long a preempted task leaves its capacity to other
+	// tasks, also while none of them waits: otherwise each gap between two short
+	// tasks would end in another preemption. It is shorter than restartDelay.
 	preemptedDelay = 3 * time.Second
 	// maxPreemptedShare bounds the long-running tasks that wait because of a
 	// preemption, as a part of the processors of all long-running tasks.
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -67,7 +67,7 @@
 
 // compareSteps orders steps by the priority of the queue, then puts the steps
 // that can still meet their objective first, by the time of the objective. On a
-// service crowded by long-running tasks, further ones come last.
+// service crowded by long-running tasks, new ones come last.
 func (c *Cell) compareSteps(a, b *stepState) int {
 	return cmp.Or(
 		cmp.Compare(c.queueOf(a.occurrence.job).Priority, c.queueOf(b.occurrence.job).Priority),
@@ -80,16 +80,29 @@
 	)
 }
 
-// crowding returns 1 for a step of long-running tasks on a crowded service and 0
-// for any other. A long-running task never returns its capacity and is never
-// late, so it would take whatever the other tasks return.
+// crowding returns 1 for a step with only new long-running tasks on a crowded
+// service, and 0 for any other. A long-running task never returns its capacity and
+// is never late, so it would take whatever the other tasks return.
 func (c *Cell) crowding(s *stepState) int {
-	if s.spec.LongRunning && c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
+	if s.spec.LongRunning && !slices.ContainsFunc(s.waiting, func(i int) bool { return c.overdue(s.tasks[i]) }) &&
+		c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
 		return 1
 	}
 	return 0
 }
 
+// restartDelay is how long a long-running task that has run before waits behind
+// the other tasks of a crowded service. The platform expects it back within 6 s of
+// its last run if there is capacity for it anywhere.
+const restartDelay = 5 * time.Second
+
+// overdue reports whether a waiting long-running task has run before and has
+// waited for restartDelay.
+func (c *Cell) overdue(t *task) bool {
+	hasRun := t.attempt > 0 || t.step.occurrence.job.restored
+	return t.step.spec.LongRunning && hasRun && c.now.Steady-c.waitingSince(t) >= restartDelay
+}
+
 // lateness returns 0 for a step that can still meet its objective and 1 for any
 // other. If late steps came first at peak load, every job behind them would be
 // late too.
@@ -130,7 +143,11 @@
 // tasks are identical, so none is tried after one without a worker, unless that
 // one avoids servers that the others may use.
 func (c *Cell) startTasks(s *stepState) {
-	for _, index := range slices.Clone(s.waiting) {
+	waiting := slices.Clone(s.waiting)
+	if overdue := slices.DeleteFunc(slices.Clone(waiting), func(i int) bool { return !c.overdue(s.tasks[i]) }); len(overdue) > 0 {
+		waiting = overdue // the step has its place in the order only for these
+	}
+	for _, index := range waiting {
 		t := s.tasks[index]
 		if c.now.Steady < t.notBefore {
 			continue
