--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -1,12 +1,9 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
-	"lacewingfork.example/lacewingfork/decision/job"
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
@@ -52,100 +49,14 @@
 // wait behind them.
 const maxUnansweredStarts = 96
 
-// crowdedByLongRunning reports whether long-running tasks occupy most of the
-// processors in use of a service. The result is kept for one scheduling pass.
-func (c *Cell) crowdedByLongRunning(service fleet.Service) bool {
-	if !c.crowdingMeasured {
-		c.crowdingMeasured = true
-		clear(c.longRunningExcess)
-		for _, w := range c.sortedWorkers {
-			c.longRunningExcess[w.server.Service] += 2*w.longRunningCPU - w.used.MilliCPU
-		}
-	}
-	return c.longRunningExcess[service] > 0
-}
-
-// compareSteps orders steps by the priority of the queue, then puts the steps
-// that can still meet their objective first, by the time of the objective. On a
-// service crowded by long-running tasks, new ones come last.
-func (c *Cell) compareSteps(a, b *stepState) int {
-	return cmp.Or(
-		cmp.Compare(c.queueOf(a.occurrence.job).Priority, c.queueOf(b.occurrence.job).Priority),
-		cmp.Compare(c.crowding(a), c.crowding(b)),
-		cmp.Compare(c.lateness(a), c.lateness(b)),
-		cmp.Compare(c.objectiveAt(a.occurrence.job), c.objectiveAt(b.occurrence.job)),
-		strings.Compare(string(a.occurrence.job.job.ID), string(b.occurrence.job.job.ID)),
-		cmp.Compare(a.occurrence.number, b.occurrence.number),
-		cmp.Compare(a.index, b.index),
-	)
-}
-
-// crowding returns 1 for a step with only new long-running tasks on a crowded
-// service, and 0 for any other. A long-running task never returns its capacity and
-// is never late, so it would take whatever the other tasks return.
-func (c *Cell) crowding(s *stepState) int {
-	if s.spec.LongRunning && !slices.ContainsFunc(s.waiting, func(i int) bool { return c.overdue(s.tasks[i]) }) &&
-		c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
-		return 1
-	}
-	return 0
-}
-
-// restartDelay is how long a long-running task that has run before waits behind
-// the other tasks of a crowded service. The platform expects it back within 6 s of
-// its last run if there is capacity for it anywhere.
-const restartDelay = 5 * time.Second
-
-// overdue reports whether a waiting long-running task has run before and has
-// waited for restartDelay.
-func (c *Cell) overdue(t *task) bool {
-	hasRun := t.attempt > 0 || t.step.occurrence.job.restored
-	return t.step.spec.LongRunning && hasRun && c.now.Steady-c.waitingSince(t) >= restartDelay
-}
-
-// lateness returns 0 for a step that can still meet its objective and 1 for any
-// other. If late steps came first at peak load, every job behind them would be
-// late too.
-func (c *Cell) lateness(s *stepState) int {
-	if !s.spec.LongRunning && c.now.Steady+s.occurrence.job.criticalPathTimes[s.index] > c.objectiveAt(s.occurrence.job) {
-		return 1
-	}
-	return 0
-}
-
-// objectiveAt returns the time by which the job should be complete. It depends on
-// the settings of the queue and the caller's estimates.
-func (c *Cell) objectiveAt(j *jobState) time.Duration {
-	q := c.queueOf(j)
-	longest := time.Duration(0)
-	if len(j.criticalPathTimes) > 0 {
-		longest = slices.Max(j.criticalPathTimes)
-	}
-	return j.acceptedAt + q.TargetLatency + time.Duration(q.SlackFactor*float64(longest))
-}
-
-// criticalPathTimesOf returns for each step the estimated time of the longest
-// chain of dependent steps that begins with it.
-func criticalPathTimesOf(j *job.Job) []time.Duration {
-	times := make([]time.Duration, len(j.Steps))
-	for i, s := range slices.Backward(j.Steps) {
-		if !s.LongRunning {
-			times[i] += s.Estimate
-		}
-		for _, before := range s.After {
-			times[before] = max(times[before], times[i])
-		}
-	}
-	return times
-}
-
 // startTasks starts the waiting tasks of a step while workers have room. The
 // tasks are identical, so none is tried after one without a worker, unless that
 // one avoids servers that the others may use.
 func (c *Cell) startTasks(s *stepState) {
 	waiting := slices.Clone(s.waiting)
-	if overdue := slices.DeleteFunc(slices.Clone(waiting), func(i int) bool { return !c.overdue(s.tasks[i]) }); len(overdue) > 0 {
-		waiting = overdue // the step has its place in the order only for these
+	if c.hasOverdue(s) {
+		// The step owes its place in the order to these tasks.
+		waiting = slices.DeleteFunc(waiting, func(i int) bool { return !c.overdue(s.tasks[i]) })
 	}
 	for _, index := range waiting {
 		t := s.tasks[index]
