Record a late acknowledgement to an earlier incarnation of a worker

Traced with the logs of a play: a hold to worker i-0 that carries the number of the highest recorded end got no answer (late_orders). i-0 restarted at 25.58 under the same id, was fenced at 26.41 and got four tasks by 26.61. The hold was executed then and removed their ends, numbered from 1. At 27.31 the list had neither the runs nor their ends; the holder took them as lost and started the tasks again.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,11 +54,7 @@
 // SOAK_SEED, SOAK_RUNS and SOAK_SECONDS set the first seed, the number of seeds and
 // the duration of each run. SOAK_LOGS names a directory for the process logs.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "lacewingfork-scheduler")
-	build := exec.Command("go", "build", "-o", binary, "lacewingfork.example/lacewingfork/cmd/lacewingfork-scheduler")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildScheduler(t)
 	seed := envSetting(t, "SOAK_SEED", defaultSeed)
 	seconds := envSetting(t, "SOAK_SECONDS", int64(defaultDuration/time.Second))
 	var seeds []int64
@@ -75,6 +71,23 @@
 	}
 }
 
+// Guards against a late acknowledgement to an earlier incarnation of a worker that
+// removes the ends of the next one (TWICE).
+func TestSoakLateAcknowledgement(t *testing.T) {
+	runSeed(t, buildScheduler(t), 41011, defaultDuration)
+}
+
+// buildScheduler builds the daemon and returns the path of its binary.
+func buildScheduler(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "lacewingfork-scheduler")
+	build := exec.Command("go", "build", "-o", binary, "lacewingfork.example/lacewingfork/cmd/lacewingfork-scheduler")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 // regressionSeeds are seeds that exposed a fault in the past.
 var regressionSeeds = []int64{
 	1007, // a delayed start was executed by the next incarnation of its worker
