--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -193,14 +193,28 @@
 	for _, token := range j.submitTokens {
 		c.emit(Reply{Token: token, Reply: JobReply{Verdict: Accepted, State: j.state()}})
 	}
+	tasks, coreTime := sizeOf(&j.job)
 	c.emit(Note{Event: NoteAccepted, Job: j.job.ID, Detail: map[string]any{
 		"queue": j.job.Queue, "steps": len(j.job.Steps), "to_store_us": (c.now.Steady - j.acceptedAt).Microseconds(),
+		"tasks": tasks, "core_ms": coreTime.Milliseconds(), "objective_ms": (c.objectiveAt(j) - j.acceptedAt).Milliseconds(),
 	}})
 	j.submitTokens = nil
 	c.openDueOccurrences(j)
 	c.needsScheduling = true
 }
 
+// sizeOf returns the number of tasks of a job, and the processor time of those
+// that end by themselves as the caller estimates it.
+func sizeOf(j *job.Job) (tasks int, coreTime time.Duration) {
+	for _, s := range j.Steps {
+		tasks += s.Count
+		if !s.LongRunning {
+			coreTime += time.Duration(float64(s.Count) * float64(s.Need.MilliCPU) / milliCPUPerCore * float64(s.Estimate))
+		}
+	}
+	return tasks, coreTime
+}
+
 func (c *Cell) cancel(e CancelRequested) {
 	j, known := c.jobs[e.ID]
 	if !known {
--- a/decision/cell/jobs_test.go
+++ b/decision/cell/jobs_test.go
@@ -117,3 +117,22 @@
 		t.Errorf("got starts %+v, want one of job 00000000000000e2, which has the higher priority", starts)
 	}
 }
+
+// Guards against a log that does not show which jobs are large.
+func TestAcceptedJobIsLoggedWithItsSize(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setUpServers(testServer("a"))
+	first := job.Step{Count: 4, Need: fleet.Resources{MilliCPU: 2500, MemoryMiB: 100}, Estimate: 2 * time.Second}
+	second := job.Step{Count: 1, Need: fleet.Resources{MilliCPU: 1000, MemoryMiB: 100}, Estimate: time.Second, After: []int{0}}
+	takeActions[Note](f)
+	f.submit(testJob, first, second)
+	notes := takeActions[Note](f)
+	if len(notes) == 0 || notes[0].Event != NoteAccepted {
+		t.Fatalf("got notes %+v, want the first on the accepted job", notes)
+	}
+	for key, want := range map[string]any{"tasks": 5, "core_ms": int64(21000), "objective_ms": int64(7000)} {
+		if got := notes[0].Detail[key]; got != want {
+			t.Errorf("got %s %v, want %v", key, got, want)
+		}
+	}
+}
