Count the objective of a scheduled occurrence from its due time

What callers see: an occurrence of a scheduled job waits behind every other job of its priority that is on time, however new.

Cause: objectiveAt counts from the acceptance of the job. A job that is accepted an hour before it is due has missed its objective by then, so its steps are ordered as late from the moment at which they may start. Found by reading while looking for other places that order by the objective.

Change: an occurrence has its own dueAt, the acceptance or, of a scheduled job, its due time; objectiveAt takes the occurrence. Jobs without a schedule are ordered as before.

Test: TestScheduledOccurrenceIsNotLateWhenDue fails before (the newer job gets the only server).

--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -35,8 +35,11 @@
 
 // occurrence is one pass through the steps of a job.
 type occurrence struct {
-	job          *jobState
-	number       int
+	job    *jobState
+	number int
+	// dueAt is the time at which the job was accepted or, of a scheduled job, at
+	// which the occurrence was due.
+	dueAt        time.Duration
 	steps        []*stepState
 	pendingSteps int // steps that are not done yet
 }
@@ -196,7 +199,7 @@
 	tasks, coreTime := sizeOf(&j.job)
 	c.emit(Note{Event: NoteAccepted, Job: j.job.ID, Detail: map[string]any{
 		"queue": j.job.Queue, "steps": len(j.job.Steps), "to_store_us": (c.now.Steady - j.acceptedAt).Microseconds(),
-		"tasks": tasks, "core_ms": coreTime.Milliseconds(), "objective_ms": (c.objectiveAt(j) - j.acceptedAt).Milliseconds(),
+		"tasks": tasks, "core_ms": coreTime.Milliseconds(), "objective_ms": c.objective(j).Milliseconds(),
 	}})
 	j.submitTokens = nil
 	c.openDueOccurrences(j)
--- a/decision/cell/jobs_test.go
+++ b/decision/cell/jobs_test.go
@@ -136,3 +136,23 @@
 		}
 	}
 }
+
+// Guards against scheduled occurrences that count as late from the moment at which
+// they are due.
+func TestScheduledOccurrenceIsNotLateWhenDue(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setUpServers(testServer("a"))
+	f.handle(Submitted{Token: 1, Job: job.Job{
+		ID: testJob, Queue: "q", Steps: []job.Step{oneTaskStep()}, Repeats: 1, FirstDue: f.moment().Wall.Add(time.Minute),
+	}})
+	f.advance(59 * time.Second)
+	f.submit("00000000000000b1", oneTaskStep())
+	running := takeActions[Start](f)[0]
+	f.acceptStart(running)
+	f.advance(2 * time.Second)
+	f.submit("00000000000000b2", oneTaskStep()) // its objective is later than that of the occurrence
+	f.answerHolds(nil, map[fleet.BackendServerID][]FinishedRow{"a": {{Number: 1, Task: running.Task, Attempt: running.Attempt, End: job.EndDone}}})
+	if starts := takeActions[Start](f); len(starts) != 1 || starts[0].Task.Job != testJob {
+		t.Errorf("got starts %+v, want one of the occurrence, which is due first", starts)
+	}
+}
--- a/decision/cell/order.go
+++ b/decision/cell/order.go
@@ -18,7 +18,7 @@
 		cmp.Compare(c.queueOf(a.occurrence.job).Priority, c.queueOf(b.occurrence.job).Priority),
 		cmp.Compare(c.crowding(a), c.crowding(b)),
 		cmp.Compare(c.lateness(a), c.lateness(b)),
-		cmp.Compare(c.objectiveAt(a.occurrence.job), c.objectiveAt(b.occurrence.job)),
+		cmp.Compare(c.objectiveAt(a.occurrence), c.objectiveAt(b.occurrence)),
 		strings.Compare(string(a.occurrence.job.job.ID), string(b.occurrence.job.job.ID)),
 		cmp.Compare(a.occurrence.number, b.occurrence.number),
 		cmp.Compare(a.index, b.index),
@@ -69,21 +69,24 @@
 // other. If late steps came first at peak load, every job behind them would be
 // late too.
 func (c *Cell) lateness(s *stepState) int {
-	if !s.spec.LongRunning && c.now.Steady+s.occurrence.job.criticalPathTimes[s.index] > c.objectiveAt(s.occurrence.job) {
+	if !s.spec.LongRunning && c.now.Steady+s.occurrence.job.criticalPathTimes[s.index] > c.objectiveAt(s.occurrence) {
 		return 1
 	}
 	return 0
 }
 
-// objectiveAt returns the time by which the job should be complete. It depends on
+// objectiveAt returns the time by which an occurrence should be complete.
+func (c *Cell) objectiveAt(o *occurrence) time.Duration { return o.dueAt + c.objective(o.job) }
+
+// objective returns the time that each occurrence of a job may take. It depends on
 // the settings of the queue and the caller's estimates.
-func (c *Cell) objectiveAt(j *jobState) time.Duration {
+func (c *Cell) objective(j *jobState) time.Duration {
 	q := c.queueOf(j)
 	longest := time.Duration(0)
 	if len(j.criticalPathTimes) > 0 {
 		longest = slices.Max(j.criticalPathTimes)
 	}
-	return j.acceptedAt + q.TargetLatency + time.Duration(q.SlackFactor*float64(longest))
+	return q.TargetLatency + time.Duration(q.SlackFactor*float64(longest))
 }
 
 // criticalPathTimesOf returns for each step the estimated time of the longest
--- a/decision/cell/steps.go
+++ b/decision/cell/steps.go
@@ -36,7 +36,10 @@
 }
 
 func (c *Cell) newOccurrence(j *jobState, number int) *occurrence {
-	o := &occurrence{job: j, number: number, pendingSteps: len(j.job.Steps)}
+	o := &occurrence{job: j, number: number, dueAt: j.acceptedAt, pendingSteps: len(j.job.Steps)}
+	if j.job.Repeats > 0 {
+		o.dueAt = max(j.acceptedAt, c.now.Steady-c.now.Wall.Sub(j.due(number)))
+	}
 	for i := range j.job.Steps {
 		s := &stepState{occurrence: o, index: i, spec: &j.job.Steps[i], image: c.interference.id(j.job.Steps[i].Image)}
 		s.tasks = make([]*task, s.spec.Count)
