Start steps of expired jobs last

Cause: late steps are ordered by the time of the objective, so the oldest come first, and among these are the jobs that cannot complete within three times their objective any more. What they take is lost for the late jobs that still could be served, and these are the larger ones: a small job is rarely late.

Change: lateness has a third value, expired, after late.

TestExpiredJobStartsAfterLateOne fails before, and requires that the expired job starts in the end.

--- a/decision/cell/crowded_sim_test.go
+++ b/decision/cell/crowded_sim_test.go
@@ -13,20 +13,23 @@
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
-// crowdedService simulates a service whose long-running tasks need more than its
-// capacity, and finite jobs, which end by themselves, of the same priority. Its
+// crowdedService simulates a service with long-running tasks, and finite jobs, which
+// end by themselves, of the same priority. Its
 // workers answer at once. Long-running jobs are cancelled and replaced by others;
 // now and then one of their tasks fails.
 type crowdedService struct {
 	*fixture
-	random  *rand.Rand // of the submissions
-	lives   *rand.Rand // of the long-running tasks
-	workers map[fleet.BackendServerID]*crowdedWorker
-	held    []Hold // without an answer yet
-	heldAt  map[uint64]time.Duration
-	jobs    map[fleet.JobID]*crowdedJob
-	long    []longRunningJob
-	longID  int
+	// longRunningShare is the need of the long-running tasks relative to the
+	// capacity.
+	longRunningShare float64
+	random           *rand.Rand // of the submissions
+	lives            *rand.Rand // of the long-running tasks
+	workers          map[fleet.BackendServerID]*crowdedWorker
+	held             []Hold // without an answer yet
+	heldAt           map[uint64]time.Duration
+	jobs             map[fleet.JobID]*crowdedJob
+	long             []longRunningJob
+	longID           int
 }
 
 // longRunningJob is a long-running job that has not been cancelled.
@@ -56,18 +59,38 @@
 const (
 	crowdedServers  = 13
 	crowdedMilliCPU = 64000
-	// longRunningShare is the need of the long-running tasks relative to the
-	// capacity, finiteShare that of the finite jobs.
-	longRunningShare = 1.05
-	finiteShare      = 0.04
-	meanStay         = 70 * time.Second // of a long-running job, until it is cancelled
-	meanLife         = 20 * time.Minute // of a long-running task, until it fails
-	taskTime         = 700 * time.Millisecond
+	meanStay        = 70 * time.Second // of a long-running job, until it is cancelled
+	meanLife        = 20 * time.Minute // of a long-running task, until it fails
+	taskTime        = 700 * time.Millisecond
 )
 
-func newCrowdedService(t *testing.T, seed uint64) *crowdedService {
+// playCrowdedServices plays a service for each of a number of seeds and returns the
+// finite jobs in the order of their work. longRunningShare and finiteShare are what
+// the tasks of each kind need, relative to the capacity.
+func playCrowdedServices(t *testing.T, seeds uint64, longRunningShare, finiteShare float64) []*crowdedJob {
+	var jobs []*crowdedJob
+	for seed := range seeds {
+		s := newCrowdedService(t, seed, longRunningShare)
+		s.run(500 * time.Millisecond)
+		s.replaceLongRunning()
+		s.run(5 * time.Second)
+		began, offered := s.now, 0.0
+		for n := 0; s.now-began < 40*time.Second; s.run(50 * time.Millisecond) {
+			for offered < finiteShare*crowdedServers*crowdedMilliCPU/milliCPUPerCore*(s.now-began).Seconds() {
+				offered += s.submitFinite(n)
+				n++
+			}
+		}
+		s.run(15 * time.Second)
+		jobs = slices.AppendSeq(jobs, maps.Values(s.jobs))
+	}
+	slices.SortFunc(jobs, func(a, b *crowdedJob) int { return cmp.Compare(a.work, b.work) })
+	return jobs
+}
+
+func newCrowdedService(t *testing.T, seed uint64, longRunningShare float64) *crowdedService {
 	s := &crowdedService{
-		fixture: newFixture(t, 1), random: rand.New(rand.NewPCG(seed, 21)), lives: rand.New(rand.NewPCG(seed, 22)), workers: map[fleet.BackendServerID]*crowdedWorker{},
+		fixture: newFixture(t, 1), longRunningShare: longRunningShare, random: rand.New(rand.NewPCG(seed, 21)), lives: rand.New(rand.NewPCG(seed, 22)), workers: map[fleet.BackendServerID]*crowdedWorker{},
 		heldAt: map[uint64]time.Duration{}, jobs: map[fleet.JobID]*crowdedJob{},
 	}
 	s.handle(QueuesChanged{Queues: []QueueSettings{
@@ -189,7 +212,7 @@
 		s.handle(CancelRequested{Token: 1, Queue: "long", ID: j.id})
 		return true
 	})
-	for float64(need) < longRunningShare*crowdedServers*crowdedMilliCPU {
+	for float64(need) < s.longRunningShare*crowdedServers*crowdedMilliCPU {
 		cpu := 9000 + s.lives.Int64N(9000)
 		s.longID++
 		j := longRunningJob{
--- a/decision/cell/crowded_test.go
+++ b/decision/cell/crowded_test.go
@@ -1,10 +1,7 @@
 package cell
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
-	"slices"
 	"testing"
 	"time"
 
@@ -14,23 +11,18 @@
 
 // Guards against serving the largest jobs less than half as often as all (SHORT).
 func TestLargeJobsAreServedBesideLongRunningTasks(t *testing.T) {
-	var jobs []*crowdedJob
-	for seed := range uint64(8) {
-		s := newCrowdedService(t, seed)
-		s.run(500 * time.Millisecond)
-		s.replaceLongRunning()
-		s.run(5 * time.Second)
-		began, offered := s.now, 0.0
-		for n := 0; s.now-began < 40*time.Second; s.run(50 * time.Millisecond) {
-			for offered < finiteShare*crowdedServers*crowdedMilliCPU/milliCPUPerCore*(s.now-began).Seconds() {
-				offered += s.submitFinite(n)
-				n++
-			}
-		}
-		s.run(15 * time.Second)
-		jobs = slices.AppendSeq(jobs, maps.Values(s.jobs))
-	}
-	slices.SortFunc(jobs, func(a, b *crowdedJob) int { return cmp.Compare(a.work, b.work) })
+	checkLargeJobsAreServed(t, playCrowdedServices(t, 8, 1.05, 0.04))
+}
+
+// Guards against large jobs that expire because jobs that have expired come first.
+func TestLargeJobsAreServedUnderOverload(t *testing.T) {
+	checkLargeJobsAreServed(t, playCrowdedServices(t, 1, 0, 1.7))
+}
+
+// checkLargeJobsAreServed requires that the largest tenth of the jobs and the fifth
+// below it are served at least half as often as all.
+func checkLargeJobsAreServed(t *testing.T, jobs []*crowdedJob) {
+	t.Helper()
 	all, fifth, tenth := servedShare(jobs, 0, 1), servedShare(jobs, 0.7, 0.9), servedShare(jobs, 0.9, 1)
 	t.Logf("%d jobs, served: all %.2f, fifth below the largest tenth %.2f, largest tenth %.2f", len(jobs), all, fifth, tenth)
 	if fifth < all/2 || tenth < all/2 {
@@ -94,3 +86,27 @@
 	}
 	t.Error("the failed task did not start again within 6 s, although a short task ended every 0.5 s")
 }
+
+// Guards against an expired job that takes the capacity of one that can still be
+// served, and against one that never starts.
+func TestExpiredJobStartsAfterLateOne(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setUpServers(testServer("a"))
+	f.submit("00000000000000b1", oneTaskStep())
+	running := takeActions[Start](f)[0]
+	f.acceptStart(running)
+	f.submit("00000000000000b2", oneTaskStep())
+	f.advance(7 * time.Second)
+	f.submit("00000000000000b3", oneTaskStep())
+	f.advance(4 * time.Second)
+	for n, want := range []fleet.JobID{"00000000000000b3", "00000000000000b2"} {
+		end := FinishedRow{Number: int64(n) + 1, Task: running.Task, Attempt: running.Attempt, End: job.EndDone}
+		f.answerHolds(nil, map[fleet.BackendServerID][]FinishedRow{"a": {end}})
+		starts := takeActions[Start](f)
+		if len(starts) != 1 || starts[0].Task.Job != want {
+			t.Fatalf("got starts %+v, want one of job %s", starts, want)
+		}
+		running = starts[0]
+		f.acceptStart(running)
+	}
+}
--- a/decision/cell/order.go
+++ b/decision/cell/order.go
@@ -10,9 +10,9 @@
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
-// compareSteps orders steps by the priority of the queue, then puts the steps
-// that can still meet their objective first, by the time of the objective. On a
-// service crowded by long-running tasks, new ones come last.
+// compareSteps orders steps by the priority of the queue, then by lateness, then
+// by the time of the objective. On a service crowded by long-running tasks, new
+// ones come last within their priority.
 func (c *Cell) compareSteps(a, b *stepState) int {
 	return cmp.Or(
 		cmp.Compare(c.queueOf(a.occurrence.job).Priority, c.queueOf(b.occurrence.job).Priority),
@@ -65,14 +65,30 @@
 	return s.spec.LongRunning && slices.ContainsFunc(s.waiting, func(i int) bool { return c.overdue(s.tasks[i]) })
 }
 
-// lateness returns 0 for a step that can still meet its objective and 1 for any
-// other. If late steps came first at peak load, every job behind them would be
-// late too.
+// Lateness of a step, in the order in which steps start.
+const (
+	onTime  = iota // its job can still meet its objective
+	late           // its job can complete within lateFactor times its objective
+	expired        // neither
+)
+
+// lateFactor is the multiple of its objective after which the completion of a
+// job is of no use to its caller.
+const lateFactor = 3
+
+// lateness returns whether a step is on time, late or expired. If late steps came
+// first at peak load, every job behind them would be late too, and if expired ones
+// did, the late ones would expire. A long-running step is always on time.
 func (c *Cell) lateness(s *stepState) int {
-	if !s.spec.LongRunning && c.now.Steady+s.occurrence.job.criticalPathTimes[s.index] > c.objectiveAt(s.occurrence) {
-		return 1
+	objective := c.objective(s.occurrence.job)
+	switch took := c.now.Steady + s.occurrence.job.criticalPathTimes[s.index] - s.occurrence.dueAt; {
+	case s.spec.LongRunning || took <= objective:
+		return onTime
+	case took <= lateFactor*objective:
+		return late
+	default:
+		return expired
 	}
-	return 0
 }
 
 // objectiveAt returns the time by which an occurrence should be complete.
