Bound the searches for a task to preempt

What operators would see: on a crowded service the holder's passes grow with the number of waiting steps. CAPACITY says that the search is made at most ten times a second; that holds for preemptions only.

Change: a search of any result is made once in 0.1 s, and a step whose search fails leaves the next ones to other steps for 0.5 s.

Test: TestOversizedTaskDoesNotKeepOthersFromPreemption passes before, as nothing was bounded, and fails with the bound alone (no stop for the smaller task).

--- a/decision/cell/bench_test.go
+++ b/decision/cell/bench_test.go
@@ -60,26 +60,72 @@
 	return f
 }
 
+// newCrowdedBenchFixture returns a fixture with long-running tasks on each server
+// that leave too little for a task of benchWaitingStep.
+func newCrowdedBenchFixture(workers, tasksPerWorker int) *fixture {
+	f := newBenchFixture(workers)
+	step := longRunningStep(workers * tasksPerWorker)
+	step.Need = fleet.Resources{MilliCPU: 12000 / int64(tasksPerWorker), MemoryMiB: 100}
+	f.submit("000000000000c001", step)
+	for starts := takeActions[Start](f); len(starts) > 0; starts = takeActions[Start](f) {
+		for _, s := range starts {
+			f.acceptStart(s)
+		}
+	}
+	for _, w := range f.cell.sortedWorkers {
+		for _, r := range w.runsInOrder {
+			r.percent = fullSpeed
+		}
+	}
+	return f
+}
+
+func benchWaitingStep() job.Step {
+	return job.Step{Count: 1, Need: fleet.Resources{MilliCPU: 9000, MemoryMiB: 1000}, Estimate: time.Second}
+}
+
+// BenchmarkWaitingSteps measures a scheduling pass in which 100 steps wait for
+// capacity that long-running tasks occupy.
+func BenchmarkWaitingSteps(b *testing.B) {
+	for _, workers := range []int{66, 350, 1000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := newCrowdedBenchFixture(workers, 1)
+			for i := range 100 {
+				f.submit(fleet.JobID(fmt.Sprintf("000000000000b%03d", i)), benchWaitingStep())
+			}
+			f.now += preemptAfter
+			for b.Loop() {
+				f.now += time.Millisecond
+				f.cell.now = f.moment()
+				f.cell.schedule()
+				f.cell.actions = nil
+			}
+		})
+	}
+}
+
+// BenchmarkWaitReport measures the log line for a task that waits.
+func BenchmarkWaitReport(b *testing.B) {
+	for _, workers := range []int{66, 350, 1000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := newCrowdedBenchFixture(workers, 24)
+			f.submit("000000000000b001", benchWaitingStep())
+			waiting := f.cell.jobs["000000000000b001"].occurrences[0].steps[0].tasks[0]
+			for b.Loop() {
+				f.cell.reportWait(waiting, firstWaitReport)
+				f.cell.actions = f.cell.actions[:0]
+			}
+		})
+	}
+}
+
 // BenchmarkPreemptionVictim measures the search for a long-running task to preempt,
 // which is made at most once in preemptInterval.
 func BenchmarkPreemptionVictim(b *testing.B) {
 	for _, workers := range []int{66, 350, 1000} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			f := newBenchFixture(workers)
-			step := longRunningStep(workers)
-			step.Need.MilliCPU = 12000 // one on each server
-			f.submit("000000000000c001", step)
-			for starts := takeActions[Start](f); len(starts) > 0; starts = takeActions[Start](f) {
-				for _, s := range starts {
-					f.acceptStart(s)
-				}
-			}
-			for _, w := range f.cell.sortedWorkers {
-				for _, r := range w.runsInOrder {
-					r.percent = fullSpeed
-				}
-			}
-			f.submit("000000000000b001", job.Step{Count: 1, Need: fleet.Resources{MilliCPU: 9000, MemoryMiB: 1000}, Estimate: time.Second})
+			f := newCrowdedBenchFixture(workers, 1)
+			f.submit("000000000000b001", benchWaitingStep())
 			waiting := f.cell.jobs["000000000000b001"].occurrences[0].steps[0].tasks[0]
 			for b.Loop() {
 				if f.cell.preemptionVictim(waiting) == nil {
--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -86,7 +86,7 @@
 
 	interference           *interferenceModel
 	interferenceRecordedAt time.Duration // time of the last record of the model
-	preemptedAt            time.Duration // time of the last preemption
+	nextPreemption         time.Duration // no search for a task to preempt before
 	// consolidatedAt is the time of the last move of a serving task.
 	consolidatedAt time.Duration
 
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -63,6 +63,7 @@
 	// which it is logged.
 	nextWaitReport  time.Duration
 	waitReportSince time.Duration
+	nextPreemption  time.Duration // no search for a task to preempt for it before
 }
 
 // task is one task of a step.
--- a/decision/cell/preempt.go
+++ b/decision/cell/preempt.go
@@ -11,8 +11,11 @@
 	// task is stopped for it. Capacity that other tasks return meanwhile costs
 	// nothing.
 	preemptAfter = 300 * time.Millisecond
-	// preemptInterval is the time between two preemptions.
+	// preemptInterval is the time between two searches for a task to preempt.
 	preemptInterval = 100 * time.Millisecond
+	// preemptRetry is how long a step for which no task may be preempted leaves
+	// the search to other steps.
+	preemptRetry = 500 * time.Millisecond
 	// preemptedDelay is how long a preempted task leaves its capacity to other
 	// tasks, also while none of them waits: otherwise each gap between two short
 	// tasks would end in another preemption. It is shorter than restartDelay.
@@ -32,15 +35,17 @@
 func (c *Cell) preempt(s *stepState) {
 	now := c.now.Steady
 	t := s.tasks[s.waiting[0]]
-	if s.spec.LongRunning || s.spec.BestEffort || s.spec.Gang || c.blocked || now-c.preemptedAt < preemptInterval ||
+	if s.spec.LongRunning || s.spec.BestEffort || s.spec.Gang || c.blocked || now < c.nextPreemption || now < s.nextPreemption ||
 		now-max(c.waitingSince(t), t.notBefore) < preemptAfter || !c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
 		return
 	}
+	c.nextPreemption = now + preemptInterval
 	victim := c.preemptionVictim(t)
 	if victim == nil || !c.mayPreempt(s, victim) {
+		s.nextPreemption = now + preemptRetry
 		return
 	}
-	c.preemptedAt, victim.task.disruptedAt, victim.task.preempted = now, now, true
+	victim.task.disruptedAt, victim.task.preempted = now, true
 	c.stopRun(victim, "makes_room")
 }
 
--- a/decision/cell/preempt_test.go
+++ b/decision/cell/preempt_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -105,3 +106,23 @@
 		t.Errorf("got stops %+v for a task of a lower priority, want none", stops)
 	}
 }
+
+// Guards against a task that is too large for any preemption and keeps the search
+// from the others.
+func TestOversizedTaskDoesNotKeepOthersFromPreemption(t *testing.T) {
+	f := newFixture(t, 1)
+	var servers []Server
+	for i := range 20 {
+		servers = append(servers, testServer(fleet.BackendServerID(rune('a'+i))))
+	}
+	f.setUpServers(servers...)
+	f.fillWithLongRunning(longRunningStep(40))
+	for n, milliCPU := range []int64{9000, 9500, 4000} {
+		step := job.Step{Count: 1, Need: fleet.Resources{MilliCPU: milliCPU, MemoryMiB: 1000}, Estimate: time.Second}
+		f.submit(fleet.JobID(fmt.Sprintf("00000000000000b%d", n)), step)
+	}
+	f.advance(preemptAfter + 4*preemptInterval)
+	if stops := takeActions[Stop](f); len(stops) != 1 {
+		t.Errorf("got stops %+v, want one for the task of 4 cores", stops)
+	}
+}
