Report a waiting task without a walk over all runs

Change: a worker keeps the memory of its best-effort runs beside their processors; a line adds up workers, not runs.

Test: TestLongWaitIsLoggedWithItsReason now checks the sums, before and after.

--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -78,6 +78,7 @@
 	need := r.need
 	if r.bestEffort {
 		w.bestEffortCPU += sign * need.MilliCPU
+		w.bestEffortMiB += sign * need.MemoryMiB
 		need.MilliCPU = 0
 	}
 	if r.task.step.spec.LongRunning {
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -69,9 +69,14 @@
 	j := s.occurrence.job
 	service := c.queueOf(j).Service
 	var workers [obstacleCount]int
+	var u usage
 	for _, w := range c.sortedWorkers {
-		if w.server.Service == service {
-			workers[c.obstacleTo(w, t)]++
+		if w.server.Service != service {
+			continue
+		}
+		workers[c.obstacleTo(w, t)]++
+		if w.usable() {
+			u.add(w)
 		}
 	}
 	detail := map[string]any{
@@ -84,9 +89,8 @@
 			detail["workers_"+obstacleNames[o]] = count
 		}
 	}
-	u := c.usage(service)
-	detail["capacity_milli_cpu"], detail["long_running_milli_cpu"], detail["other_milli_cpu"] = u.capacity.MilliCPU, u.longRunning.MilliCPU, u.other.MilliCPU
-	detail["capacity_mib"], detail["best_effort_mib"] = u.capacity.MemoryMiB, u.bestEffort.MemoryMiB
+	detail["capacity_milli_cpu"], detail["long_running_milli_cpu"], detail["other_milli_cpu"] = u.capacity.MilliCPU, u.longRunningCPU, u.otherCPU
+	detail["capacity_mib"], detail["best_effort_mib"] = u.capacity.MemoryMiB, u.bestEffortMiB
 	c.emit(Note{Event: NoteTaskWaits, Job: j.job.ID, Task: t.ref().String(), Detail: detail})
 }
 
@@ -118,31 +122,18 @@
 	}
 }
 
-// usage is what the runs of a service occupy, by kind of task.
+// usage is what the runs on the usable workers of a service occupy, by kind of
+// task.
 type usage struct {
-	capacity    fleet.Resources // of the usable workers
-	longRunning fleet.Resources
-	bestEffort  fleet.Resources
-	other       fleet.Resources
+	capacity       fleet.Resources
+	longRunningCPU int64
+	bestEffortMiB  int64
+	otherCPU       int64
 }
 
-func (c *Cell) usage(service fleet.Service) usage {
-	var u usage
-	for _, w := range c.sortedWorkers {
-		if w.server.Service != service || !w.usable() {
-			continue
-		}
-		u.capacity = u.capacity.Add(w.server.Capacity)
-		for _, r := range w.runsInOrder {
-			switch {
-			case r.task.step.spec.LongRunning:
-				u.longRunning = u.longRunning.Add(r.need)
-			case r.bestEffort:
-				u.bestEffort = u.bestEffort.Add(r.need)
-			default:
-				u.other = u.other.Add(r.need)
-			}
-		}
-	}
-	return u
+func (u *usage) add(w *worker) {
+	u.capacity = u.capacity.Add(w.server.Capacity)
+	u.longRunningCPU += w.longRunningCPU
+	u.bestEffortMiB += w.bestEffortMiB
+	u.otherCPU += w.used.MilliCPU - w.longRunningCPU
 }
--- a/decision/cell/waits_test.go
+++ b/decision/cell/waits_test.go
@@ -41,6 +41,15 @@
 			if len(lines) == 0 || lines[0].Detail["reason"] != c.reason || lines[0].Detail["workers_"+c.reason] != 1 {
 				t.Fatalf("got lines %+v, want the first with reason %q for one worker", lines, c.reason)
 			}
+			used := map[string]any{"other_milli_cpu": c.running.Need.MilliCPU, "best_effort_mib": int64(0)}
+			if c.running.BestEffort {
+				used = map[string]any{"other_milli_cpu": int64(0), "best_effort_mib": c.running.Need.MemoryMiB}
+			}
+			for key, want := range used {
+				if got := lines[0].Detail[key]; got != want {
+					t.Errorf("got %s %v, want %v", key, got, want)
+				}
+			}
 			if len(lines) > 4 {
 				t.Errorf("got %d lines in %v, want at most 4", len(lines), 8*firstWaitReport)
 			}
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -40,6 +40,7 @@
 	lateOrderUntil time.Duration
 	used           fleet.Resources
 	bestEffortCPU  int64
+	bestEffortMiB  int64 // part of used
 	longRunningCPU int64 // part of used
 	runs           map[runKey]*run
 	runsInOrder    []*run // the same runs, in the order in which they were added
