Show a final state only once its record is durable

Cause: the state of a job was answered from memory. The holder answers "complete", is fenced, and its append is refused. The end is still listed by its worker, which would tell the next holder; but the worker is being replaced and leaves without an acknowledgement. The next holder knows of no end and starts the task again.

Change: complete, failed and cancelled are shown once the batch with the progress of the job is committed, running or queued until then. A cancel request for a job whose final state is not recorded yet is answered then, too; it got an answer from memory. cancelStored becomes finalStored, and the list of cancellations of a batch the list of its ended jobs.

Test: TestJobIsShownAsCompleteOnlyOnceRecorded fails before (complete is shown while the append is open).

--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -20,9 +20,9 @@
 	restored          bool // an earlier holder may have started its tasks
 	submitTokens      []Token
 	cancelled         bool
-	// cancelStored means that the record of the cancellation is durable;
-	// cancelTokens are the requests that are answered then.
-	cancelStored bool
+	// finalStored means that the record of the final state is durable;
+	// cancelTokens are the cancel requests that are answered then.
+	finalStored  bool
 	cancelTokens []Token
 	failed       bool
 	ended        bool
@@ -104,6 +104,19 @@
 	}
 }
 
+// visibleState returns the state that callers see. A final state whose record is
+// not durable is unknown to a later holder, which may run the tasks again.
+func (j *jobState) visibleState() job.State {
+	switch state := j.state(); {
+	case !state.Final() || j.finalStored:
+		return state
+	case j.started:
+		return job.Running
+	default:
+		return job.Queued
+	}
+}
+
 // maxJobs bounds the jobs in memory, which has no room for more.
 const maxJobs = 50000
 
@@ -130,7 +143,7 @@
 func (c *Cell) submit(e Submitted) {
 	if j, known := c.jobs[e.Job.ID]; known {
 		if j.stored {
-			c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: Accepted, State: j.state()}})
+			c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: Accepted, State: j.visibleState()}})
 			return
 		}
 		j.submitTokens = append(j.submitTokens, e.Token)
@@ -185,7 +198,6 @@
 			c.emit(Reply{Token: token, Reply: JobReply{Verdict: NoSuchJob}})
 		}
 		delete(c.nextBatch.dirty, j)
-		c.nextBatch.cancels = slices.DeleteFunc(c.nextBatch.cancels, func(other *jobState) bool { return other == j })
 		delete(c.jobs, j.job.ID)
 	}
 	return nil
@@ -195,7 +207,7 @@
 func (c *Cell) jobStored(j *jobState) {
 	j.stored = true
 	for _, token := range j.submitTokens {
-		c.emit(Reply{Token: token, Reply: JobReply{Verdict: Accepted, State: j.state()}})
+		c.emit(Reply{Token: token, Reply: JobReply{Verdict: Accepted, State: j.visibleState()}})
 	}
 	tasks, coreTime := sizeOf(&j.job)
 	c.emit(Note{Event: NoteAccepted, Job: j.job.ID, Detail: map[string]any{
@@ -225,25 +237,24 @@
 		c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NoSuchJob}})
 		return
 	}
-	if !j.cancelled && j.state().Final() || j.cancelStored {
-		c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: Accepted, State: j.state()}})
+	if j.finalStored {
+		c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: Accepted, State: j.visibleState()}})
 		return
 	}
 	j.cancelTokens = append(j.cancelTokens, e.Token)
-	if j.cancelled {
+	if j.ended {
 		return
 	}
 	j.cancelled = true
 	c.markDirty(j)
-	c.nextBatch.cancels = append(c.nextBatch.cancels, j)
 	c.emit(Note{Event: NoteCancelled, Job: j.job.ID, Detail: map[string]any{"runs": j.countRuns()}})
 	c.endJob(j)
 }
 
-func (c *Cell) cancelRecorded(j *jobState) {
-	j.cancelStored = true
+func (c *Cell) finalStateRecorded(j *jobState) {
+	j.finalStored = true
 	for _, token := range j.cancelTokens {
-		c.emit(Reply{Token: token, Reply: JobReply{Verdict: Accepted, State: j.state()}})
+		c.emit(Reply{Token: token, Reply: JobReply{Verdict: Accepted, State: j.visibleState()}})
 	}
 	j.cancelTokens = nil
 }
@@ -254,7 +265,7 @@
 		c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NoSuchJob}})
 		return
 	}
-	c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: Accepted, State: j.state()}})
+	c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: Accepted, State: j.visibleState()}})
 }
 
 func (j *jobState) countRuns() int {
@@ -303,10 +314,7 @@
 // removeFinished removes a finished job once its state can no longer be
 // queried.
 func (c *Cell) removeFinished(j *jobState) {
-	if !j.ended || c.now.Steady-j.endedAt < c.settings.StatusRetention || j.countRuns() > 0 || !j.stored {
-		return
-	}
-	if j.cancelled && !j.cancelStored {
+	if !j.finalStored || c.now.Steady-j.endedAt < c.settings.StatusRetention || j.countRuns() > 0 || !j.stored {
 		return
 	}
 	c.nextBatch.deletions = append(c.nextBatch.deletions, jobKey(j.job.ID), progressKey(j.job.ID))
--- a/decision/cell/jobs_test.go
+++ b/decision/cell/jobs_test.go
@@ -156,3 +156,35 @@
 		t.Errorf("got starts %+v, want one of the occurrence, which is due first", starts)
 	}
 }
+
+// Guards against a job that is shown as complete and runs again, because the record
+// of its end was not stored and the worker that listed the end has left (TWICE).
+func TestJobIsShownAsCompleteOnlyOnceRecorded(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setUpServers(testServer("a"))
+	f.submit(testJob, oneTaskStep())
+	start := takeActions[Start](f)[0]
+	f.acceptStart(start)
+	f.advance(50 * time.Millisecond)
+	takeActions[Reply](f)
+	for _, h := range takeActions[Hold](f) {
+		f.cell.Handle(f.moment(), HoldAnswered{
+			Server: h.Server, Number: h.Number, Sent: f.now, OK: true, Incarnation: 1, Clock: f.now,
+			Finished: []FinishedRow{{Number: 1, Task: start.Task, Attempt: start.Attempt, End: job.EndDone}},
+		})
+	}
+	f.cell.Handle(f.moment(), StateRequested{Token: 8, ID: testJob}) // the store has not answered
+	f.cell.Handle(f.moment(), CancelRequested{Token: 9, Queue: "q", ID: testJob})
+	f.actions = append(f.actions, f.cell.Actions()...)
+	if replies := takeActions[Reply](f); len(replies) != 1 || replies[0].Token != 8 || replies[0].Reply.State != job.Running {
+		t.Fatalf("got replies %+v before the record is durable, want one that shows the job as running", replies)
+	}
+	f.handle(Tick{}) // the store answers
+	if replies := takeActions[Reply](f); len(replies) != 1 || replies[0].Token != 9 || replies[0].Reply.State != job.Complete {
+		t.Fatalf("got replies %+v after the record is durable, want one to the cancel request that shows the job as complete", replies)
+	}
+	f.handle(StateRequested{Token: 10, ID: testJob})
+	if replies := takeActions[Reply](f); len(replies) != 1 || replies[0].Reply.State != job.Complete {
+		t.Errorf("got replies %+v, want one that shows the job as complete", replies)
+	}
+}
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -75,8 +75,8 @@
 type batch struct {
 	number       uint64
 	jobs         []*jobState
-	cancels      []*jobState
 	dirty        map[*jobState]bool
+	ended        []*jobState // jobs whose final state is in the records
 	servers      []*worker
 	deletions    []Key
 	cursors      map[*worker]endCursor
@@ -100,7 +100,7 @@
 }
 
 func (b *batch) empty() bool {
-	return len(b.jobs) == 0 && len(b.cancels) == 0 && len(b.dirty) == 0 && len(b.servers) == 0 &&
+	return len(b.jobs) == 0 && len(b.dirty) == 0 && len(b.servers) == 0 &&
 		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference
 }
 
@@ -133,6 +133,9 @@
 	for _, j := range dirty {
 		progress := j.progress()
 		b.Records = append(b.Records, Record{Key: progressKey(j.job.ID), Progress: &progress})
+		if j.ended {
+			taken.ended = append(taken.ended, j)
+		}
 	}
 	for _, w := range taken.servers {
 		server := w.server
@@ -157,8 +160,8 @@
 	for _, j := range b.jobs {
 		c.jobStored(j)
 	}
-	for _, j := range b.cancels {
-		c.cancelRecorded(j)
+	for _, j := range b.ended {
+		c.finalStateRecorded(j)
 	}
 	for _, w := range b.servers {
 		w.stored = true
@@ -186,7 +189,6 @@
 	}
 	c.inFlight = nil
 	next := c.nextBatch
-	next.cancels = append(b.cancels, next.cancels...)
 	next.servers = append(b.servers, next.servers...)
 	next.deletions = append(b.deletions, next.deletions...)
 	next.interference = next.interference || b.interference
@@ -267,12 +269,12 @@
 }
 
 func (c *Cell) restoreProgress(j *jobState, p *ProgressRecord) {
-	j.cancelled, j.cancelStored, j.failed, j.started = p.Cancelled, p.Cancelled, p.Failed, p.Started
+	j.cancelled, j.failed, j.started = p.Cancelled, p.Failed, p.Started
 	for _, number := range p.Completed {
 		j.completed[number] = true
 	}
 	if j.state().Final() {
-		j.ended, j.endedAt = true, c.now.Steady
+		j.ended, j.endedAt, j.finalStored = true, c.now.Steady, true
 		return
 	}
 	for _, op := range p.Occurrences {
