Let the rate of preemptions grow with the workers

Cause: a search for a task to preempt is made ten times a second in the whole cell, whatever its size.

Change: up to 100 workers the interval is as before, so that the small sites are not affected; above it shrinks in proportion, down to 10 ms.

Test: TestPreemptionsKeepPaceWithLargeService fails before (11 tasks in 1 s on 400 servers, 40 wanted, four times what a quarter of them does).

--- a/decision/cell/preempt.go
+++ b/decision/cell/preempt.go
@@ -11,8 +11,12 @@
 	// task is stopped for it. Capacity that other tasks return meanwhile costs
 	// nothing.
 	preemptAfter = 300 * time.Millisecond
-	// preemptInterval is the time between two searches for a task to preempt.
-	preemptInterval = 100 * time.Millisecond
+	// preemptInterval is the time between two searches for a task to preempt in a
+	// cell of up to preemptWorkers workers. Larger cells make proportionally more,
+	// down to minPreemptInterval, which bounds their processor time.
+	preemptInterval    = 100 * time.Millisecond
+	preemptWorkers     = 100
+	minPreemptInterval = 10 * time.Millisecond
 	// preemptRetry is how long a step for which no task may be preempted leaves
 	// the search to other steps.
 	preemptRetry = 500 * time.Millisecond
@@ -39,7 +43,7 @@
 		now-max(c.waitingSince(t), t.notBefore) < preemptAfter || !c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
 		return
 	}
-	c.nextPreemption = now + preemptInterval
+	c.nextPreemption = now + max(minPreemptInterval, preemptInterval*preemptWorkers/time.Duration(max(preemptWorkers, len(c.sortedWorkers))))
 	victim := c.preemptionVictim(t)
 	if victim == nil || !c.mayPreempt(s, victim) {
 		s.nextPreemption = now + preemptRetry
--- a/decision/cell/preempt_test.go
+++ b/decision/cell/preempt_test.go
@@ -126,3 +126,36 @@
 		t.Errorf("got stops %+v, want one for the task of 4 cores", stops)
 	}
 }
+
+// Guards against a rate of preemptions that does not grow with the service, so that
+// large jobs are not served on a large one (SHORT, asante-sockyard-grown).
+func TestPreemptionsKeepPaceWithLargeService(t *testing.T) {
+	f := newFixture(t, 1)
+	var servers []Server
+	for i := range 400 {
+		servers = append(servers, testServer(fleet.BackendServerID(fmt.Sprintf("s-%03d", i))))
+	}
+	f.setUpServers(servers...)
+	step := longRunningStep(800)
+	f.submit("00000000000000c1", step)
+	running := map[fleet.BackendServerID][]RunningRow{}
+	for starts := takeActions[Start](f); len(starts) > 0; starts = takeActions[Start](f) {
+		for _, s := range starts {
+			f.acceptStart(s)
+			running[s.Server] = append(running[s.Server], RunningRow{Task: s.Task, Attempt: s.Attempt, Percent: fullSpeed})
+		}
+	}
+	f.answerHolds(running, nil)
+	f.submit("00000000000000b1", job.Step{Count: 40, Need: fleet.Resources{MilliCPU: 8000, MemoryMiB: 1000}, Estimate: time.Second})
+	for end := f.now + preemptAfter + time.Second; f.now < end; {
+		f.now += 5 * time.Millisecond
+		f.handle(Tick{})
+	}
+	stopped := map[job.TaskRef]bool{} // stops without an answer are repeated
+	for _, s := range takeActions[Stop](f) {
+		stopped[s.Task] = true
+	}
+	if len(stopped) < 40 {
+		t.Errorf("got stops of %d tasks in 1 s on 400 servers, want 40: a quarter of the servers stops ten", len(stopped))
+	}
+}
