--- a/scheduler/peers/accept.go
+++ b/scheduler/peers/accept.go
@@ -37,6 +37,14 @@
 	outbound *supervise.Ring[*cellpb.Frame]
 }
 
+func newAcceptedLink(peer fleet.InstanceID) *acceptedLink {
+	return &acceptedLink{
+		peer:      peer,
+		responses: supervise.NewRing[message.Response](fmt.Sprintf("accepted.%s.answers", peer), responseCapacity, supervise.Refuse),
+		outbound:  supervise.NewRing[*cellpb.Frame](fmt.Sprintf("accepted.%s.outbound", peer), 8, supervise.DropOldest),
+	}
+}
+
 // Link implements the Cell service. It registers the link and handles its frames
 // until the stream ends.
 func (a *acceptor) Link(stream cellpb.DRPCCell_LinkStream) error {
@@ -49,14 +57,9 @@
 		return errors.New("first frame of a link is not a hello")
 	}
 	s := a.supervisor
-	peer := fleet.InstanceID(hello.Instance)
-	link := &acceptedLink{
-		peer:      peer,
-		responses: supervise.NewRing[message.Response](fmt.Sprintf("accepted.%s.answers", peer), responseCapacity, supervise.Refuse),
-		outbound:  supervise.NewRing[*cellpb.Frame](fmt.Sprintf("accepted.%s.outbound", peer), 8, supervise.DropOldest),
-	}
+	link := newAcceptedLink(fleet.InstanceID(hello.Instance))
 	sender := s.tree.Start(supervise.Duty{
-		Name: fmt.Sprintf("accepted/%s/%p", peer, link), Rings: []supervise.AnyRing{link.responses, link.outbound},
+		Name: fmt.Sprintf("accepted/%s/%p", link.peer, link), Rings: []supervise.AnyRing{link.responses, link.outbound},
 		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 			return link.send(ctx, stream, dumps)
 		},
--- /dev/null
+++ b/scheduler/peers/configuration_test.go
@@ -0,0 +1,87 @@
+package peers
+
+import (
+	"context"
+	"testing"
+
+	"lacewingfork.example/lacewingfork/cellpb"
+	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/scheduler/api"
+	"lacewingfork.example/lacewingfork/scheduler/message"
+	"lacewingfork.example/lacewingfork/supervise"
+)
+
+// sentConfigurations removes the frames queued for the peer of a link and returns
+// the number of those that carry a configuration.
+func sentConfigurations(link *acceptedLink) int {
+	count := 0
+	for link.outbound.Stats().Depth > 0 {
+		if (<-link.outbound.Items()).GetConfiguration() != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a link that fills with copies of one configuration: a peer reports
+// its older version until the first copy has arrived.
+func TestConfigurationInTransitIsNotSentAgain(t *testing.T) {
+	ctx := context.Background()
+	table := &linkTable{
+		supervisor: &Supervisor{rings: NewRings()}, links: map[*acceptedLink]message.Heartbeat{},
+		configuration: &api.Configuration{Version: 7, Document: []byte("{}")},
+	}
+	link := newAcceptedLink("entry-2")
+	table.links[link] = message.Heartbeat{}
+	older := peerHeartbeat{link: link, heartbeat: message.Heartbeat{ConfigurationVersion: 6}}
+	for range 6 {
+		table.handleHeartbeat(ctx, older)
+	}
+	if got := sentConfigurations(link); got != 1 {
+		t.Errorf("got %d copies of version 7 after 6 heartbeats, want 1", got)
+	}
+	table.configuration = &api.Configuration{Version: 8, Document: []byte("{}")}
+	table.handleHeartbeat(ctx, older)
+	if got := sentConfigurations(link); got != 1 {
+		t.Errorf("got %d copies of version 8, want 1", got)
+	}
+	next := newAcceptedLink("entry-2")
+	table.links[next] = message.Heartbeat{}
+	table.handleHeartbeat(ctx, peerHeartbeat{link: next, heartbeat: older.heartbeat})
+	if got := sentConfigurations(next); got != 1 {
+		t.Errorf("got %d copies on a new link of the peer, want 1", got)
+	}
+}
+
+// countingStream counts the configurations sent on a link to the holder.
+type countingStream struct {
+	cellpb.DRPCCell_LinkClient
+	configurations int
+}
+
+func (s *countingStream) Send(frame *cellpb.Frame) error {
+	if frame.GetConfiguration() != nil {
+		s.configurations++
+	}
+	return nil
+}
+
+// Guards against a holder whose link fills with copies of one configuration, one for
+// each of its heartbeats and for each instance that has a newer version.
+func TestConfigurationIsOfferedToHolderOnce(t *testing.T) {
+	ctx := context.Background()
+	rings := NewRings()
+	rings.LinkChanges = supervise.NewRing[message.LinkChange]("test.links", 8, supervise.DropOldest)
+	rings.HolderHeartbeats = supervise.NewRing[message.Heartbeat]("test.heartbeats", 1, supervise.DropOldest)
+	rings.Linked = supervise.NewRing[bool]("test.linked", 1, supervise.DropOldest)
+	r := newRouter(&Supervisor{rings: rings, clock: clock.New()})
+	stream := &countingStream{}
+	r.holder, r.session = message.Holder{Epoch: 3}, &session{stream: stream}
+	r.configuration = &api.Configuration{Version: 7, Document: []byte("{}")}
+	for range 6 {
+		r.handleHeartbeat(ctx, message.Heartbeat{Epoch: 3, IsHolder: true, ConfigurationVersion: 6})
+	}
+	if stream.configurations != 1 {
+		t.Errorf("got %d copies of the configuration after 6 heartbeats of the holder, want 1", stream.configurations)
+	}
+}
