Send a configuration once on each link

The holder's instance sent 5 to 17 MB a second after each change of a configuration of 0.3 to 0.9 MB.

Cause: at every heartbeat (400 ms) the holder sent its configuration to each peer that reported an older version, and each peer sent its own to a holder that reported an older one. A copy that takes longer than a heartbeat was followed by the next, up to the eight that the ring holds, and a link that broke under the load began again.

Ruled out: the store (it answered the instances of its region within 0.2 s) and a takeover (one holder throughout).

Change: each link remembers the newest version sent on it. Configurations have a ring of their own, so that heartbeats do not displace one while the peer reads slowly.

--- a/scheduler/peers/accept.go
+++ b/scheduler/peers/accept.go
@@ -35,6 +35,13 @@
 	responses *supervise.Ring[message.Response]
 	// outbound carries the frames that the link table sends to this peer.
 	outbound *supervise.Ring[*cellpb.Frame]
+	// configurations carries the newest configuration for this peer. It is apart
+	// from outbound, so that heartbeats don't displace it while the peer reads
+	// slowly.
+	configurations *supervise.Ring[*cellpb.Frame]
+	// sentVersion is the newest configuration sent on this link; only the link
+	// table uses it.
+	sentVersion int64
 }
 
 func newAcceptedLink(peer fleet.InstanceID) *acceptedLink {
@@ -42,6 +49,8 @@
 		peer:      peer,
 		responses: supervise.NewRing[message.Response](fmt.Sprintf("accepted.%s.answers", peer), responseCapacity, supervise.Refuse),
 		outbound:  supervise.NewRing[*cellpb.Frame](fmt.Sprintf("accepted.%s.outbound", peer), 8, supervise.DropOldest),
+
+		configurations: supervise.NewRing[*cellpb.Frame](fmt.Sprintf("accepted.%s.configurations", peer), 1, supervise.DropOldest),
 	}
 }
 
@@ -59,7 +68,7 @@
 	s := a.supervisor
 	link := newAcceptedLink(fleet.InstanceID(hello.Instance))
 	sender := s.tree.Start(supervise.Duty{
-		Name: fmt.Sprintf("accepted/%s/%p", link.peer, link), Rings: []supervise.AnyRing{link.responses, link.outbound},
+		Name: fmt.Sprintf("accepted/%s/%p", link.peer, link), Rings: []supervise.AnyRing{link.responses, link.outbound, link.configurations},
 		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 			return link.send(ctx, stream, dumps)
 		},
@@ -119,6 +128,8 @@
 			err = stream.Send(encodeResponse(response))
 		case frame := <-l.outbound.Items():
 			err = stream.Send(frame)
+		case frame := <-l.configurations.Items():
+			err = stream.Send(frame)
 		case r := <-dumps:
 			r.Answer(map[string]any{"peer": l.peer})
 		}
@@ -221,14 +232,17 @@
 }
 
 // handleHeartbeat stores the heartbeat and sends the configuration to a peer
-// whose version is older.
+// whose version is older, once on each link: the peer reports its older version
+// until the configuration has arrived.
 func (t *linkTable) handleHeartbeat(ctx context.Context, b peerHeartbeat) {
 	if _, linked := t.links[b.link]; !linked {
 		return
 	}
 	t.links[b.link] = b.heartbeat
-	if t.configuration != nil && b.heartbeat.ConfigurationVersion < t.configuration.Version {
-		_ = b.link.outbound.Put(ctx, encodeConfiguration(t.configuration.Version, t.configuration.Document))
+	version := configurationVersion(t.configuration)
+	if b.heartbeat.ConfigurationVersion < version && b.link.sentVersion < version {
+		b.link.sentVersion = version
+		_ = b.link.configurations.Put(ctx, encodeConfiguration(version, t.configuration.Document)) // keeps the newest; never fails
 	}
 }
 
--- a/scheduler/peers/configuration_test.go
+++ b/scheduler/peers/configuration_test.go
@@ -12,12 +12,14 @@
 )
 
 // sentConfigurations removes the frames queued for the peer of a link and returns
-// the number of those that carry a configuration.
+// the number of those that carry a configuration, counting displaced ones.
 func sentConfigurations(link *acceptedLink) int {
-	count := 0
-	for link.outbound.Stats().Depth > 0 {
-		if (<-link.outbound.Items()).GetConfiguration() != nil {
-			count++
+	count := int(link.configurations.Stats().Dropped)
+	for _, ring := range []*supervise.Ring[*cellpb.Frame]{link.outbound, link.configurations} {
+		for ring.Stats().Depth > 0 {
+			if (<-ring.Items()).GetConfiguration() != nil {
+				count++
+			}
 		}
 	}
 	return count
--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -200,8 +200,9 @@
 	if !r.up() {
 		r.linkUp(ctx)
 	}
-	if r.configuration != nil && heartbeat.ConfigurationVersion < r.configuration.Version {
-		r.sendOrClose(ctx, encodeConfiguration(r.configuration.Version, r.configuration.Document))
+	if version := configurationVersion(r.configuration); heartbeat.ConfigurationVersion < version && r.session.sentVersion < version {
+		r.session.sentVersion = version
+		r.sendOrClose(ctx, encodeConfiguration(version, r.configuration.Document))
 	}
 }
 
--- a/scheduler/peers/session.go
+++ b/scheduler/peers/session.go
@@ -27,6 +27,8 @@
 	failed     *supervise.Ring[error]
 	openedAt   time.Duration
 	receivedAt time.Duration
+	// sentVersion is the newest configuration sent to the holder.
+	sentVersion int64
 }
 
 // writeDeadlineConn fails a write that makes no progress for linkTimeout.
