Read the configuration from the store once for all linked instances

Callers saw LOST and CONFIG in the incident: the last instance of the region without the store had a configuration of 4,245 routes (0.84 MB) in force 10 s after it was sent.

Cause: each instance follows the operators' topic, so that the link between the regions carries a copy for each of its 23 instances, 2.6 s of the whole link for one version; calls to the workers of that region wait behind it.

Ruled out: reading only the end of the topic with a bounded read (a trial shows that the store returns the first record whole, 557,475 bytes with max-kb 1).

Change: the holder reads the topic and passes each publication on at once to its links, with the offset of its record. An instance without a link reads as before. The offset is a new field of the link protocol; older instances ignore it and read on their own.

--- a/scheduler/api/api.go
+++ b/scheduler/api/api.go
@@ -105,6 +105,8 @@
 	Limits  Limits
 	// Document is the encoded publication, kept to pass it on to peers.
 	Document []byte
+	// Offset is that of its record in OperatorTopic.
+	Offset fleet.Offset
 }
 
 // Route maps a host and a path prefix to a queue.
--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -115,6 +115,13 @@
 	Removed []fleet.BackendServerID
 }
 
+// Publication is an encoded publication of the operators and the offset of its
+// record in the store.
+type Publication struct {
+	Document []byte
+	Offset   fleet.Offset
+}
+
 // ConfigurationRing carries the configuration in force to a duty. Only the
 // newest one is kept.
 type ConfigurationRing = supervise.Ring[*api.Configuration]
--- a/scheduler/peers/accept.go
+++ b/scheduler/peers/accept.go
@@ -42,6 +42,8 @@
 	// sentVersion is the newest configuration sent on this link; only the link
 	// table uses it.
 	sentVersion int64
+	// heard means that the peer has sent a heartbeat; only the link table uses it.
+	heard bool
 }
 
 func newAcceptedLink(peer fleet.InstanceID) *acceptedLink {
@@ -110,7 +112,7 @@
 		}
 		return rings.PeerHeartbeats.Put(ctx, heartbeat)
 	case *cellpb.Frame_Configuration:
-		return rings.Offers.Put(ctx, body.Configuration.Document)
+		return rings.Offers.Put(ctx, decodeConfiguration(body.Configuration))
 	}
 	return nil
 }
@@ -207,6 +209,9 @@
 		case b := <-t.heartbeats.Items():
 			t.handleHeartbeat(ctx, b)
 		case t.configuration = <-t.configurations.Items():
+			for link, heartbeat := range t.links {
+				t.passConfiguration(ctx, link, heartbeat)
+			}
 		case status := <-r.LinkTableStatus.Items():
 			t.status = status
 		case members := <-r.Members.Items():
@@ -231,19 +236,26 @@
 	}))
 }
 
-// handleHeartbeat stores the heartbeat and sends the configuration to a peer
-// whose version is older, once on each link: the peer reports its older version
-// until the configuration has arrived.
+// handleHeartbeat stores the heartbeat of a peer and passes the configuration on
+// to it.
 func (t *linkTable) handleHeartbeat(ctx context.Context, b peerHeartbeat) {
 	if _, linked := t.links[b.link]; !linked {
 		return
 	}
-	t.links[b.link] = b.heartbeat
+	t.links[b.link], b.link.heard = b.heartbeat, true
+	t.passConfiguration(ctx, b.link, b.heartbeat)
+}
+
+// passConfiguration sends the configuration to a peer that has reported an older
+// version, once on each link: the peer reports that version until the
+// configuration has arrived.
+func (t *linkTable) passConfiguration(ctx context.Context, link *acceptedLink, reported message.Heartbeat) {
 	version := configurationVersion(t.configuration)
-	if b.heartbeat.ConfigurationVersion < version && b.link.sentVersion < version {
-		b.link.sentVersion = version
-		_ = b.link.configurations.Put(ctx, encodeConfiguration(version, t.configuration.Document)) // keeps the newest; never fails
+	if !link.heard || reported.ConfigurationVersion >= version || link.sentVersion >= version {
+		return
 	}
+	link.sentVersion = version
+	_ = link.configurations.Put(ctx, encodeConfiguration(t.configuration)) // keeps the newest; never fails
 }
 
 // handOver asks a linked instance that can reach the store to take the cell
--- a/scheduler/peers/codec.go
+++ b/scheduler/peers/codec.go
@@ -10,6 +10,7 @@
 	"lacewingfork.example/lacewingfork/decision/cell"
 	"lacewingfork.example/lacewingfork/decision/job"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/message"
 )
 
@@ -77,6 +78,12 @@
 	return heartbeat
 }
 
-func encodeConfiguration(version int64, document []byte) *cellpb.Frame {
-	return &cellpb.Frame{Body: &cellpb.Frame_Configuration{Configuration: &cellpb.Configuration{Version: version, Document: document}}}
+func encodeConfiguration(c *api.Configuration) *cellpb.Frame {
+	return &cellpb.Frame{Body: &cellpb.Frame_Configuration{Configuration: &cellpb.Configuration{
+		Version: c.Version, Document: c.Document, Offset: int64(c.Offset),
+	}}}
+}
+
+func decodeConfiguration(c *cellpb.Configuration) message.Publication {
+	return message.Publication{Document: c.Document, Offset: fleet.Offset(c.Offset)}
 }
--- a/scheduler/peers/configuration_test.go
+++ b/scheduler/peers/configuration_test.go
@@ -75,6 +75,7 @@
 	rings := NewRings()
 	rings.LinkChanges = supervise.NewRing[message.LinkChange]("test.links", 8, supervise.DropOldest)
 	rings.HolderHeartbeats = supervise.NewRing[message.Heartbeat]("test.heartbeats", 1, supervise.DropOldest)
+	rings.Followed = supervise.NewRing[bool]("test.followed", 1, supervise.DropOldest)
 	rings.Linked = supervise.NewRing[bool]("test.linked", 1, supervise.DropOldest)
 	r := newRouter(&Supervisor{rings: rings, clock: clock.New()})
 	stream := &countingStream{}
--- a/scheduler/peers/peers.go
+++ b/scheduler/peers/peers.go
@@ -79,7 +79,10 @@
 	// Handovers passes the holder's request to take over to the election duty.
 	Handovers *supervise.Ring[struct{}]
 	// Offers passes configurations of peers to the configuration duty.
-	Offers *supervise.Ring[[]byte]
+	Offers *supervise.Ring[message.Publication]
+	// Followed tells the duty that reads configurations whether this instance is
+	// linked to another one, which passes them on.
+	Followed *supervise.Ring[bool]
 	// HolderRequests passes requests to the local holder duty.
 	HolderRequests *supervise.Ring[message.Request]
 	// PeerHeartbeats passes the heartbeats of linked instances to the local
--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -174,7 +174,7 @@
 	case *cellpb.Frame_Beat:
 		r.handleHeartbeat(ctx, decodeHeartbeat(body.Beat))
 	case *cellpb.Frame_Configuration:
-		_ = r.supervisor.rings.Offers.Put(ctx, body.Configuration.Document) // drops the oldest when full
+		_ = r.supervisor.rings.Offers.Put(ctx, decodeConfiguration(body.Configuration)) // drops the oldest when full
 	case *cellpb.Frame_Handover:
 		_ = r.supervisor.rings.Handovers.Put(ctx, struct{}{})
 	}
@@ -202,7 +202,7 @@
 	}
 	if version := configurationVersion(r.configuration); heartbeat.ConfigurationVersion < version && r.session.sentVersion < version {
 		r.session.sentVersion = version
-		r.sendOrClose(ctx, encodeConfiguration(version, r.configuration.Document))
+		r.sendOrClose(ctx, encodeConfiguration(r.configuration))
 	}
 }
 
@@ -215,6 +215,7 @@
 	r.upSince, r.downSince = r.supervisor.clock.Steady(), 0
 	_ = r.supervisor.rings.LinkChanges.Put(ctx, message.LinkChange{Epoch: r.holder.Epoch, Up: true})
 	_ = r.supervisor.rings.Linked.Put(ctx, true)
+	_ = r.supervisor.rings.Followed.Put(ctx, !r.holder.Self) // keeps the newest; never fails
 	for id, p := range r.pending {
 		p.inFlight = false
 		r.send(ctx, id, p)
@@ -227,6 +228,7 @@
 	if r.up() {
 		r.upSince, r.downSince = 0, r.supervisor.clock.Steady()
 		_ = r.supervisor.rings.Linked.Put(ctx, false)
+		_ = r.supervisor.rings.Followed.Put(ctx, false) // keeps the newest; never fails
 	}
 	for _, p := range r.pending {
 		p.inFlight = false
--- a/scheduler/store/configuration.go
+++ b/scheduler/store/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"lacewingfork.example/lacewingfork/fleet"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/logs"
 	"lacewingfork.example/lacewingfork/scheduler/message"
@@ -18,17 +19,24 @@
 	// Subscribers receive each version that comes into force.
 	Subscribers []*message.ConfigurationRing
 	// Offers carries publications received from peers.
-	Offers *supervise.Ring[[]byte]
-	// documents carries publications that the tail has read from the store.
-	documents *supervise.Ring[[]byte]
+	Offers *supervise.Ring[message.Publication]
+	// Followed carries whether a linked instance passes publications on.
+	Followed *supervise.Ring[bool]
+	// read carries publications that the tail has read from the store.
+	read *supervise.Ring[message.Publication]
+	// received carries to the tail the offset after the newest publication that
+	// a peer has passed on.
+	received *supervise.Ring[fleet.Offset]
 }
 
 // NewConfigurations returns the duty; Start starts it together with its tail.
 func NewConfigurations(records api.RecordDecoder, log *logs.Log) *Configurations {
 	return &Configurations{
 		records: records, log: log,
-		Offers:    supervise.NewRing[[]byte]("configuration.offers", 4, supervise.DropOldest),
-		documents: supervise.NewRing[[]byte]("configuration.read", 16, supervise.Wait),
+		Offers:   supervise.NewRing[message.Publication]("configuration.offers", 4, supervise.DropOldest),
+		Followed: supervise.NewRing[bool]("configuration.followed", 1, supervise.DropOldest),
+		read:     supervise.NewRing[message.Publication]("configuration.read", 16, supervise.Wait),
+		received: supervise.NewRing[fleet.Offset]("configuration.received", 1, supervise.DropOldest),
 	}
 }
 
@@ -39,17 +47,23 @@
 			if !c.records.IsConfiguration(item) || len(item.Value) == 0 {
 				continue
 			}
-			if err := c.documents.Put(ctx, item.Value); err != nil {
+			if err := c.read.Put(ctx, message.Publication{Document: item.Value, Offset: item.Offset}); err != nil {
 				return err
 			}
 		}
 		return nil
 	}
-	tree.Start(supervise.Duty{Name: "configuration/tail", Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
-		t := tail{store: store, log: c.log, topic: api.OperatorTopic, onSnapshot: forward, onChange: forward}
-		return t.run(ctx, dumps)
-	}})
-	tree.Start(supervise.Duty{Name: "configuration", Rings: []supervise.AnyRing{c.Offers, c.documents}, Run: c.run})
+	tree.Start(supervise.Duty{
+		Name: "configuration/tail", Rings: []supervise.AnyRing{c.Followed, c.received},
+		Run: func(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+			t := configurationTail{
+				tail:     tail{store: store, log: c.log, topic: api.OperatorTopic, onSnapshot: forward, onChange: forward},
+				followed: c.Followed, received: c.received,
+			}
+			return t.run(ctx, dumps)
+		},
+	})
+	tree.Start(supervise.Duty{Name: "configuration", Rings: []supervise.AnyRing{c.Offers, c.read}, Run: c.run})
 }
 
 func (c *Configurations) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
@@ -57,10 +71,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case document := <-c.documents.Items():
-			c.apply(ctx, document, "store")
-		case document := <-c.Offers.Items():
-			c.apply(ctx, document, "peer")
+		case publication := <-c.read.Items():
+			c.apply(ctx, publication, "store")
+		case publication := <-c.Offers.Items():
+			if c.apply(ctx, publication, "peer") {
+				_ = c.received.Put(ctx, publication.Offset+1) // keeps the newest; never fails
+			}
 		case r := <-dumps:
 			version := int64(0)
 			if c.inForce != nil {
@@ -71,19 +87,22 @@
 	}
 }
 
-// apply puts a publication into force if it is newer than the one in force.
-func (c *Configurations) apply(ctx context.Context, document []byte, source string) {
-	decoded, err := c.records.Configuration(document)
+// apply puts a publication into force if it is newer than the one in force, and
+// reports whether it did.
+func (c *Configurations) apply(ctx context.Context, publication message.Publication, source string) bool {
+	decoded, err := c.records.Configuration(publication.Document)
 	if err != nil {
 		c.log.Event("configuration_unreadable", "source", source, "error", err)
-		return
+		return false
 	}
 	if c.inForce != nil && decoded.Version <= c.inForce.Version {
-		return
+		return false
 	}
+	decoded.Offset = publication.Offset
 	c.inForce = &decoded
 	c.log.Event("configuration_in_force", "version", decoded.Version, "routes", len(decoded.Routes), "source", source)
 	for _, ring := range c.Subscribers {
 		_ = ring.Put(ctx, c.inForce) // keeps the newest; never fails
 	}
+	return true
 }
--- a/scheduler/store/tail.go
+++ b/scheduler/store/tail.go
@@ -10,7 +10,6 @@
 	"lacewingfork.example/lacewingfork/internal/wait"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/logs"
-	"lacewingfork.example/lacewingfork/supervise"
 )
 
 const (
@@ -105,17 +104,3 @@
 	}
 	t.log.Event("dependency_regained", "dependency", "store/"+string(t.topic))
 }
-
-// run follows the topic until ctx ends.
-func (t *tail) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
-	for {
-		select {
-		case r := <-dumps:
-			r.Answer(map[string]any{"topic": t.topic, "next": t.next, "known": t.positioned, "lost": t.failing})
-		default:
-		}
-		if err := t.readOnce(ctx); err != nil {
-			return err
-		}
-	}
-}
