Compress the configurations that the holder passes on

Change: the document is compressed once for a version, with gzip at its fastest level; a receiver accepts both forms and bounds what it decompresses to 8 MiB.

--- a/scheduler/peers/accept.go
+++ b/scheduler/peers/accept.go
@@ -112,7 +112,11 @@
 		}
 		return rings.PeerHeartbeats.Put(ctx, heartbeat)
 	case *cellpb.Frame_Configuration:
-		return rings.Offers.Put(ctx, decodeConfiguration(body.Configuration))
+		publication, err := decodeConfiguration(body.Configuration)
+		if err != nil {
+			return err
+		}
+		return rings.Offers.Put(ctx, publication)
 	}
 	return nil
 }
@@ -153,6 +157,7 @@
 	links         map[*acceptedLink]message.Heartbeat // with the last heartbeat received
 	status        holder.Status
 	configuration *api.Configuration
+	encoded       *cellpb.Frame // the configuration last sent, the same for all links
 	announcer     *announcer
 }
 
@@ -254,8 +259,11 @@
 	if !link.heard || reported.ConfigurationVersion >= version || link.sentVersion >= version {
 		return
 	}
+	if t.encoded.GetConfiguration().GetVersion() != version {
+		t.encoded = encodeConfiguration(t.configuration)
+	}
 	link.sentVersion = version
-	_ = link.configurations.Put(ctx, encodeConfiguration(t.configuration)) // keeps the newest; never fails
+	_ = link.configurations.Put(ctx, t.encoded) // keeps the newest; never fails
 }
 
 // handOver asks a linked instance that can reach the store to take the cell
--- a/scheduler/peers/codec.go
+++ b/scheduler/peers/codec.go
@@ -1,7 +1,10 @@
 package peers
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -78,12 +81,37 @@
 	return heartbeat
 }
 
+// maxDocumentBytes bounds a decompressed configuration. The store accepts no call
+// of more than 2 MiB.
+const maxDocumentBytes = 8 << 20
+
+// encodeConfiguration compresses the document: its routes differ in a few
+// characters only, and the instances of a region share one link to the holder.
 func encodeConfiguration(c *api.Configuration) *cellpb.Frame {
+	var compressed bytes.Buffer
+	w, _ := gzip.NewWriterLevel(&compressed, gzip.BestSpeed) // the level is valid
+	_, _ = w.Write(c.Document)                               // a bytes.Buffer never fails
+	_ = w.Close()
 	return &cellpb.Frame{Body: &cellpb.Frame_Configuration{Configuration: &cellpb.Configuration{
-		Version: c.Version, Document: c.Document, Offset: int64(c.Offset),
+		Version: c.Version, GzipDocument: compressed.Bytes(), Offset: int64(c.Offset),
 	}}}
 }
 
-func decodeConfiguration(c *cellpb.Configuration) message.Publication {
-	return message.Publication{Document: c.Document, Offset: fleet.Offset(c.Offset)}
+func decodeConfiguration(c *cellpb.Configuration) (message.Publication, error) {
+	publication := message.Publication{Document: c.Document, Offset: fleet.Offset(c.Offset)}
+	if len(c.GzipDocument) == 0 {
+		return publication, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(c.GzipDocument))
+	if err != nil {
+		return message.Publication{}, errors.Wrap(err, "decompress configuration")
+	}
+	publication.Document, err = io.ReadAll(io.LimitReader(r, maxDocumentBytes+1))
+	switch {
+	case err != nil:
+		return message.Publication{}, errors.Wrap(err, "decompress configuration")
+	case len(publication.Document) > maxDocumentBytes:
+		return message.Publication{}, errors.Errorf("configuration has more than %d bytes", maxDocumentBytes)
+	}
+	return publication, nil
 }
--- a/scheduler/peers/configuration_test.go
+++ b/scheduler/peers/configuration_test.go
@@ -1,9 +1,14 @@
 package peers
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
+	"fmt"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
 	"lacewingfork.example/lacewingfork/cellpb"
 	"lacewingfork.example/lacewingfork/internal/clock"
 	"lacewingfork.example/lacewingfork/scheduler/api"
@@ -55,6 +60,48 @@
 	}
 }
 
+// Guards against a link between regions that is full for seconds after each change of
+// a large configuration.
+func TestPassedOnConfigurationIsCompressed(t *testing.T) {
+	var document []byte
+	for n := range 4000 {
+		document = fmt.Appendf(document, `{"name":"r-%x","host":"h%d.example","path-prefix":"/p%d/","timeout-ms":3000,"priority":0,"service":"s"},`, n*7919, n%97, n%997)
+	}
+	sent := &api.Configuration{Version: 7, Document: document, Offset: 12}
+	frame := encodeConfiguration(sent)
+	if size := proto.Size(frame); size > len(document)/4 {
+		t.Errorf("got a frame of %d bytes for a document of %d bytes, want at most a quarter", size, len(document))
+	}
+	got, err := decodeConfiguration(frame.GetConfiguration())
+	if err != nil || string(got.Document) != string(document) || got.Offset != sent.Offset {
+		t.Errorf("got %d bytes at offset %d and error %v, want the document at offset %d", len(got.Document), got.Offset, err, sent.Offset)
+	}
+}
+
+// Guards against a frame that is decoded into more memory than an instance has, and
+// against frames of instances that do not compress.
+func TestDecodeConfiguration(t *testing.T) {
+	var large bytes.Buffer
+	w := gzip.NewWriter(&large)
+	for range 2 * maxDocumentBytes >> 20 {
+		_, _ = w.Write(make([]byte, 1<<20)) // a bytes.Buffer never fails
+	}
+	_ = w.Close()
+	for name, c := range map[string]*cellpb.Configuration{
+		"too large": {GzipDocument: large.Bytes()},
+		"not gzip":  {GzipDocument: []byte("{}")},
+		"truncated": {GzipDocument: large.Bytes()[:100]},
+	} {
+		if got, err := decodeConfiguration(c); err == nil {
+			t.Errorf("%s: got %d bytes, want an error", name, len(got.Document))
+		}
+	}
+	got, err := decodeConfiguration(&cellpb.Configuration{Document: []byte("{}"), Offset: 3})
+	if err != nil || string(got.Document) != "{}" {
+		t.Errorf("plain document: got %q and error %v, want {}", got.Document, err)
+	}
+}
+
 // countingStream counts the configurations sent on a link to the holder.
 type countingStream struct {
 	cellpb.DRPCCell_LinkClient
--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -174,7 +174,12 @@
 	case *cellpb.Frame_Beat:
 		r.handleHeartbeat(ctx, decodeHeartbeat(body.Beat))
 	case *cellpb.Frame_Configuration:
-		_ = r.supervisor.rings.Offers.Put(ctx, decodeConfiguration(body.Configuration)) // drops the oldest when full
+		publication, err := decodeConfiguration(body.Configuration)
+		if err != nil {
+			r.closeLink(ctx, "configuration", err)
+			return
+		}
+		_ = r.supervisor.rings.Offers.Put(ctx, publication) // drops the oldest when full
 	case *cellpb.Frame_Handover:
 		_ = r.supervisor.rings.Handovers.Put(ctx, struct{}{})
 	}
