Compute the order of each waiting step once a pass

Cause: compareSteps computed the place of both steps in each comparison: the settings of the queue, whether a waiting task is overdue, lateness and objective. When the order changes, each of 1,667 steps takes part in about 20 comparisons.

Change: schedule computes the place of each ready step before the sort; compareSteps only compares. Nothing that the place depends on changes between the sort and the start of the step's own tasks.

Tests: TestOrderOfWaitingStepsIsComputedOnce counts the computations: 3,350 for 167 steps and 34,356 for 1,667 with the computation in the comparison, once for each step now. TestPassEqualsReference computes the order as before.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -100,6 +100,7 @@
 	holdNumber       uint64        // of the last hold sent
 	starts           uint64        // starts ordered
 	workerChecks     uint64        // checks whether a worker can run a task
+	orderChecks      uint64        // computations of the place of a step in the order
 
 	batchNumber     uint64 // of nextBatch
 	nextBatch       *batch
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -58,7 +58,8 @@
 	opened     bool
 	// openedAt is the time from which the tasks of the step could start.
 	openedAt time.Duration
-	inReady  bool // the step is in Cell.ready
+	inReady  bool  // the step is in Cell.ready
+	order    order // of the last scheduling pass
 	// nextWaitReport is the length of the wait that began at waitReportSince at
 	// which it is logged.
 	nextWaitReport  time.Duration
--- a/decision/cell/many_waiting_test.go
+++ b/decision/cell/many_waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -78,6 +79,22 @@
 // service and one label.
 const maxSearches = 2
 
+// Guards against a sort that computes the place of a step in each comparison. When
+// many steps change their places at once, each one takes part in many comparisons.
+func TestOrderOfWaitingStepsIsComputedOnce(t *testing.T) {
+	for _, waiting := range []int{1000, 10000} {
+		f := newWaitingFixture(350, waiting)
+		slices.Reverse(f.cell.ready)
+		before, steps := f.cell.orderChecks, len(f.cell.ready)
+		f.now += 50 * time.Millisecond
+		f.cell.Handle(f.moment(), Tick{})
+		f.cell.Actions()
+		if checks := f.cell.orderChecks - before; checks > uint64(steps) {
+			t.Errorf("%d waiting steps: their places were computed %d times in a pass, want once for each step", steps, checks)
+		}
+	}
+}
+
 // BenchmarkManyWaitingTasks measures a scheduling pass after an event, and a tick
 // with its pass, while many long-running tasks wait for capacity.
 func BenchmarkManyWaitingTasks(b *testing.B) {
@@ -96,6 +113,16 @@
 	}
 }
 
+// BenchmarkChangedOrder measures a scheduling pass in which the waiting steps come in
+// another order than in the one before.
+func BenchmarkChangedOrder(b *testing.B) {
+	f := newWaitingFixture(350, 10000)
+	for b.Loop() {
+		slices.Reverse(f.cell.ready)
+		f.cell.schedule()
+	}
+}
+
 // BenchmarkManyWaitReports measures the pass in which the waits of many long-running
 // tasks are to be logged.
 func BenchmarkManyWaitReports(b *testing.B) {
--- a/decision/cell/order.go
+++ b/decision/cell/order.go
@@ -10,15 +10,35 @@
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
-// compareSteps orders steps by the priority of the queue, then by lateness, then
-// by the time of the objective. On a service crowded by long-running tasks, new
-// ones come last within their priority.
-func (c *Cell) compareSteps(a, b *stepState) int {
+// order is the place of a step among the waiting steps of a scheduling pass.
+type order struct {
+	priority    int
+	crowding    int
+	lateness    int
+	objectiveAt time.Duration
+	hasOverdue  bool // one of its waiting tasks is overdue
+}
+
+// orderOf computes the place of a step: by the priority of the queue, then by
+// lateness, then by the time of the objective. On a service crowded by long-running
+// tasks, new ones come last within their priority.
+func (c *Cell) orderOf(s *stepState) order {
+	c.orderChecks++
+	hasOverdue := c.hasOverdue(s)
+	return order{
+		priority: c.queueOf(s.occurrence.job).Priority, crowding: c.crowding(s, hasOverdue), lateness: c.lateness(s),
+		objectiveAt: c.objectiveAt(s.occurrence), hasOverdue: hasOverdue,
+	}
+}
+
+// compareSteps orders steps by their place. A sort makes many comparisons of each
+// step, so the places are computed before it.
+func compareSteps(a, b *stepState) int {
 	return cmp.Or(
-		cmp.Compare(c.queueOf(a.occurrence.job).Priority, c.queueOf(b.occurrence.job).Priority),
-		cmp.Compare(c.crowding(a), c.crowding(b)),
-		cmp.Compare(c.lateness(a), c.lateness(b)),
-		cmp.Compare(c.objectiveAt(a.occurrence), c.objectiveAt(b.occurrence)),
+		cmp.Compare(a.order.priority, b.order.priority),
+		cmp.Compare(a.order.crowding, b.order.crowding),
+		cmp.Compare(a.order.lateness, b.order.lateness),
+		cmp.Compare(a.order.objectiveAt, b.order.objectiveAt),
 		strings.Compare(string(a.occurrence.job.job.ID), string(b.occurrence.job.job.ID)),
 		cmp.Compare(a.occurrence.number, b.occurrence.number),
 		cmp.Compare(a.index, b.index),
@@ -28,8 +48,8 @@
 // crowding returns 1 for a step with only new long-running tasks on a crowded
 // service, and 0 for any other. A long-running task never returns its capacity and
 // is never late, so it would take whatever the other tasks return.
-func (c *Cell) crowding(s *stepState) int {
-	if s.spec.LongRunning && !c.hasOverdue(s) && c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
+func (c *Cell) crowding(s *stepState, hasOverdue bool) int {
+	if s.spec.LongRunning && !hasOverdue && c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
 		return 1
 	}
 	return 0
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -23,7 +23,10 @@
 	})
 	c.crowdingMeasured = false
 	clear(c.room)
-	slices.SortStableFunc(c.ready, c.compareSteps)
+	for _, s := range c.ready {
+		s.order = c.orderOf(s)
+	}
+	slices.SortStableFunc(c.ready, compareSteps)
 	for _, s := range c.ready {
 		if c.unansweredStarts >= maxUnansweredStarts {
 			return // the answers trigger the next pass
