Skip long-running steps that need more than any worker has left

Cause: startTasks copied the list of waiting tasks of each step, examined each task twice and went on after a task without a worker if it avoids servers, although avoided servers only cost more and are not excluded.

Change: a long-running step whose need exceeds the capacity left is skipped before its tasks are examined. That changes no decision: such a step has no attempts that could run out, and no start. Finite steps are examined as before, because that check can end their job. A long-running step stops at the first task without a worker, since the others need the same.

--- a/decision/cell/many_waiting_test.go
+++ b/decision/cell/many_waiting_test.go
@@ -95,6 +95,23 @@
 	}
 }
 
+// Guards against a scheduling pass that goes through the tasks of each long-running
+// step although no worker has room for any: each such step costs allocations.
+func TestPassWithoutRoomAllocatesNothingForEachStep(t *testing.T) {
+	var allocations []float64
+	for _, waiting := range []int{1000, 10000} {
+		f := newWaitingFixture(350, waiting)
+		allocations = append(allocations, testing.AllocsPerRun(5, func() {
+			f.now += time.Millisecond
+			f.cell.Handle(f.moment(), ServerListRead{})
+			f.cell.Actions()
+		}))
+	}
+	if allocations[1] > allocations[0] {
+		t.Errorf("a pass makes %v allocations with 1,000 and %v with 10,000 waiting tasks, want the same number", allocations[0], allocations[1])
+	}
+}
+
 // BenchmarkManyWaitingTasks measures a scheduling pass after an event, and a tick
 // with its pass, while many long-running tasks wait for capacity.
 func BenchmarkManyWaitingTasks(b *testing.B) {
--- a/decision/cell/room.go
+++ b/decision/cell/room.go
@@ -29,26 +29,38 @@
 // compares the needs of further steps with the capacity left: many steps may wait,
 // and each search rates every worker.
 func (c *Cell) findWorker(t *task) (*worker, float64) {
-	spec := t.step.spec
-	key := roomKey{c.queueOf(t.step.occurrence.job).Service, spec.Label, spec.BestEffort}
-	r := c.room[key]
-	if r != nil {
-		if !r.measured {
-			c.measureRoom(key, r)
-		}
-		need := countedNeed(spec)
-		if !slices.ContainsFunc(r.free, need.Fits) {
-			return nil, 0
-		}
+	if c.exceedsRoom(t.step) {
+		return nil, 0
 	}
 	w, cost := c.choose(t)
-	if w == nil && (r == nil || r.starts != c.starts) {
-		// Measured at the next search, when no member of a gang reserves resources.
-		c.room[key] = &room{}
+	if w == nil {
+		key := c.roomKeyOf(t.step)
+		if r := c.room[key]; r == nil || r.starts != c.starts {
+			// Measured at the next search, when no member of a gang reserves resources.
+			c.room[key] = &room{}
+		}
 	}
 	return w, cost
 }
 
+// exceedsRoom reports whether it is known in a scheduling pass that the tasks of a
+// step need more than any of its workers has left.
+func (c *Cell) exceedsRoom(s *stepState) bool {
+	key := c.roomKeyOf(s)
+	r := c.room[key]
+	if r == nil {
+		return false
+	}
+	if !r.measured {
+		c.measureRoom(key, r)
+	}
+	return !slices.ContainsFunc(r.free, countedNeed(s.spec).Fits)
+}
+
+func (c *Cell) roomKeyOf(s *stepState) roomKey {
+	return roomKey{c.queueOf(s.occurrence.job).Service, s.spec.Label, s.spec.BestEffort}
+}
+
 // measureRoom measures the capacity left on the workers of a key.
 func (c *Cell) measureRoom(key roomKey, r *room) {
 	r.measured, r.starts = true, c.starts
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -54,11 +54,14 @@
 const maxUnansweredStarts = 96
 
 // startTasks starts the waiting tasks of a step while workers have room. The
-// tasks are identical, so none is tried after one without a worker, unless that
-// one avoids servers that the others may use.
+// tasks are identical, so none is tried after one without a worker. The attempts of
+// finite tasks are checked nevertheless if that one avoids servers.
 func (c *Cell) startTasks(s *stepState) {
+	if s.spec.LongRunning && c.exceedsRoom(s) {
+		return
+	}
 	waiting := slices.Clone(s.waiting)
-	if c.hasOverdue(s) {
+	if s.order.hasOverdue {
 		// The step owes its place in the order to these tasks.
 		waiting = slices.DeleteFunc(waiting, func(i int) bool { return !c.overdue(s.tasks[i]) })
 	}
@@ -75,7 +78,7 @@
 			return // the interference would cost more than the delay
 		}
 		if w == nil {
-			if len(t.avoid) > 0 {
+			if len(t.avoid) > 0 && !s.spec.LongRunning {
 				continue
 			}
 			return
