Bound the lines on waits in one scheduling pass

Cause: reportWaits logged every wait that was due in the pass. Each line examines every worker. When thousands of steps begin to wait together, as when servers leave, their lines fall due together: 1,666 lines and 27 to 29 ms in one pass, not counting the holder's formatting. They also fill most of the ring of log lines (2,048), which drops the oldest.

Change: at most 16 lines a pass; the others follow in the next passes, of which there are at least 20 a second. Each step still gets the same lines, some of them later.

Test: TestWaitsOfManyStepsAreLoggedInSeveralPasses: 1,666 lines in one pass without the bound; with it at most 16, and one for each step within 10 s. The fixture of the benchmarks now ticks until the waits are logged.

--- a/decision/cell/many_waiting_test.go
+++ b/decision/cell/many_waiting_test.go
@@ -50,11 +50,19 @@
 		}
 	}
 	f.now += time.Minute
-	f.cell.Handle(f.moment(), Tick{})
-	f.cell.Actions()
+	for f.tickWaits() > 0 {
+		continue // until the waits so far are logged
+	}
 	return f
 }
 
+// tickWaits handles a tick and returns the number of lines on waits.
+func (f *fixture) tickWaits() int {
+	f.cell.Handle(f.moment(), Tick{})
+	f.actions = append(f.actions[:0], f.cell.Actions()...)
+	return len(taskWaits(f))
+}
+
 // Guards against a scheduling pass that rates each worker for each waiting task: the
 // holder is busy for seconds while thousands wait, and starts nothing. The number of
 // checks of workers must not depend on the number of waiting tasks.
@@ -112,6 +120,25 @@
 	}
 }
 
+// Guards against a pass that logs the waits of thousands of steps, and against a step
+// whose wait is never logged.
+func TestWaitsOfManyStepsAreLoggedInSeveralPasses(t *testing.T) {
+	f := newWaitingFixture(350, 10000)
+	steps := len(f.cell.ready)
+	f.now += 2 * time.Minute // each wait is logged again when it has doubled
+	total := 0
+	for range 10 * time.Second / (50 * time.Millisecond) {
+		f.now += 50 * time.Millisecond
+		lines := f.tickWaits()
+		if total += lines; lines > maxWaitReports {
+			t.Fatalf("got %d lines on waits in one pass, want at most %d", lines, maxWaitReports)
+		}
+	}
+	if total != steps {
+		t.Errorf("got %d lines on the waits of %d steps in 10 s, want one for each", total, steps)
+	}
+}
+
 // BenchmarkManyWaitingTasks measures a scheduling pass after an event, and a tick
 // with its pass, while many long-running tasks wait for capacity.
 func BenchmarkManyWaitingTasks(b *testing.B) {
@@ -151,7 +178,7 @@
 			s.nextWaitReport = firstWaitReport
 		}
 		b.StartTimer()
-		f.cell.reportWaits()
-		f.cell.actions = nil
+		f.cell.Handle(f.moment(), ServerListRead{})
+		f.cell.Actions()
 	}
 }
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -44,8 +44,15 @@
 // has a few lines at most.
 const firstWaitReport = time.Second
 
-// reportWaits logs the steps that have waited for long and the reasons.
+// maxWaitReports bounds the lines on waits in one pass. Each line examines every
+// worker, and when thousands of steps begin to wait together, their lines fall due
+// together. A pass is made at least at each tick, 20 times a second.
+const maxWaitReports = 16
+
+// reportWaits logs steps that have waited for long and the reasons. Lines beyond
+// maxWaitReports are left to the next passes.
 func (c *Cell) reportWaits() {
+	lines := 0
 	for _, s := range c.ready {
 		if len(s.waiting) == 0 || s.occurrence.job.ended {
 			continue
@@ -58,6 +65,9 @@
 		if waited := c.now.Steady - since; waited >= s.nextWaitReport {
 			s.nextWaitReport = 2 * waited
 			c.reportWait(t, waited)
+			if lines++; lines >= maxWaitReports {
+				return
+			}
 		}
 	}
 }
