--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -199,16 +199,17 @@
 
 // The outcomes of a Start.
 const (
-	StartUnknown    StartOutcome = iota // no answer; the order may still take effect
-	StartAccepted                       // the worker has the run
-	StartFenced                         // the worker has accepted a higher epoch
-	StartOldAttempt                     // this attempt or a higher one was stopped or ended there
-	StartExpired                        // the deadline had passed on the worker's clock
-	StartNoCapacity                     // the server has no capacity left
-	StartRefused                        // refused for another reason; nothing was done
-	StartInvalid                        // another incarnation answered, or the order is not valid
-	StartNotSent                        // the order was queued for too long and was not sent
-	StartNoTicket                       // its ticket is no longer valid; nothing was done
+	StartUnknown      StartOutcome = iota // no answer; the order may still take effect
+	StartAccepted                         // the worker has the run
+	StartFenced                           // the worker has accepted a higher epoch
+	StartOldAttempt                       // this attempt or a higher one was stopped or ended there
+	StartExpired                          // the deadline had passed on the worker's clock
+	StartNoCapacity                       // the server has no capacity left
+	StartRefused                          // refused for another reason; nothing was done
+	StartInvalid                          // another incarnation answered, or the order is not valid
+	StartNotSent                          // the order was queued for too long and was not sent
+	StartNoTicket                         // its ticket is no longer valid; nothing was done
+	StartNotConnected                     // the worker could not be reached and did not get the order
 )
 
 // Action is an output of a Cell, to be carried out by the holder.
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -187,7 +187,7 @@
 // startOutcomeNames are the names of the outcomes in the log.
 var startOutcomeNames = map[StartOutcome]string{
 	StartUnknown: "unknown", StartAccepted: "accepted", StartFenced: "fenced", StartOldAttempt: "old_attempt",
-	StartExpired: "late", StartNoCapacity: "no_room", StartRefused: "refused", StartInvalid: "other_life", StartNotSent: "not_sent", StartNoTicket: "no_ticket",
+	StartExpired: "late", StartNoCapacity: "no_room", StartRefused: "refused", StartInvalid: "other_life", StartNotSent: "not_sent", StartNoTicket: "no_ticket", StartNotConnected: "not_connected",
 }
 
 // startRetryDelay is the time until a task whose start was not accepted may be
