Preempt no task while starts wait for answers to others

Cause, one of several: a step whose tasks wait because maxUnansweredStarts is reached still looked for a long-running task to stop, without asking whether a worker has room. While one region does not answer, the bound is reached for seconds, and up to ten tasks a second are stopped for nothing. Each then waits for preemptedDelay (3 s), and has one attempt left that may fail. Traced in TestLongRunningTaskReturnsInTime: task 0.0.4 is stopped for makes_room at 4.75 s while 38 workers have room, ordered at 7.75 s, unanswered at 8.45 s, ordered again at 14.25 s.

--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -42,8 +42,8 @@
 			continue
 		}
 		c.startTasks(s)
-		if len(s.waiting) > 0 {
-			c.preempt(s)
+		if len(s.waiting) > 0 && c.unansweredStarts < maxUnansweredStarts {
+			c.preempt(s) // otherwise workers may have room
 		}
 	}
 }
