Give a worker that left an order unanswered no start until it answers

Cause: a worker that left a start unanswered, or could not be reached, stayed usable until a hold showed that it does not answer, up to 2.5 s later. Until then it had room, so further tasks were started on it, several at a time, each of which is lost for 0.5 s or until the lease ends.

Change: a worker gets no start while a start or stop has got no answer, or while its answer is late (150 ms), until it answers anything, which is then at once. An extra hold asks it. If that has no answer either, the worker is unreachable, and is asked by its hold duty only, so that these calls occupy no order duty. A hold to a worker that left an order unanswered carries no lease, so that the start is settled earlier. The safety argument is unchanged: no run is settled by this, only new starts are held back. A failed connection is no refusal and no longer leads to a quarantine.

--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -55,6 +55,7 @@
 	}
 	if state == runOrdered {
 		c.unansweredStarts++
+		w.answers.startOrdered(c.now.Steady)
 	}
 	w.runs[r.key] = r
 	w.runsInOrder = append(w.runsInOrder, r)
@@ -69,6 +70,7 @@
 func (c *Cell) setState(r *run, state runState) {
 	if r.state == runOrdered && state != runOrdered {
 		c.unansweredStarts--
+		r.worker.answers.awaited--
 	}
 	r.state = state
 }
@@ -109,6 +111,7 @@
 func (c *Cell) removeRun(r *run) {
 	if r.state == runOrdered {
 		c.unansweredStarts--
+		r.worker.answers.awaited--
 	}
 	delete(r.worker.runs, r.key)
 	r.worker.runsInOrder = slices.DeleteFunc(r.worker.runsInOrder, func(other *run) bool { return other == r })
@@ -158,12 +161,21 @@
 	}
 	w.updateClock(e.Clock, c.now.Steady)
 	switch e.Outcome {
+	case StartUnknown, StartNotConnected, StartNotSent:
+	default:
+		c.heard(w)
+	}
+	switch e.Outcome {
 	case StartAccepted:
 		c.confirm(r)
 	case StartUnknown:
 		c.setState(r, runUncertain)
 		r.reason = "start_unanswered"
 		c.sendStop(r)
+		c.orderUnanswered(w)
+	case StartNotConnected:
+		c.withdrawRun(r, startRetryDelay)
+		c.orderUnanswered(w)
 	case StartFenced:
 		c.emit(Superseded{Server: e.Server})
 		c.withdrawRun(r, startRetryDelay)
@@ -265,8 +277,13 @@
 		c.emit(Superseded{Server: e.Server})
 		return
 	}
+	if !e.OK {
+		c.orderUnanswered(w)
+		return
+	}
+	c.heard(w)
 	r := w.runs[runKey{e.Task, e.Attempt}]
-	if r == nil || !e.OK || r.stopAcked {
+	if r == nil || r.stopAcked {
 		return
 	}
 	r.stopAcked, r.stopAckedAt = true, c.now.Steady
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -183,6 +183,8 @@
 	switch {
 	case !w.usable():
 		return obstacleUnusable
+	case w.answers.missing || w.answers.late(c.now.Steady):
+		return obstacleNoAnswer
 	case !w.health.acceptsTask(c.now.Steady, w):
 		return obstacleQuarantine
 	case bestEffort && w.throttling.overSince > 0:
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -12,6 +12,7 @@
 const (
 	obstacleNone         obstacle = iota
 	obstacleUnusable              // not listed, not fenced, unreachable or draining
+	obstacleNoAnswer              // it has not answered an order
 	obstacleQuarantine            // it has failed tasks, or one is being tried there
 	obstacleMissedTarget          // a serving task there misses its target
 	obstacleOrphan                // a run of unknown need is being stopped there
@@ -26,7 +27,7 @@
 // obstacleNames are the names of the obstacles in the log. A worker without an
 // obstacle has room for the task.
 var obstacleNames = [obstacleCount]string{
-	"with_room", "unusable", "set_aside", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit",
+	"with_room", "unusable", "no_answer", "set_aside", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit",
 }
 
 // Reasons in the log for the wait of a step that are not obstacles of workers.
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -63,6 +63,7 @@
 	lastEndApplied    int64         // number of the highest end applied
 	lastEndRecorded   int64         // number of the highest end that may be acknowledged
 	health            health
+	answers           answers
 	throttling        throttling
 }
 
@@ -204,7 +205,9 @@
 		w.holdInFlight = c.sendHold(w, c.holdWaitFor(w), false)
 		return
 	}
-	if w.extraHoldAt > 0 && c.now.Steady >= w.extraHoldAt && w.extraHoldInFlight == 0 {
+	// The regular holds of an unreachable worker do not wait, and occupy no order
+	// duty, so it needs no extra ones.
+	if w.extraHoldAt > 0 && c.now.Steady >= w.extraHoldAt && w.extraHoldInFlight == 0 && !w.unreachable {
 		w.extraHoldAt = 0
 		w.extraHoldInFlight = c.sendHold(w, 0, true)
 	}
@@ -213,7 +216,7 @@
 // holdWaitFor returns how long the worker may delay the answer to the next hold.
 func (c *Cell) holdWaitFor(w *worker) time.Duration {
 	switch {
-	case !w.fenced, w.unreachable, w.lastEndApplied > w.lastEndRecorded:
+	case !w.fenced, w.unreachable, w.answers.missing, w.lastEndApplied > w.lastEndRecorded:
 		return 0
 	case w.throttling.watched:
 		return watchedHoldWait
@@ -227,7 +230,7 @@
 	h := Hold{Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: w.lastEndRecorded, Wait: wait, Extra: extra}
 	// A call to a worker that does not answer carries no lease: each call may
 	// still reach the worker, so its lease would never count as expired.
-	if len(w.runs) > 0 && w.clock.known && !w.unreachable {
+	if len(w.runs) > 0 && w.clock.known && !w.unreachable && !w.answers.missing {
 		h.Deadline = c.leaseEnd(w)
 		w.leaseGranted = max(w.leaseGranted, h.Deadline)
 	}
@@ -280,7 +283,9 @@
 func (c *Cell) holdUnanswered(w *worker, extra, otherIncarnation bool) {
 	if extra {
 		w.extraHoldAt = c.now.Steady + unreachableRetry
-		return
+		if !w.answers.missing {
+			return
+		}
 	}
 	if !w.unreachable {
 		w.unreachable, w.unreachableSince = true, c.now.Steady
@@ -289,6 +294,9 @@
 			"lease_left_ms": (w.leaseExpiry() - c.now.Steady).Milliseconds(), "other_life": otherIncarnation,
 		}})
 	}
+	if extra {
+		return
+	}
 	w.missedCalls++
 	w.nextHoldAt = c.now.Steady + unreachableRetry
 	if otherIncarnation {
@@ -320,6 +328,7 @@
 		w.unreachable = false
 		c.needsScheduling = true
 	}
+	c.heard(w)
 	w.missedCalls, w.incarnation, w.lastAnswerAt = 0, e.Incarnation, c.now.Steady
 	w.updateClock(e.Clock, c.now.Steady)
 	if !w.fenced {
