Bound starts by answers that are due, not by unresponsive workers

Tasks waited with the reason unanswered_starts while 177 to 188 sound workers had room (log of the holder, 81.9 s).

Cause: maxUnansweredStarts (96) counts the whole cell. Starts on the workers of a region that does not answer last for 500 to 700 ms each and use it up. Raising the bound alone would not help: the 64 order duties are then occupied for 700 ms by the same starts, and sound workers wait in the ring.

Change: a start whose answer is late (150 ms) no longer counts, up to 128 of them. While one worker in 30 of a data centre, at least four, does not answer, its workers get starts only within 1 s after an answer; one that is sound answers a hold every 1.8 s. 256 order duties cover both bounds and leave 32 for stops and other calls; a duty is a goroutine that waits.

Ruled out: a bound for each worker. With the tasks of one step packed on six workers, 96 starts of one pass are on six workers of 175, and the next pass uses six others.

--- a/decision/cell/answers.go
+++ b/decision/cell/answers.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
+)
 
 // answers is what the holder knows about the answers of a worker to its orders.
 type answers struct {
@@ -49,3 +53,84 @@
 	}
 	c.holdIfDue(w)
 }
+
+const (
+	// maxUnansweredStarts bounds the starts that wait for an answer, except late
+	// ones. The order duties handle 256 orders at a time; urgent starts would wait
+	// behind further ones.
+	maxUnansweredStarts = 96
+	// maxLateStarts bounds the late starts beside which others may be ordered. The
+	// sum of both bounds leaves order duties for stops and other calls.
+	maxLateStarts = 128
+	// A data centre is unresponsive while minSilentWorkers of its workers, and one in
+	// silentShare, don't answer. Single workers fail more often than that.
+	minSilentWorkers = 4
+	silentShare      = 30
+	// recentAnswer is the time since its last answer in which a worker of an
+	// unresponsive data centre may get a start. Each sound worker answers a hold
+	// every 1.8 s.
+	recentAnswer = time.Second
+)
+
+// dataCentre is what is known about the answers of the workers of a data centre.
+type dataCentre struct {
+	workers, silent int
+	// unresponsiveSince is when the data centre became unresponsive; 0 if it is not.
+	unresponsiveSince time.Duration
+}
+
+// countLateStarts counts the starts whose answer is late, and finds the data centres
+// whose workers do not answer.
+func (c *Cell) countLateStarts() {
+	c.lateStarts = 0
+	for _, d := range c.dataCentres {
+		d.workers, d.silent = 0, 0
+	}
+	for _, w := range c.sortedWorkers {
+		late := w.answers.late(c.now.Steady)
+		if late {
+			c.lateStarts += w.answers.awaited
+		}
+		if !w.listed || w.server.Draining {
+			continue
+		}
+		w.dataCentre.workers++
+		if late || w.answers.missing || w.unreachable {
+			w.dataCentre.silent++
+		}
+	}
+	for _, d := range c.dataCentres {
+		switch {
+		case d.silent < max(minSilentWorkers, d.workers/silentShare):
+			d.unresponsiveSince = 0
+		case d.unresponsiveSince == 0:
+			d.unresponsiveSince = c.now.Steady
+		}
+	}
+}
+
+// startsExhausted reports whether no further start may be ordered until others are
+// answered or late.
+func (c *Cell) startsExhausted() bool {
+	return c.unansweredStarts-min(c.lateStarts, maxLateStarts) >= maxUnansweredStarts
+}
+
+// dataCentreOf returns the record of a data centre.
+func (c *Cell) dataCentreOf(name fleet.DataCentre) *dataCentre {
+	if c.dataCentres[name] == nil {
+		c.dataCentres[name] = &dataCentre{}
+	}
+	return c.dataCentres[name]
+}
+
+// answersStarts reports whether the worker can be expected to answer a start: it has
+// answered the earlier ones or something since, and in a data centre that is
+// unresponsive it has answered something lately.
+func (c *Cell) answersStarts(w *worker) bool {
+	a, now := &w.answers, c.now.Steady
+	if a.missing || a.late(now) {
+		return false
+	}
+	since := w.dataCentre.unresponsiveSince
+	return since == 0 || a.heardAt >= since && now-a.heardAt <= recentAnswer
+}
--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -91,7 +91,9 @@
 	// consolidatedAt is the time of the last move of a serving task.
 	consolidatedAt time.Duration
 
-	unansweredStarts int           // starts without an answer yet
+	unansweredStarts int // starts without an answer yet
+	lateStarts       int // part of unansweredStarts whose answers are late
+	dataCentres      map[fleet.DataCentre]*dataCentre
 	adviceInFlight   int           // advisor calls without an answer yet
 	authority        bool          // the holder may give orders
 	serverListRead   bool          // the whole server list has been read once
@@ -116,6 +118,7 @@
 		settings: settings, round: max(1, round), authority: true,
 		queues: map[job.Queue]QueueSettings{}, retiredQueues: map[job.Queue]QueueSettings{}, jobs: map[fleet.JobID]*jobState{},
 		workers: map[fleet.BackendServerID]*worker{}, longRunningExcess: map[fleet.Service]int64{}, room: map[roomKey]*room{},
+		dataCentres: map[fleet.DataCentre]*dataCentre{},
 	}
 	c.nextBatch, c.interference = newBatch(1), newInterferenceModel()
 	c.batchNumber = 1
--- a/decision/cell/reference_test.go
+++ b/decision/cell/reference_test.go
@@ -20,9 +20,10 @@
 		return true
 	})
 	c.crowdingMeasured = false
+	c.countLateStarts()
 	slices.SortStableFunc(c.ready, c.referenceOrder)
 	for _, s := range c.ready {
-		if c.unansweredStarts >= maxUnansweredStarts {
+		if c.startsExhausted() {
 			return
 		}
 		clear(c.room)
@@ -34,7 +35,7 @@
 			continue
 		}
 		c.referenceStarts(s)
-		if len(s.waiting) > 0 {
+		if len(s.waiting) > 0 && !c.startsExhausted() {
 			c.preempt(s)
 		}
 	}
@@ -50,7 +51,7 @@
 		if c.now.Steady < t.notBefore {
 			continue
 		}
-		if c.failIfAttemptsExhausted(t) || c.unansweredStarts >= maxUnansweredStarts {
+		if c.failIfAttemptsExhausted(t) || c.startsExhausted() {
 			return
 		}
 		w, cost := c.choose(t)
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -22,13 +22,14 @@
 		return true
 	})
 	c.crowdingMeasured = false
+	c.countLateStarts()
 	clear(c.room)
 	for _, s := range c.ready {
 		s.order = c.orderOf(s)
 	}
 	slices.SortStableFunc(c.ready, compareSteps)
 	for _, s := range c.ready {
-		if c.unansweredStarts >= maxUnansweredStarts {
+		if c.startsExhausted() {
 			return // the answers trigger the next pass
 		}
 		if c.blocked && s.occurrence.job.restored {
@@ -42,17 +43,12 @@
 			continue
 		}
 		c.startTasks(s)
-		if len(s.waiting) > 0 && c.unansweredStarts < maxUnansweredStarts {
+		if len(s.waiting) > 0 && !c.startsExhausted() {
 			c.preempt(s) // otherwise workers may have room
 		}
 	}
 }
 
-// maxUnansweredStarts bounds the starts without an answer. Orders beyond the 64
-// that the order duties handle at a time are queued, and an urgent start would
-// wait behind them.
-const maxUnansweredStarts = 96
-
 // startTasks starts the waiting tasks of a step while workers have room. The
 // tasks are identical, so none is tried after one without a worker. The attempts of
 // finite tasks are checked nevertheless if that one avoids servers.
@@ -70,7 +66,7 @@
 		if c.now.Steady < t.notBefore {
 			continue
 		}
-		if c.failIfAttemptsExhausted(t) || c.unansweredStarts >= maxUnansweredStarts {
+		if c.failIfAttemptsExhausted(t) || c.startsExhausted() {
 			return
 		}
 		w, cost := c.findWorker(t)
@@ -183,7 +179,7 @@
 	switch {
 	case !w.usable():
 		return obstacleUnusable
-	case w.answers.missing || w.answers.late(c.now.Steady):
+	case !c.answersStarts(w):
 		return obstacleNoAnswer
 	case !w.health.acceptsTask(c.now.Steady, w):
 		return obstacleQuarantine
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -122,7 +122,7 @@
 			}
 		}
 		return obstacleNames[most]
-	case c.unansweredStarts >= maxUnansweredStarts:
+	case c.startsExhausted():
 		return waitStarts
 	case c.queueOf(s.occurrence.job).Advisor.TicketValidity > 0:
 		return waitAdvice
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -64,6 +64,7 @@
 	lastEndRecorded   int64         // number of the highest end that may be acknowledged
 	health            health
 	answers           answers
+	dataCentre        *dataCentre
 	throttling        throttling
 }
 
@@ -116,7 +117,7 @@
 	if s.Draining && !w.server.Draining {
 		c.emit(Note{Event: NoteWorkerListed, Server: s.ID, Detail: map[string]any{"draining": true}})
 	}
-	w.server, w.listed = s, true
+	w.server, w.listed, w.dataCentre = s, true, c.dataCentreOf(s.DataCentre)
 	if !w.stored {
 		c.nextBatch.servers = append(c.nextBatch.servers, w)
 	}
@@ -128,7 +129,7 @@
 }
 
 func (c *Cell) addWorker(s Server) *worker {
-	w := &worker{server: s, runs: map[runKey]*run{}}
+	w := &worker{server: s, runs: map[runKey]*run{}, dataCentre: c.dataCentreOf(s.DataCentre)}
 	c.workers[s.ID] = w
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, s.ID, func(w *worker, id fleet.BackendServerID) int {
 		return strings.Compare(string(w.server.ID), string(id))
--- a/scheduler/workers/workers.go
+++ b/scheduler/workers/workers.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	// orderDuties is the number of concurrent orders. It covers 670 starts per
-	// second of 20 ms each between regions, and as many that are not answered.
-	orderDuties = 64
+	// orderDuties is the number of concurrent orders. It covers the starts that a
+	// cell orders while up to 224 of them have no answer, and other calls beside
+	// them. With 64, starts on sound workers waited for 700 ms behind the others.
+	orderDuties = 256
 	// orderCapacity covers the starts of a job with the maximum number of tasks
 	// in every queue at once.
 	orderCapacity = 8192
--- a/scheduler/workers/workers_test.go
+++ b/scheduler/workers/workers_test.go
@@ -57,3 +57,33 @@
 		t.Errorf("got %d starts sent, want 1", sent)
 	}
 }
+
+// silentWorkers answer no start, except those of server "sound".
+type silentWorkers struct{ countingWorkers }
+
+func (s silentWorkers) Start(ctx context.Context, _ fleet.Epoch, a cell.Start) cell.StartAnswered {
+	if a.Server == "sound" {
+		return cell.StartAnswered{Server: a.Server, Outcome: cell.StartAccepted}
+	}
+	<-ctx.Done()
+	return cell.StartAnswered{Server: a.Server, Outcome: cell.StartUnknown}
+}
+
+// Guards against a start that waits behind starts without an answer: the holder orders
+// up to 224 of them at a time.
+func TestStartIsSentWhileOthersAreUnanswered(t *testing.T) {
+	events := supervise.NewRing[message.WorkerEvent]("test.events", 512, supervise.Wait)
+	tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
+	c := clock.New()
+	s := New(tree, silentWorkers{}, nil, c, events, prometheus.NewRegistry())
+	ctx := t.Context()
+	go func() { _ = tree.Serve(ctx) }() // ends with the test
+	for range 224 {
+		_ = s.Orders.Put(ctx, message.Order{Action: cell.Start{Server: "silent"}, IssuedAt: c.Steady()}) // the ring has room
+	}
+	_ = s.Orders.Put(ctx, message.Order{Action: cell.Start{Server: "sound"}, IssuedAt: c.Steady()})
+	first := (<-events.Items()).Event.(cell.StartAnswered)
+	if first.Server != "sound" {
+		t.Errorf("got the answer of %s first, want that of the sound worker, which answers at once", first.Server)
+	}
+}
