Repeat no stop on a worker that does not answer

Cause: an unanswered stop was sent again every 400 ms, also while the worker is known not to answer. Each call lasts for 700 ms, so that one uncertain run on each of 115 workers keeps 200 order duties busy; there were 64.

Change: stops are not repeated while the worker has left an order unanswered or is unreachable, and follow at the next tick after it answers any call. A stop that is sent later settles nothing earlier, so no run is started again sooner than before.

Evidence: TestStopIsNotRepeatedWhileWorkerDoesNotAnswer failed before ("got 260 stops of 20 runs in 5 s without an answer, want at most three of each") and passes; it also requires that the tasks end within 1.1 s after the workers answer. Its fixture now reports stops without an answer after 700 ms, as the order duties do.

--- a/decision/cell/return_test.go
+++ b/decision/cell/return_test.go
@@ -27,6 +27,14 @@
 	ended    map[fleet.BackendServerID][]FinishedRow
 	accepted []Start
 	stops    int // sent to workers that do not answer
+
+	unstopped []sentStop // stops without an answer yet
+}
+
+// sentStop is a stop and the time at which it was sent.
+type sentStop struct {
+	stop Stop
+	sent time.Duration
 }
 
 // newUnresponsiveRegion returns a fixture with the given number of servers in each
@@ -97,8 +105,14 @@
 }
 
 func (f *unresponsiveRegion) answerStops() {
+	for len(f.unstopped) > 0 && f.now-f.unstopped[0].sent >= orderTimeout {
+		s := f.unstopped[0].stop
+		f.unstopped = f.unstopped[1:]
+		f.handle(StopAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt})
+	}
 	for _, s := range takeActions[Stop](f.fixture) {
 		if f.silent && f.far(s.Server) {
+			f.unstopped = append(f.unstopped, sentStop{s, f.now})
 			f.stops++
 			continue
 		}
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -256,9 +256,11 @@
 	c.emit(Stop{Server: r.worker.server.ID, Address: r.worker.server.Address, Task: r.key.task, Attempt: r.key.attempt})
 }
 
-// resendStops sends unanswered stops again.
+// resendStops sends unanswered stops again, except to a worker that left an order
+// unanswered: each would occupy an order duty for 700 ms. They follow as soon as it
+// answers a call.
 func (c *Cell) resendStops(w *worker) {
-	if !c.authority {
+	if !c.authority || w.unreachable || w.answers.missing {
 		return
 	}
 	for _, r := range w.runsInOrder {
