Model servers that leave while a region is unresponsive

TestModelReturn plays long-running tasks beside a stream of finite ones on 48 workers of two regions. Every 0.7 s a server drains, leaves and is replaced, and for 0.5 to 4.5 s at a time the workers of one region lose requests, lose responses, cannot be reached or answer late. Holds wait, as real ones do. Checked are the invariants of the model, and that a long-running task is without a run for at most 6 s + 3 s; the other region has room for all tasks more than twice over.

--- a/decision/cell/model_test.go
+++ b/decision/cell/model_test.go
@@ -68,6 +68,8 @@
 	voidThrough         int64               // highest end listed before the last lease expiry; up to here ends do not count
 	refusedAttempts     map[job.TaskRef]int // highest attempt that was stopped or has ended, by task
 	capacity            fleet.Resources
+	region              *modelRegion // nil unless the scenario has regions
+	draining            bool
 }
 
 // modelRun is a run of a task on a worker.
@@ -301,6 +303,10 @@
 	_, isHold := noResponse.(HoldAnswered)
 	requestDelay, responseDelay := m.delay(), m.delay()
 	timeOut := func() { m.after(callTimeout, func() { h.handle(noResponse) }) }
+	if w != nil && w.up && w.region != nil {
+		w.region.call(h, w, execute, noResponse)
+		return
+	}
 	if w == nil || !w.up || w.disconnected {
 		timeOut()
 		return
--- a/decision/cell/model_worker_test.go
+++ b/decision/cell/model_worker_test.go
@@ -34,7 +34,11 @@
 
 // server returns the entry of the worker in the server list.
 func (w *modelWorker) server() Server {
-	return Server{ID: w.id, Address: string(w.id), Service: "service", Capacity: w.capacity, Incarnation: w.incarnation, Labels: []string{"a", "r1"}}
+	s := Server{ID: w.id, Address: string(w.id), Service: "service", Capacity: w.capacity, Incarnation: w.incarnation, Labels: []string{"a", "r1"}, Draining: w.draining}
+	if w.region != nil {
+		s.DataCentre = w.region.name
+	}
+	return s
 }
 
 // sortedKeys returns the keys of the runs in a deterministic order.
