Start long-running tasks away from a region that lately gave no answers

Cause: a start without an answer on a worker that stays unresponsive is settled only when its lease ends, 6 to 8 s later. A returning task has one such attempt at most. Its worker was chosen by free capacity alone, also right after the worker's region had answered again.

Change: for 10 s after a data centre was unresponsive, others with room are preferred for long-running tasks. It is a cost, below that of failed workers, so that such a data centre is still used when no other has room.

Ruled out: a lost answer alone. Single ones (1 % in the model) are settled within a second, by the stop and a list.

--- a/decision/cell/answers.go
+++ b/decision/cell/answers.go
@@ -70,6 +70,10 @@
 	// unresponsive data centre may get a start. Each sound worker answers a hold
 	// every 1.8 s.
 	recentAnswer = time.Second
+	// unresponsiveMemory is how long after a data centre was unresponsive other ones
+	// are preferred for long-running tasks. A start without an answer may cost such a
+	// task a whole lease, and a full link is full again within seconds.
+	unresponsiveMemory = 10 * time.Second
 )
 
 // dataCentre is what is known about the answers of the workers of a data centre.
@@ -77,6 +81,7 @@
 	workers, silent int
 	// unresponsiveSince is when the data centre became unresponsive; 0 if it is not.
 	unresponsiveSince time.Duration
+	unresponsiveAt    time.Duration // when it was last unresponsive
 }
 
 // countLateStarts counts the starts whose answer is late, and finds the data centres
@@ -100,15 +105,22 @@
 		}
 	}
 	for _, d := range c.dataCentres {
-		switch {
-		case d.silent < max(minSilentWorkers, d.workers/silentShare):
+		if d.silent < max(minSilentWorkers, d.workers/silentShare) {
 			d.unresponsiveSince = 0
-		case d.unresponsiveSince == 0:
+			continue
+		}
+		d.unresponsiveAt = c.now.Steady
+		if d.unresponsiveSince == 0 {
 			d.unresponsiveSince = c.now.Steady
 		}
 	}
 }
 
+// recentlyUnresponsive reports whether the data centre is, or was lately, unresponsive.
+func (d *dataCentre) recentlyUnresponsive(now time.Duration) bool {
+	return d.unresponsiveAt > 0 && now-d.unresponsiveAt < unresponsiveMemory
+}
+
 // startsExhausted reports whether no further start may be ordered until others are
 // answered or late.
 func (c *Cell) startsExhausted() bool {
--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -196,6 +196,7 @@
 		c.holdIfDue(w)
 		c.resendStops(w)
 	}
+	c.countLateStarts()
 	c.removeUnlisted()
 	c.checkBlocked()
 	c.consolidate()
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -208,11 +208,13 @@
 // interference or a slow run, then the capacity left. The unit is a core of an
 // evenly loaded server.
 const (
-	costSuspected  = 5000.0
-	costAvoided    = 2500.0
-	costInterferes = 250.0
-	costRemote     = 200.0
-	costPerRun     = 0.01
+	costSuspected = 5000.0
+	costAvoided   = 2500.0
+	// costUnresponsive keeps long-running tasks off data centres that don't answer.
+	costUnresponsive = 1000.0
+	costInterferes   = 250.0
+	costRemote       = 200.0
+	costPerRun       = 0.01
 	// costVacating keeps long-running tasks off servers that are being vacated of
 	// serving tasks.
 	costVacating    = 100.0
@@ -237,6 +239,9 @@
 	serving := w.throttling.serving
 	switch {
 	case s.LongRunning:
+		if w.dataCentre.recentlyUnresponsive(c.now.Steady) {
+			cost += costUnresponsive
+		}
 		if c.now.Steady < w.vacatingUntil {
 			cost += costVacating
 		}
