Count the wait of a returning task from its last sign of life

Cause: restartDelay (5 s behind the other tasks of a crowded service) and preemptedDelay were counted from the time at which the holder learnt of the end. The end of a run on a server that does not answer is learnt when its lease expires, 6 to 8 s after the last list with it, so that the task waited for 11 to 13 s in all.

Change: the task keeps the time of its last run; for a run that was lost or whose lease expired that is the last list with it.

Ruled out: an earlier start before the lease expires, which could be a second run.

Evidence: TestTaskOfLostServerReturnsAtOnce failed before ("did not start within 8 s, although a short task ended every 0.25 s") and passes.

--- a/decision/cell/ends.go
+++ b/decision/cell/ends.go
@@ -34,6 +34,7 @@
 	}
 	t.attempt = max(t.attempt, row.Attempt)
 	t.step.occurrence.job.started = true
+	t.lastRunAt = c.now.Steady
 	c.applyEnd(t, w, row.Attempt, row.End, row.Checkpoint)
 }
 
@@ -48,6 +49,12 @@
 	before := w.health.quarantinedUntil
 	w.health.ended(c.now.Steady, r, end)
 	c.logHealth(w, before, string(end))
+	switch {
+	case end != job.EndLeaseExpired && end != job.EndLost:
+		t.lastRunAt = c.now.Steady
+	case r.listedAt > 0:
+		t.lastRunAt = r.listedAt // it may have ended at any time since
+	}
 	c.applyEnd(t, w, r.key.attempt, end, checkpoint)
 }
 
@@ -61,7 +68,7 @@
 		t.requeuedAt = c.now.Steady
 	}
 	if t.preempted {
-		t.notBefore = c.now.Steady + preemptedDelay
+		t.notBefore = t.lastRunAt + preemptedDelay
 	}
 	c.emit(Note{Event: NoteTaskEnded, Job: j.job.ID, Task: t.ref().String(), Server: w.server.ID, Detail: map[string]any{
 		"attempt": attempt, "end": end, "failures": len(t.failed), "checkpoint": checkpoint != "",
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -79,6 +79,7 @@
 	notBefore  time.Duration           // the next run starts no earlier
 	avoid      []fleet.BackendServerID // servers where it failed or stalled
 	requeuedAt time.Duration           // time of the last end that requires another run
+	lastRunAt  time.Duration           // end of the last run, or its last sign of life if that is not known
 	moves      int                     // moves off servers where it interfered
 	// disruptedAt is the time of the last stop of the task by preemption or
 	// consolidation.
--- a/decision/cell/order.go
+++ b/decision/cell/order.go
@@ -77,7 +77,11 @@
 // waited for restartDelay.
 func (c *Cell) overdue(t *task) bool {
 	hasRun := t.attempt > 0 || t.step.occurrence.job.restored
-	return t.step.spec.LongRunning && hasRun && c.now.Steady-c.waitingSince(t) >= restartDelay
+	since := c.waitingSince(t)
+	if t.lastRunAt > 0 {
+		since = t.lastRunAt
+	}
+	return t.step.spec.LongRunning && hasRun && c.now.Steady-since >= restartDelay
 }
 
 // hasOverdue reports whether one of the waiting tasks of a step is overdue.
--- a/decision/cell/reconcile.go
+++ b/decision/cell/reconcile.go
@@ -39,7 +39,7 @@
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, c.now.Steady
 	}
-	r.measurement = row.Measurement
+	r.measurement, r.listedAt = row.Measurement, c.now.Steady
 	if r.task.step.spec.LongRunning && r.percent >= fullSpeed && r.orderedAt >= r.worker.health.quarantinedUntil &&
 		c.now.Steady-r.confirmedAt >= healthyAfter {
 		before := r.worker.health.quarantinedUntil
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -28,6 +28,7 @@
 	orderedAt          time.Duration
 	confirmedAt        time.Duration
 	percent            int
+	listedAt           time.Duration // when its worker last listed or confirmed it
 	progressAt         time.Duration // when percent last changed
 	measurement        int
 	speed              int // acknowledged speed, in percent
@@ -208,7 +209,7 @@
 
 func (c *Cell) confirm(r *run) {
 	c.setState(r, runConfirmed)
-	r.confirmedAt, r.progressAt = c.now.Steady, c.now.Steady
+	r.confirmedAt, r.listedAt, r.progressAt = c.now.Steady, c.now.Steady, c.now.Steady
 	r.task.preempted = false
 	r.worker.runsChanged(r)
 	if r.bestEffort {
