Let tasks start beside one of their step that waits for its next attempt

It delays returns when several tasks of one step have lost their servers.

Cause: while a task of a step is overdue, only its overdue tasks are tried. An overdue task that may not start yet (its last start was not accepted, or it was preempted) still counted, so that no task of the step was tried.

Change: a task counts as overdue only when it may start.

Refuted with it: that startTasks leaves tasks without a start because it returns at the first one without a worker. The tasks of a step are identical, so no worker has room for the others either.

--- a/decision/cell/order.go
+++ b/decision/cell/order.go
@@ -81,15 +81,15 @@
 	restartDelay = returnTime - returnAttempts*failedAttempt
 )
 
-// overdue reports whether a waiting long-running task has run before and has
-// waited for restartDelay.
+// overdue reports whether a waiting long-running task has run before, has waited
+// for restartDelay, and may start now.
 func (c *Cell) overdue(t *task) bool {
 	hasRun := t.attempt > 0 || t.step.occurrence.job.restored
 	since := c.waitingSince(t)
 	if t.lastRunAt > 0 {
 		since = t.lastRunAt
 	}
-	return t.step.spec.LongRunning && hasRun && c.now.Steady-since >= restartDelay
+	return t.step.spec.LongRunning && hasRun && c.now.Steady-since >= restartDelay && c.now.Steady >= t.notBefore
 }
 
 // hasOverdue reports whether one of the waiting tasks of a step is overdue.
