--- a/decision/cell/order.go
+++ b/decision/cell/order.go
@@ -68,18 +68,10 @@
 	return c.longRunningExcess[service] > 0
 }
 
-const (
-	// returnTime is the time from the last run of a long-running task within which
-	// the platform expects it back if there is capacity for it anywhere.
-	returnTime = 6 * time.Second
-	// failedAttempt is the longest time that an attempt takes which fails, and
-	// returnAttempts the number of them for which there has to be time.
-	failedAttempt  = 700*time.Millisecond + startRetryDelay
-	returnAttempts = 2
-	// restartDelay is how long a long-running task that has run before waits behind
-	// the other tasks of a crowded service.
-	restartDelay = returnTime - returnAttempts*failedAttempt
-)
+// restartDelay is how long a long-running task that has run before waits behind
+// the other tasks of a crowded service. The platform expects it back within 6 s of
+// its last run if there is capacity for it anywhere.
+const restartDelay = 5 * time.Second
 
 // overdue reports whether a waiting long-running task has run before, has waited
 // for restartDelay, and may start now.
