--- a/decision/cell/model_run_test.go
+++ b/decision/cell/model_run_test.go
@@ -13,30 +13,50 @@
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
+// scenario describes the histories that a model draws from a seed.
+type scenario struct {
+	faults   modelFaults
+	duration time.Duration
+	// submitUntil is the time of the last submission; faults begin before it.
+	submitUntil time.Duration
+	minFaults   int
+	maxFaults   int
+	job         func(*model, fleet.JobID) job.Job
+	fault       func(*model) func() // draws a fault and returns a function that injects it
+}
+
 // runScenario runs a scenario of 55 s with jobs and faults drawn from the seed and
 // returns the model at its end.
 func runScenario(seed uint64) *model {
-	m := newModel(seed, 8, modelFaults{delayedCalls: 0.03, lostResponses: 0.02, alwaysFails: 0.05})
-	const duration = 55 * time.Second
+	return scenario{
+		faults:   modelFaults{delayedCalls: 0.03, lostResponses: 0.02, alwaysFails: 0.05},
+		duration: 55 * time.Second, submitUntil: 28 * time.Second, minFaults: 3, maxFaults: 7, job: randomJob, fault: (*model).randomFault,
+	}.run(seed)
+}
+
+// run runs the scenario with jobs and faults drawn from the seed and returns the
+// model at its end.
+func (s scenario) run(seed uint64) *model {
+	m := newModel(seed, 8, s.faults)
 	submitted := 0
 	var submitNext func()
 	submitNext = func() {
 		submitted++
 		id := fleet.JobID(fmt.Sprintf("%016x", submitted))
-		m.submit(randomJob(m, id))
+		m.submit(s.job(m, id))
 		if m.random.Float64() < 0.1 {
 			m.after(time.Duration(m.random.Int64N(int64(5*time.Second))), func() { m.cancel(id) })
 		}
-		if m.now < duration-27*time.Second {
+		if m.now < s.submitUntil {
 			m.after(time.Duration(m.random.Int64N(int64(600*time.Millisecond))), submitNext)
 		}
 	}
 	m.after(time.Second, submitNext)
-	for range 3 + m.random.IntN(5) {
-		at := time.Duration(m.random.Int64N(int64(26 * time.Second)))
-		m.after(2*time.Second+at, m.randomFault())
+	for range s.minFaults + m.random.IntN(s.maxFaults-s.minFaults+1) {
+		at := time.Duration(m.random.Int64N(int64(s.submitUntil - 2*time.Second)))
+		m.after(2*time.Second+at, s.fault(m))
 	}
-	m.run(duration)
+	m.run(s.duration)
 	return m
 }
 
@@ -96,20 +116,26 @@
 		}
 		seeds = n
 	}
+	checkSeeds(t, seeds, runScenario)
+}
+
+// checkSeeds runs a scenario with the seeds below the given number.
+func checkSeeds(t *testing.T, seeds uint64, run func(seed uint64) *model) {
+	t.Helper()
 	for group := range uint64(modelGroups) {
 		t.Run(fmt.Sprintf("group %d", group), func(t *testing.T) {
 			t.Parallel()
 			for seed := group; seed < seeds; seed += modelGroups {
-				checkScenario(t, seed)
+				checkScenario(t, seed, run)
 			}
 		})
 	}
 }
 
 // checkScenario runs the scenario of a seed and reports every violation.
-func checkScenario(t *testing.T, seed uint64) {
+func checkScenario(t *testing.T, seed uint64, run func(seed uint64) *model) {
 	t.Helper()
-	m := runScenario(seed)
+	m := run(seed)
 	for _, violation := range m.violations {
 		t.Errorf("seed %d: %s", seed, violation)
 	}
@@ -131,6 +157,8 @@
 		t.Errorf("seed %d: LOST: accepted job %s is missing from the cell", seed, j.job.ID)
 	case j.state == job.Complete && !m.allDone(j):
 		t.Errorf("seed %d: MIXED: job %s is reported as complete, but not all its tasks are done", seed, j.job.ID)
+	case len(j.crashing) > 0:
+		// The job may end as failed or stay unfinished.
 	case j.state == job.Failed && !j.alwaysFails && !m.hasFailures(j):
 		t.Errorf("seed %d: LOST: job %s is reported as failed, but no task failed often enough", seed, j.job.ID)
 	case j.job.Steps[0].LongRunning && j.cancelled == 0 && !m.allRunning(j):
--- a/decision/cell/model_test.go
+++ b/decision/cell/model_test.go
@@ -31,6 +31,7 @@
 	violations       []string
 	acknowledgedDone map[job.TaskRef]bool // tasks whose end as done was acknowledged
 	failedRuns       map[job.TaskRef]int  // acknowledged failed runs by task
+	crashes          modelCrashes
 }
 
 // modelFaults are the probabilities of faults that affect single calls and jobs.
@@ -38,6 +39,7 @@
 	delayedCalls  float64 // share of start and stop calls that time out and are executed seconds later
 	lostResponses float64 // share of calls whose response is lost
 	alwaysFails   float64 // share of jobs that always fail
+	crashingTasks float64 // share of jobs with a task, or a step, that crashes the workers that start it
 }
 
 // modelJob is a job as seen by its submitter.
@@ -48,6 +50,7 @@
 	alwaysFails bool
 	doneTasks   map[job.TaskRef]bool
 	state       job.State
+	crashing    map[job.TaskRef]bool // tasks that crash the workers that start them
 }
 
 // modelWorker is a worker. Its state is lost when it crashes.
@@ -124,7 +127,7 @@
 	m := &model{
 		random: rand.New(rand.NewPCG(seed, 1)), faults: faults, records: map[Key]Record{}, jobs: map[fleet.JobID]*modelJob{},
 		queue:            QueueSettings{Name: "queue", Service: "service", MaxAttempts: 3, SlackFactor: 2, TargetLatency: time.Second},
-		acknowledgedDone: map[job.TaskRef]bool{}, failedRuns: map[job.TaskRef]int{}, now: time.Second,
+		acknowledgedDone: map[job.TaskRef]bool{}, failedRuns: map[job.TaskRef]int{}, now: time.Second, crashes: newModelCrashes(),
 	}
 	for i := range workers {
 		w := &modelWorker{
@@ -160,7 +163,8 @@
 //	TWICE    a task has one run at a time, unless it is speculative, and none after it
 //	         is done
 //	ORDER    a step starts after the steps that it depends on
-//	BUDGET   a task has no more failed runs than the queue allows attempts
+//	BUDGET   a task has no more failed runs than the queue allows attempts, and starts
+//	         fewer than three times after three workers have crashed under it
 //	UNASKED  no task of a cancelled job starts
 //	LOST     an accepted job reaches its expected state
 //	MIXED    the reported state of a job agrees with its tasks
@@ -331,7 +335,13 @@
 			m.after(callTimeout-requestDelay, func() { h.handle(noResponse) })
 			return
 		}
-		m.after(responseDelay, func() { h.handle(response) })
+		m.after(responseDelay, func() {
+			if m.faults.crashingTasks > 0 && !w.up {
+				m.after(callTimeout-requestDelay-responseDelay, func() { h.handle(noResponse) })
+				return
+			}
+			h.handle(response)
+		})
 	})
 }
 
@@ -353,6 +363,7 @@
 // submit submits a job to the newest holder.
 func (m *model) submit(j job.Job) {
 	m.jobs[j.ID] = &modelJob{job: j, alwaysFails: m.random.Float64() < m.faults.alwaysFails, doneTasks: map[job.TaskRef]bool{}}
+	m.drawCrashingTask(m.jobs[j.ID])
 	m.request(j.ID, func(t Token) Event { return Submitted{Token: t, Job: j} })
 }
 
--- a/decision/cell/model_worker_test.go
+++ b/decision/cell/model_worker_test.go
@@ -25,6 +25,7 @@
 	if !w.up {
 		return
 	}
+	w.m.countCrash(w)
 	w.up, w.runs = false, nil
 	w.m.after(downtime, func() {
 		w.boot()
@@ -136,6 +137,7 @@
 		return answer
 	}
 	w.checkStart(s)
+	w.m.checkStartAfterCrashes(epoch, s.Task)
 	w.extendLease(s.Deadline)
 	w.beginRun(key)
 	return answer
@@ -185,7 +187,11 @@
 	step := &j.job.Steps[key.task.Step]
 	m.seq++
 	r := &modelRun{key: key, startedAt: m.now, serial: m.seq, fails: j.alwaysFails || m.random.Float64() < 0.02}
+	r.fails = r.fails && !step.Gang // the model counts failed runs by task, and a gang fails as a whole
 	w.runs[key] = r
+	if j.crashing[key.task] {
+		w.crashSoon(r)
+	}
 	if step.LongRunning {
 		return
 	}
@@ -199,7 +205,7 @@
 			w.endRun(r, job.EndFailed)
 			return
 		}
-		j.doneTasks[key.task] = true
+		m.taskDone(j, key.task)
 		w.endRun(r, job.EndDone)
 	})
 }
