--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -49,6 +49,8 @@
 	acknowledged bool         // its end as done was acknowledged
 	failures     map[int]bool // failed attempts whose end was acknowledged, by attempt number
 	starts       []time.Time
+	crashes      int // crashes of servers that were running it
+	startsAfter  int // answered starts after crashBudget crashes
 }
 
 // checker verifies the scheduling guarantees from what workers and clients observe.
@@ -73,7 +75,8 @@
 //	         shrunkCapacityGrace
 //	TWICE    a task has one run at a time and none after it is done
 //	ORDER    a step starts after the steps that it depends on
-//	BUDGET   a task has no more failed attempts than the queue allows
+//	BUDGET   a task has no more failed attempts than the queue allows, and at most
+//	         maxStartsAfterCrashes starts after crashBudget servers crashed under it
 //	UNASKED  only submitted tasks start, and none of a cancelled job
 //	REFUSED  no task of a rejected job starts
 //	LOST     an accepted job reaches its expected state
@@ -103,6 +106,7 @@
 	if e.Kind == standin.WorkerRestarted {
 		for name, t := range c.tasks {
 			if _, ran := t.running[e.Server]; ran {
+				t.crashes++
 				c.runEnded(name, t, e.Server)
 			}
 		}
@@ -195,6 +199,7 @@
 	if room := c.room(e); c.usedCPU[e.Server] > room {
 		c.reportf("LIMIT: starting %s raises the milli-CPU in use on %s to %d of %d", e.Task, e.Server, c.usedCPU[e.Server], room)
 	}
+	c.checkCrashBudget(e, t, s)
 }
 
 // checkRejected reports starts of jobs whose submission attempts were all rejected.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -362,6 +362,8 @@
 func (s *submission) inExpectedState(body string) bool {
 	has := func(state string) bool { return strings.Contains(body, state) }
 	switch {
+	case s.spec.CrashingTask != "":
+		return true // the job may end as failed or stay unfinished
 	case !s.cancelled.IsZero():
 		return has("cancelled") || has("complete") || has("failed")
 	case s.spec.LongRunning:
