Acknowledge each end once, and none to a worker that does not answer

A start had no answer, the worker restarted under its identifier, the start was carried out late by the next incarnation and ended there; a hold to the former incarnation, carried out late too, acknowledged that end before the holder had seen it.

Cause: every hold acknowledged all ends so far, although the worker had forgotten them, and the holds that now follow an order without an answer made the fault frequent.

Change: a hold acknowledges only ends that no answered hold has acknowledged yet, and none while the worker does not answer.

TestHoldAcknowledgesNewEndsOnce (four acknowledgements in four holds) and TestWorkerWithoutAnswerGetsNoAcknowledgement failed before. The window that remains: an acknowledgement that is itself carried out late.

--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -62,6 +62,9 @@
 	listClock         time.Duration // worker's clock at the newest list applied
 	lastEndApplied    int64         // number of the highest end applied
 	lastEndRecorded   int64         // number of the highest end that may be acknowledged
+	lastEndForgotten  int64         // number of the highest end that the worker has forgotten
+	holdAck           int64         // acknowledged by the hold in flight
+	extraHoldAck      int64         // acknowledged by the extra hold in flight
 	health            health
 	answers           answers
 	dataCentre        *dataCentre
@@ -153,7 +156,8 @@
 	c.emit(Note{Event: NoteWorkerRestarted, Server: w.server.ID, Detail: map[string]any{"born": incarnation, "before": w.incarnation, "runs": len(w.runs)}})
 	w.incarnation, w.fenced = incarnation, false
 	w.clock, w.leaseGranted = clockSample{}, 0
-	w.lastEndApplied, w.lastEndRecorded, w.listClock = 0, 0, 0
+	w.lastEndApplied, w.lastEndRecorded, w.lastEndForgotten, w.listClock = 0, 0, 0, 0
+	w.holdAck, w.extraHoldAck = 0, 0
 	w.nextHoldAt = 0
 	for _, r := range slices.Clone(w.runsInOrder) {
 		if r.state == runOrdered || r.state == runUncertain {
@@ -203,14 +207,16 @@
 		return
 	}
 	if w.holdInFlight == 0 && c.now.Steady >= w.nextHoldAt {
-		w.holdInFlight = c.sendHold(w, c.holdWaitFor(w), false)
+		w.holdAck = w.endsToAcknowledge()
+		w.holdInFlight = c.sendHold(w, c.holdWaitFor(w), w.holdAck, false)
 		return
 	}
 	// The regular holds of an unreachable worker do not wait, and occupy no order
 	// duty, so it needs no extra ones.
 	if w.extraHoldAt > 0 && c.now.Steady >= w.extraHoldAt && w.extraHoldInFlight == 0 && !w.unreachable {
 		w.extraHoldAt = 0
-		w.extraHoldInFlight = c.sendHold(w, 0, true)
+		w.extraHoldAck = w.endsToAcknowledge()
+		w.extraHoldInFlight = c.sendHold(w, 0, w.extraHoldAck, true)
 	}
 }
 
@@ -226,9 +232,20 @@
 	}
 }
 
-func (c *Cell) sendHold(w *worker, wait time.Duration, extra bool) uint64 {
+// endsToAcknowledge returns the number up to which the next hold acknowledges ends; 0
+// for none. A hold without an answer may be carried out by the next incarnation,
+// which numbers its ends from 1, so no hold acknowledges more often than needed, or
+// while the worker does not answer.
+func (w *worker) endsToAcknowledge() int64 {
+	if w.lastEndRecorded <= w.lastEndForgotten || w.unreachable || w.answers.missing {
+		return 0
+	}
+	return w.lastEndRecorded
+}
+
+func (c *Cell) sendHold(w *worker, wait time.Duration, ack int64, extra bool) uint64 {
 	c.holdNumber++
-	h := Hold{Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: w.lastEndRecorded, Wait: wait, Extra: extra}
+	h := Hold{Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: ack, Wait: wait, Extra: extra}
 	// A call to a worker that does not answer carries no lease: each call may
 	// still reach the worker, so its lease would never count as expired.
 	if len(w.runs) > 0 && w.clock.known && !w.unreachable && !w.answers.missing {
@@ -273,6 +290,11 @@
 		return
 	}
 	c.holdSucceeded(w, e)
+	if extra {
+		w.lastEndForgotten = max(w.lastEndForgotten, w.extraHoldAck)
+	} else {
+		w.lastEndForgotten = max(w.lastEndForgotten, w.holdAck)
+	}
 	w.nextHoldAt = c.now.Steady
 	if w.lastEndApplied > w.lastEndRecorded {
 		w.nextHoldAt += unrecordedRetry // or as soon as the ends are recorded
