Give up a task under which servers crash

Cause: the end of a run with its server was counted against nothing.

Design: the tasks started last before a crash are suspects until one of their runs has outlived it. Suspects are started apart from each other and from other starts, so that the next crash tells which one is at fault; its job then fails. What else explains a crash (servers lost at the same moment, a server that had crashed without the task) doesn't count, up to five crashes, the platform's bound. Crashes are recorded before a suspect starts again, and a restored suspect that no worker lists counts as crashed, so that the count outlives the holder. The log leads from the job to the crashes: task_suspected, task_given_up.

--- a/decision/cell/ends.go
+++ b/decision/cell/ends.go
@@ -46,6 +46,9 @@
 		c.requeue(t)
 		return
 	}
+	if outlived(end) {
+		t.clearSuspicion()
+	}
 	before := w.health.quarantinedUntil
 	w.health.ended(c.now.Steady, r, end)
 	c.logHealth(w, before, string(end))
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -103,7 +103,9 @@
 		// OtherIncarnation means that another incarnation of the worker
 		// answered.
 		OtherIncarnation bool
-		Incarnation      int64
+		// Broke means that the connection ended before the call timed out.
+		Broke       bool
+		Incarnation int64
 		// Clock is the time of the worker's monotonic clock.
 		Clock    time.Duration
 		Running  []RunningRow
@@ -344,4 +346,6 @@
 	NoteAdviceRequested    NoteEvent = "advice_asked"
 	NoteAdviceReceived     NoteEvent = "advice_given"
 	NoteTaskWaits          NoteEvent = "task_waits"
+	NoteTaskSuspected      NoteEvent = "task_suspected"
+	NoteTaskGivenUp        NoteEvent = "task_given_up"
 )
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -27,6 +27,7 @@
 	failed       bool
 	ended        bool
 	endedAt      time.Duration
+	crashBatch   uint64 // batch with the newest crash under one of its tasks; 0 once it is durable
 	started      bool
 	occurrences  map[int]*occurrence
 	completed    map[int]bool // occurrences that are complete
@@ -85,6 +86,7 @@
 	// consolidation.
 	disruptedAt time.Duration
 	preempted   bool // it has not run since the last preemption
+	suspicion   suspicion
 }
 
 func (t *task) ref() job.TaskRef {
--- a/decision/cell/reconcile.go
+++ b/decision/cell/reconcile.go
@@ -40,6 +40,7 @@
 		r.percent, r.progressAt = row.Percent, c.now.Steady
 	}
 	r.measurement, r.listedAt = row.Measurement, c.now.Steady
+	c.clearIfOutlived(r)
 	if r.task.step.spec.LongRunning && r.percent >= fullSpeed && r.orderedAt >= r.worker.health.quarantinedUntil &&
 		c.now.Steady-r.confirmedAt >= healthyAfter {
 		before := r.worker.health.quarantinedUntil
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -69,6 +69,10 @@
 	Done       bool   `json:"d,omitempty"`
 	Failed     []int  `json:"f,omitempty"` // attempts that ended failed
 	Checkpoint string `json:"k,omitempty"`
+	// Crashes are the crashes of servers that had just started the task, and
+	// CountedCrashes those of them that nothing else explains.
+	Crashes        int `json:"c,omitempty"`
+	CountedCrashes int `json:"cc,omitempty"`
 }
 
 // batch is the content of one append and the state to update once it is durable.
@@ -163,6 +167,11 @@
 	for _, j := range b.ended {
 		c.finalStateRecorded(j)
 	}
+	for j := range b.dirty {
+		if j.crashBatch == b.number {
+			j.crashBatch = 0
+		}
+	}
 	for _, w := range b.servers {
 		w.stored = true
 	}
@@ -194,6 +203,9 @@
 	next.interference = next.interference || b.interference
 	for j := range b.dirty {
 		next.dirty[j] = true
+		if j.crashBatch == b.number {
+			j.crashBatch = next.number
+		}
 	}
 	for w, cursor := range b.cursors {
 		if _, newer := next.cursors[w]; !newer {
@@ -217,9 +229,10 @@
 		op := OccurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || len(t.failed) > 0 || t.checkpoint != "" {
+				if t.done || len(t.failed) > 0 || t.checkpoint != "" || t.suspicion.total() > 0 {
 					op.Tasks = append(op.Tasks, TaskProgress{
 						Step: s.index, Index: t.index, Done: t.done, Failed: t.failed, Checkpoint: t.checkpoint,
+						Crashes: t.suspicion.total(), CountedCrashes: t.suspicion.counted(),
 					})
 				}
 			}
@@ -285,6 +298,7 @@
 			}
 			t := o.steps[tp.Step].tasks[tp.Index]
 			t.failed, t.checkpoint = tp.Failed, tp.Checkpoint
+			t.suspicion = suspicion{earlierCrashes: tp.Crashes, earlierCounted: tp.CountedCrashes}
 			for _, attempt := range tp.Failed {
 				t.attempt = max(t.attempt, attempt)
 			}
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -43,6 +43,7 @@
 	stopAcked          bool          // the worker has acknowledged the stop
 	stopAckedAt        time.Duration // time of the acknowledgement
 	stops              int
+	suspect            bool // counted in suspectRuns of the worker
 }
 
 // stopResendInterval is the time until an unanswered stop is sent again. A stop
@@ -62,6 +63,7 @@
 	w.runsInOrder = append(w.runsInOrder, r)
 	w.account(r, 1)
 	w.runsChanged(r)
+	r.setSuspect(t.isSuspect())
 	t.runs = append(t.runs, r)
 	t.attempt = max(t.attempt, attempt)
 	return r
@@ -114,6 +116,7 @@
 		c.unansweredStarts--
 		r.worker.answers.awaited--
 	}
+	r.setSuspect(false)
 	delete(r.worker.runs, r.key)
 	r.worker.runsInOrder = slices.DeleteFunc(r.worker.runsInOrder, func(other *run) bool { return other == r })
 	r.worker.account(r, -1)
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -32,7 +32,7 @@
 		if c.startsExhausted() {
 			return // the answers trigger the next pass
 		}
-		if c.blocked && s.occurrence.job.restored {
+		if c.blocked && s.occurrence.job.restored || c.crashUnrecorded(s.occurrence.job) {
 			continue
 		}
 		if !c.ensureAdvice(s) {
@@ -157,6 +157,9 @@
 	if closed := c.closedTo(w, s.BestEffort); closed != obstacleNone {
 		return closed
 	}
+	if c.besideSuspect(w, t) {
+		return obstacleSuspect
+	}
 	switch need, free := countedNeed(s), w.free(); {
 	case need.MilliCPU > free.MilliCPU:
 		return obstacleProcessor
@@ -264,7 +267,7 @@
 		}
 		cost += freeCores * 0.1
 	}
-	return cost + costPerRun*float64(len(w.runs))
+	return cost + c.crashCost(w, t) + costPerRun*float64(len(w.runs))
 }
 
 const (
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -14,6 +14,7 @@
 	obstacleUnusable              // not listed, not fenced, unreachable or draining
 	obstacleNoAnswer              // it has not answered an order
 	obstacleQuarantine            // it has failed tasks, or one is being tried there
+	obstacleSuspect               // it and a task there may both crash their server
 	obstacleMissedTarget          // a serving task there misses its target
 	obstacleOrphan                // a run of unknown need is being stopped there
 	obstacleProcessor
@@ -27,12 +28,13 @@
 // obstacleNames are the names of the obstacles in the log. A worker without an
 // obstacle has room for the task.
 var obstacleNames = [obstacleCount]string{
-	"with_room", "unusable", "no_answer", "set_aside", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit",
+	"with_room", "unusable", "no_answer", "set_aside", "suspect", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit",
 }
 
 // Reasons in the log for the wait of a step that are not obstacles of workers.
 const (
 	waitTakeover     = "takeover"          // a run of an earlier holder may still exist
+	waitCrashRecord  = "crash_record"      // a crash under a task of the job is being recorded
 	waitRetry        = "retry_delay"       // the last start was not accepted, or the task was preempted
 	waitStarts       = "unanswered_starts" // maxUnansweredStarts
 	waitAdvice       = "advice"            // no valid ticket of the advisor
@@ -112,6 +114,8 @@
 	switch {
 	case c.blocked && s.occurrence.job.restored:
 		return waitTakeover
+	case c.crashUnrecorded(s.occurrence.job):
+		return waitCrashRecord
 	case c.now.Steady < t.notBefore:
 		return waitRetry
 	case workers[obstacleNone] == 0:
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -30,6 +30,7 @@
 	unreachable        bool
 	missedCalls        int
 	unreachableSince   time.Duration
+	connectionBroke    bool // the first of these calls ended with its connection
 	lastAnswerAt       time.Duration
 	vacatingUntil      time.Duration // long-running tasks avoid the worker until then
 	earlierHolderUntil time.Duration // an earlier holder may use it until then; 0 if none can
@@ -69,6 +70,9 @@
 	answers           answers
 	dataCentre        *dataCentre
 	throttling        throttling
+	suspectRuns       int          // runs of tasks that may crash it
+	lastCrash         *crash       // nil if none was observed
+	lapsedRuns        []crashedRun // ended with its lease; it may have crashed under them
 }
 
 // clockSample relates the worker's clock to the holder's.
@@ -154,6 +158,7 @@
 // have ended, but starts without an answer may still reach the new incarnation.
 func (c *Cell) newIncarnation(w *worker, incarnation int64) {
 	c.emit(Note{Event: NoteWorkerRestarted, Server: w.server.ID, Detail: map[string]any{"born": incarnation, "before": w.incarnation, "runs": len(w.runs)}})
+	c.serverCrashed(w)
 	w.incarnation, w.fenced = incarnation, false
 	w.clock, w.leaseGranted = clockSample{}, 0
 	w.lastEndApplied, w.lastEndRecorded, w.lastEndForgotten, w.listClock = 0, 0, 0, 0
@@ -286,7 +291,7 @@
 		w.nextHoldAt = c.now.Steady + unreachableRetry
 		return
 	case !e.OK:
-		c.holdUnanswered(w, extra, e.OtherIncarnation)
+		c.holdUnanswered(w, extra, e.OtherIncarnation, e.Broke)
 		return
 	}
 	c.holdSucceeded(w, e)
@@ -303,7 +308,7 @@
 }
 
 // holdUnanswered handles a hold without an answer of the tracked incarnation.
-func (c *Cell) holdUnanswered(w *worker, extra, otherIncarnation bool) {
+func (c *Cell) holdUnanswered(w *worker, extra, otherIncarnation, broke bool) {
 	if extra {
 		w.extraHoldAt = c.now.Steady + unreachableRetry
 		if !w.answers.missing {
@@ -311,7 +316,7 @@
 		}
 	}
 	if !w.unreachable {
-		w.unreachable, w.unreachableSince = true, c.now.Steady
+		w.unreachable, w.unreachableSince, w.connectionBroke = true, c.now.Steady, broke
 		c.emit(Note{Event: NoteWorkerUnreachable, Server: w.server.ID, Detail: map[string]any{
 			"runs": len(w.runs), "heard_ms_ago": (c.now.Steady - w.lastAnswerAt).Milliseconds(),
 			"lease_left_ms": (w.leaseExpiry() - c.now.Steady).Milliseconds(), "other_life": otherIncarnation,
@@ -331,6 +336,7 @@
 // answers: its incarnation has ended, and the other worker refuses orders to it.
 func (c *Cell) incarnationReplaced(w *worker) {
 	w.earlierHolderUntil = 0
+	c.serverCrashed(w)
 	for _, r := range slices.Clone(w.runsInOrder) {
 		c.runEnded(r, job.EndLost, "")
 	}
@@ -346,6 +352,7 @@
 	if w.incarnation != 0 && e.Incarnation > w.incarnation {
 		c.newIncarnation(w, e.Incarnation)
 	}
+	w.lapsedRuns = nil // the incarnation goes on, or serverCrashed has used them
 	if w.unreachable {
 		c.emit(Note{Event: NoteWorkerReachable, Server: w.server.ID, Detail: map[string]any{"silent_ms": (c.now.Steady - w.unreachableSince).Milliseconds()}})
 		w.unreachable = false
@@ -399,6 +406,7 @@
 	c.emit(Note{Event: NoteWorkerLeaseExpired, Server: w.server.ID, Detail: map[string]any{
 		"runs": len(w.runs), "silent_ms": (c.now.Steady - w.unreachableSince).Milliseconds(),
 	}})
+	w.lapsedRuns = w.lastRuns(w.lostAt(c.now.Steady))
 	for _, r := range slices.Clone(w.runsInOrder) {
 		c.runEnded(r, job.EndLeaseExpired, "")
 	}
@@ -417,6 +425,7 @@
 		}
 	}
 	c.blocked = false
+	c.presumeCrashes()
 	c.needsScheduling = true
 	c.emit(Note{Event: NoteUnblocked, Detail: map[string]any{"workers": len(c.sortedWorkers)}})
 }
