Refuse entries that name no usable backend server

Callers saw every submission answered 503, for as long as one entry of another writer had a key of 249 bytes or more: the record "server/KEY" exceeds the 255 bytes of a store key, so the batch with it was refused and tried again for ever, and with it every job. An address without a usable port (99999, -1, 0, none), a negative capacity, or one whose sums overflow was taken for a server too: it was called again every 250 ms, and takeovers waited for its lease.

Cause: the decoder checked only that fields are present. A server now checks itself (cell.Server.Check, fleet.CheckAddress), and the adapter translates the names of the fields. All findings of an entry are in one reason, with field, value and what was expected; a value of a megabyte is quoted in part. Capacity is bounded by int64 over 100,000 servers, the identifier by the 255 bytes of a store key.

--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -18,32 +18,6 @@
 // Token identifies a caller's request that has not been answered yet.
 type Token uint64
 
-// Server is a backend server as the platform lists it.
-type Server struct {
-	ID         fleet.BackendServerID `json:"id"`
-	Address    string                `json:"address"`
-	Service    fleet.Service         `json:"service"`
-	DataCentre fleet.DataCentre      `json:"data_centre"`
-	Labels     []string              `json:"labels,omitempty"`
-	Capacity   fleet.Resources       `json:"capacity"`
-	Draining   bool                  `json:"draining,omitempty"`
-	// Incarnation identifies one lifetime of the worker process; it grows with
-	// each restart under the same identifier. 0 means unknown.
-	Incarnation int64 `json:"born,omitempty"`
-}
-
-// rackLabel is the index of the rack among the labels; the first label is the
-// kind of the server.
-const rackLabel = 1
-
-// Rack returns the rack of the server, or an empty string.
-func (s Server) Rack() string {
-	if len(s.Labels) <= rackLabel {
-		return ""
-	}
-	return s.Labels[rackLabel]
-}
-
 // QueueSettings are the settings of a queue in the configuration in force.
 type QueueSettings struct {
 	Name    job.Queue
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -14,6 +14,9 @@
 // with the same key.
 type Key string
 
+// MaxKeyBytes is the length of the longest key that a store must accept.
+const MaxKeyBytes = 255
+
 const (
 	jobPrefix       = "job/"
 	progressPrefix  = "progress/"
