Follow the server list again after its duty has failed

The duty that follows the server list forgot when it failed that it was asked to follow, and the holder asks once for each role. After one panic the holder learned of no server, drain or removal until the cell changed hands; callers would see tasks wait beside free servers, or LOST ones on servers that had left.

The duty now keeps across restarts that it follows, and which servers it has reported, so that it also reports what was removed meanwhile. The list that it has reported changes only once the holder's ring has taken the change.

--- a/scheduler/store/servers.go
+++ b/scheduler/store/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"lacewingfork.example/lacewingfork/decision/cell"
@@ -26,7 +27,11 @@
 	changes *supervise.Ring[message.ServerChange]
 	// Follow switches the tail on and off. Only the newest value counts.
 	Follow *supervise.Ring[bool]
-	listed map[fleet.BackendServerID]bool
+	// following and listed outlive a failure of the duty: the holder asks for the
+	// list once for each role, and must learn of servers that are removed before
+	// the duty reads again.
+	following bool
+	listed    map[fleet.BackendServerID]bool
 }
 
 // NewServers adds the duty below tree. Its changes go to the holder.
@@ -41,13 +46,16 @@
 
 func (s *Servers) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 	var t *tail
+	if s.following {
+		t = s.newTail()
+	}
 	for {
 		if t == nil {
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
 			case follow := <-s.Follow.Items():
-				t = s.tail(follow)
+				t = s.follow(follow)
 			case r := <-dumps:
 				r.Answer(nil)
 			}
@@ -55,7 +63,7 @@
 		}
 		select {
 		case follow := <-s.Follow.Items():
-			t = s.tail(follow)
+			t = s.follow(follow)
 			continue
 		case r := <-dumps:
 			r.Answer(map[string]any{"next": t.next, "servers": len(s.listed)})
@@ -67,28 +75,37 @@
 	}
 }
 
-// tail returns a tail that starts with the full list, or nil if follow is false.
-func (s *Servers) tail(follow bool) *tail {
-	if !follow {
+// follow begins with an empty list and returns its tail, or nil if following is
+// false.
+func (s *Servers) follow(following bool) *tail {
+	s.following, s.listed = following, map[fleet.BackendServerID]bool{}
+	if !following {
 		return nil
 	}
-	s.listed = map[fleet.BackendServerID]bool{}
+	return s.newTail()
+}
+
+// newTail returns a tail that starts with the full list.
+func (s *Servers) newTail() *tail {
 	return &tail{store: s.store, log: s.log, topic: api.ServerTopic, interval: serverReadInterval, onSnapshot: s.replaceList, onChange: s.applyChanges}
 }
 
 // replaceList replaces the list by the newest record of every server and
 // forwards the change.
 func (s *Servers) replaceList(ctx context.Context, items []api.Item) error {
-	before := s.listed
-	s.listed = map[fleet.BackendServerID]bool{}
-	change := s.decode(items)
+	listed := map[fleet.BackendServerID]bool{}
+	change := s.decode(items, listed)
 	change.Full = true
-	for id := range before {
-		if !s.listed[id] {
+	for id := range s.listed {
+		if !listed[id] {
 			change.Removed = append(change.Removed, id)
 		}
 	}
-	return s.changes.Put(ctx, change)
+	if err := s.changes.Put(ctx, change); err != nil {
+		return err
+	}
+	s.listed = listed
+	return nil
 }
 
 // applyChanges applies the last record of each server and forwards the change.
@@ -103,12 +120,17 @@
 			last = append(last, item)
 		}
 	}
-	return s.changes.Put(ctx, s.decode(last))
+	listed := maps.Clone(s.listed)
+	if err := s.changes.Put(ctx, s.decode(last, listed)); err != nil {
+		return err
+	}
+	s.listed = listed
+	return nil
 }
 
-// decode returns the changes in the listed servers. A server whose entry can no
-// longer be decoded is removed.
-func (s *Servers) decode(items []api.Item) message.ServerChange {
+// decode returns the changes in the listed servers and applies them to listed. A
+// server whose entry can no longer be decoded is removed.
+func (s *Servers) decode(items []api.Item, listed map[fleet.BackendServerID]bool) message.ServerChange {
 	var change message.ServerChange
 	for _, item := range items {
 		id := fleet.BackendServerID(item.Key)
@@ -120,12 +142,12 @@
 			}
 		}
 		if ok {
-			s.listed[id] = true
+			listed[id] = true
 			change.Servers = append(change.Servers, server)
 			continue
 		}
-		if s.listed[id] {
-			delete(s.listed, id)
+		if listed[id] {
+			delete(listed, id)
 			change.Removed = append(change.Removed, id)
 		}
 	}
