Read a list again that its receiver took too late

A tail counted its first read as done before the receiver had taken it. When the receiver's ring stayed full for the rest of the 3.2 s of the read, the list was dropped and never read again; the holder would start no task of a restored job, as it waits for the whole list.

The tail now counts the read as done after the receiver has taken it, and repeats it otherwise. Before: TestListIsReadAgainUntilHolderTakesIt "the list has 0 servers, want [i-1]" after 14 s.

--- a/scheduler/store/tail.go
+++ b/scheduler/store/tail.go
@@ -76,8 +76,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := t.onSnapshot(ctx, items); err != nil {
+			return nil, err
+		}
 		t.next, t.positioned = end, true
-		return nil, t.onSnapshot(ctx, items)
+		return nil, nil
 	}
 	items, next, err := t.store.Read(ctx, t.topic, t.next, readWait)
 	if err != nil {
