Record only workers that have answered

Restored tasks waited after a takeover for the lease of a listed server that had never answered (LOST): an entry of another writer whose address is sound but has no worker. The record of a worker was written as soon as it was listed, and a new holder waits for the lease of every worker that has one.

Nothing is started on a worker that has not answered, so its record now follows the first answer; starts still wait for the record. A worker costs one more append between its listing and its first start.

Before: TestTakeoverDoesNotWaitForServerThatNeverAnswered "got starts [] within 1 s of the takeover, want one on a". TestModel passes.

--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -263,7 +263,7 @@
 			c.interference.restore(r.Interference)
 		case r.Server != nil:
 			w := c.addWorker(*r.Server)
-			w.stored, w.earlierHolderUntil = true, earlierHolderUntil
+			w.stored, w.recordQueued, w.earlierHolderUntil = true, true, earlierHolderUntil
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -20,8 +20,9 @@
 	server Server
 	listed bool
 	// stored means that the record of the worker is durable, so that a later
-	// holder will read it.
-	stored bool
+	// holder will read it; recordQueued, that it is in a batch or durable.
+	stored       bool
+	recordQueued bool
 	// incarnation is the one that answered last; 0 until the first answer.
 	incarnation int64
 	fenced      bool
@@ -125,9 +126,6 @@
 		c.emit(Note{Event: NoteWorkerListed, Server: s.ID, Detail: map[string]any{"draining": true}})
 	}
 	w.server, w.listed, w.dataCentre = s, true, c.dataCentreOf(s.DataCentre)
-	if !w.stored {
-		c.nextBatch.servers = append(c.nextBatch.servers, w)
-	}
 	if s.Draining {
 		c.moveOffDraining(w)
 	}
@@ -154,6 +152,16 @@
 	c.emit(Note{Event: NoteWorkerUnlisted, Server: id, Detail: map[string]any{"runs": len(w.runs), "silent": w.unreachable}})
 }
 
+// queueRecord adds the record of a worker to the next batch. Only a worker that has
+// answered gets one: nothing is started on any other, and a later holder waits for
+// every worker that has a record.
+func (c *Cell) queueRecord(w *worker) {
+	if !w.recordQueued {
+		w.recordQueued = true
+		c.nextBatch.servers = append(c.nextBatch.servers, w)
+	}
+}
+
 // newIncarnation resets the state after a restart of a worker. Its confirmed runs
 // have ended, but starts without an answer may still reach the new incarnation.
 func (c *Cell) newIncarnation(w *worker, incarnation int64) {
@@ -363,6 +371,7 @@
 	w.updateClock(e.Clock, c.now.Steady)
 	if !w.fenced {
 		w.fenced, w.earlierHolderUntil = true, 0
+		c.queueRecord(w)
 		c.emit(Note{Event: NoteWorkerFenced, Server: w.server.ID, Detail: map[string]any{
 			"running": len(e.Running), "finished": len(e.Finished), "born": e.Incarnation,
 		}})
