Delete the record of a server that leaves while it is appended

A server that was removed from the list while the append of its record was in flight was forgotten before the record was durable; its record stayed, and every later takeover waited for its lease. The worker is now kept until the record is durable, so that the deletion follows it.

Before: TestRecordInFlightOfRemovedServerIsDeleted "got batch {Number:0 Records:[]} after the server left, want one that deletes its record".

--- a/decision/cell/odd_entries_test.go
+++ b/decision/cell/odd_entries_test.go
@@ -56,3 +56,32 @@
 		t.Errorf("got starts %+v within 1 s of the takeover, want one on a", starts)
 	}
 }
+
+// Guards against a record that stays for a server that has left, for which each
+// takeover waits: the server left while its record was being appended.
+func TestRecordInFlightOfRemovedServerIsDeleted(t *testing.T) {
+	f := newFixture(t, 1)
+	f.configureQueue()
+	f.cell.Handle(f.moment(), ServerListed{Server: testServer("a")})
+	f.cell.Handle(f.moment(), ServerListRead{})
+	f.actions = append(f.actions, f.cell.Actions()...)
+	for _, h := range takeActions[Hold](f) {
+		f.cell.Handle(f.moment(), HoldAnswered{Server: h.Server, Number: h.Number, Sent: f.now, OK: true, Incarnation: 1, Clock: f.now})
+	}
+	b, ok := f.cell.TakeBatch()
+	if !ok || len(b.Records) != 1 || b.Records[0].Key != serverKey("a") {
+		t.Fatalf("got batch %+v, want one with the record of a", b)
+	}
+	f.cell.Handle(f.moment(), ServerUnlisted{ID: "a"})
+	f.actions = append(f.actions, f.cell.Actions()...)
+	for _, h := range takeActions[Hold](f) {
+		f.cell.Handle(f.moment(), HoldAnswered{Server: h.Server, Number: h.Number, Sent: f.now})
+	}
+	f.cell.Handle(f.moment(), Tick{})
+	f.cell.Handle(f.moment(), Committed{Batch: b.Number})
+	f.cell.Handle(f.moment(), Tick{})
+	b, _ = f.cell.TakeBatch()
+	if len(b.Records) != 1 || b.Records[0].Key != serverKey("a") || !b.Records[0].Deletes() {
+		t.Errorf("got batch %+v after the server left, want one that deletes its record", b)
+	}
+}
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -192,6 +192,9 @@
 		if w.listed || len(w.runs) > 0 || w.hasOrphans() || w.missedCalls == 0 || w.earlierHolderUntil > 0 {
 			return false
 		}
+		if w.recordQueued && !w.stored {
+			return false // until the record is durable, so that its deletion follows it
+		}
 		if w.stored {
 			c.nextBatch.deletions = append(c.nextBatch.deletions, serverKey(w.server.ID))
 		}
