Check the records of a cell before it is restored from them

Callers got 504 for every submission, and each instance that took the cell over ended its holder duty with a panic, one after the other: one odd record of another writer among those of the cell was enough. A step that depends on a missing one, a negative count, progress of a negative task and a "progress" under a short key panicked in Restore; with 9e18 occurrences it had not returned when the run was ended after 100 s. A record "0/holder" with an epoch of another round was followed although nobody holds it, also when only part of it could be decoded. A record "server/ID" that cannot be decoded was dropped, although a task may run on that worker.

Cause: decoding JSON was the only check. Records now check themselves (cell.Record.Check, with the limits of a submission; Holder and Member in cellrecord); those that fail are logged as record_unreadable with the reason, and the others hold. Restore ignores occurrences that the job does not have and counts a task once.

Bounds: the limits of a submission, int64, time.Duration, and 2^32 rounds (a takeover every second for 136 years) for epochs and attempt numbers.

Before: 42 of 51 cases of TestOddRecordsAreReportedAndTheOthersHold failed, 7 with a panic ("index out of range [7] with length 1", "makeslice: len out of range", "slice bounds out of range [9:1]") and one did not return; TestUnreadableServerRecordStillNamesTheWorker failed, and so did TestJobsEndToEndBesideOddRecords: "submission of job 0: got status 504, want 200".

--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -248,7 +248,7 @@
 
 // Restore initializes an empty cell from the records of earlier holders.
 // Workers in these records count as in use until they are fenced or their
-// leases have certainly expired.
+// leases have certainly expired. Each record must have passed Record.Check.
 func (c *Cell) Restore(now Moment, records []Record) {
 	c.now = now
 	earlierHolderUntil := now.Steady + c.settings.AuthorityBound + time.Duration(float64(c.settings.Lease)/(1-clockDrift)) + clockMargin
@@ -286,14 +286,20 @@
 
 func (c *Cell) restoreProgress(j *jobState, p *ProgressRecord) {
 	j.cancelled, j.failed, j.started = p.Cancelled, p.Failed, p.Started
+	occurrences := max(1, j.job.Repeats)
 	for _, number := range p.Completed {
-		j.completed[number] = true
+		if number < occurrences {
+			j.completed[number] = true
+		}
 	}
 	if j.state().Final() {
 		j.ended, j.endedAt, j.finalStored = true, c.now.Steady, true
 		return
 	}
 	for _, op := range p.Occurrences {
+		if op.Number >= occurrences || j.occurrences[op.Number] != nil {
+			continue
+		}
 		o := c.newOccurrence(j, op.Number)
 		for _, tp := range op.Tasks {
 			if tp.Step >= len(o.steps) || tp.Index >= len(o.steps[tp.Step].tasks) {
@@ -305,7 +311,7 @@
 			for _, attempt := range tp.Failed {
 				t.attempt = max(t.attempt, attempt)
 			}
-			if tp.Done {
+			if tp.Done && !t.done {
 				t.done = true
 				t.step.done++
 			}
--- a/decision/election/election.go
+++ b/decision/election/election.go
@@ -89,6 +89,10 @@
 // claimants of the same round get different epochs.
 const randomBits = 16
 
+// MaxRound bounds the rounds: one takeover every second for 136 years. A higher
+// round leads to epochs that overflow, and to attempt numbers that do.
+const MaxRound = 1 << 32
+
 // NextEpoch returns an epoch of the given round, with the low bits of random. It is
 // higher than every epoch of an earlier round.
 func NextEpoch(round int, random uint32) fleet.Epoch {
--- a/decision/job/check.go
+++ b/decision/job/check.go
@@ -10,9 +10,9 @@
 // removed, so their number is bounded.
 const (
 	maxSpecBytes = 4000
-	maxSteps     = 256
-	maxTasks     = 20000
-	maxRepeats   = 10000
+	MaxSteps     = 256
+	MaxTasks     = 20000
+	MaxRepeats   = 10000
 )
 
 // Check returns the findings on a submission, or nil if it is valid. document is
@@ -28,19 +28,19 @@
 	if len(j.Spec) > maxSpecBytes {
 		report("spec", fmt.Sprintf("has %d bytes", len(j.Spec)), fmt.Sprintf("at most %d", maxSpecBytes))
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		report("steps", fmt.Sprintf("has %d entries", len(j.Steps)), fmt.Sprintf("1 to %d", maxSteps))
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		report("steps", fmt.Sprintf("has %d entries", len(j.Steps)), fmt.Sprintf("1 to %d", MaxSteps))
 	}
-	if j.Repeats < 0 || j.Repeats > maxRepeats {
-		report("repeats", fmt.Sprintf("is %d", j.Repeats), fmt.Sprintf("0 to %d", maxRepeats))
+	if j.Repeats < 0 || j.Repeats > MaxRepeats {
+		report("repeats", fmt.Sprintf("is %d", j.Repeats), fmt.Sprintf("0 to %d", MaxRepeats))
 	}
 	tasks := 0
 	for i, s := range j.Steps {
 		s.check(i, report)
-		tasks += max(0, min(s.Count, maxTasks+1))
+		tasks += max(0, min(s.Count, MaxTasks+1))
 	}
-	if tasks > maxTasks {
-		report("steps", fmt.Sprintf("have %d tasks or more", tasks), fmt.Sprintf("at most %d", maxTasks))
+	if tasks > MaxTasks {
+		report("steps", fmt.Sprintf("have %d tasks or more", tasks), fmt.Sprintf("at most %d", MaxTasks))
 	}
 	return list.Err()
 }
@@ -48,8 +48,8 @@
 // check reports the findings on the step with the given index.
 func (s Step) check(index int, report func(key, problem, expected string)) {
 	key := func(name string) string { return fmt.Sprintf("steps[%d].%s", index, name) }
-	if s.Count < 1 || s.Count > maxTasks {
-		report(key("count"), fmt.Sprintf("is %d", s.Count), fmt.Sprintf("1 to %d", maxTasks))
+	if s.Count < 1 || s.Count > MaxTasks {
+		report(key("count"), fmt.Sprintf("is %d", s.Count), fmt.Sprintf("1 to %d", MaxTasks))
 	}
 	for _, before := range s.After {
 		if before < 0 || before >= index {
--- a/scheduler/api/api.go
+++ b/scheduler/api/api.go
@@ -128,7 +128,7 @@
 // RecordDecoder decodes the records that others write into the store.
 type RecordDecoder interface {
 	// Server decodes an entry of the server list. ok is false when the entry
-	// names no usable server; reason says why.
+	// names no server that passes cell.Server.Check; reason says why.
 	Server(item Item) (server cell.Server, ok bool, reason string)
 	// IsConfiguration reports whether a record of the operators is a
 	// publication.
--- a/scheduler/election/search.go
+++ b/scheduler/election/search.go
@@ -72,8 +72,8 @@
 		return
 	}
 	decoded := cellrecord.Decode(items)
-	for _, key := range decoded.Unreadable {
-		d.log.Event("record_unreadable", "key", key)
+	for _, record := range decoded.Unreadable {
+		d.log.Event("record_unreadable", "key", record.Key, "error", record.Reason)
 	}
 	d.round = max(d.round, decoded.Holder.Round)
 	round := d.round + 1
