Ignore listed attempts that no holder can have used

A failed attempt below 1 or beyond the bound entered the progress of the job.

Such a running row is now stopped and counted like a run that belongs to no task, and such an end changes nothing.

Rows of unknown tasks (step, index or occurrence out of range) and the largest capacities were sound already; their tests guard that.

--- a/decision/cell/ends.go
+++ b/decision/cell/ends.go
@@ -29,7 +29,7 @@
 // earlier holder started it, or this holder removed it when its lease expired.
 func (c *Cell) unknownRunEnded(w *worker, row FinishedRow) {
 	t := c.lookup(row.Task)
-	if t == nil || t.done || row.Attempt < t.attempt && row.End != job.EndFailed {
+	if t == nil || !validAttempt(row.Attempt) || t.done || row.Attempt < t.attempt && row.End != job.EndFailed {
 		return
 	}
 	t.attempt = max(t.attempt, row.Attempt)
--- a/decision/cell/odd_entries_test.go
+++ b/decision/cell/odd_entries_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"testing"
 	"time"
 
+	"lacewingfork.example/lacewingfork/decision/job"
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
@@ -85,3 +87,89 @@
 		t.Errorf("got batch %+v after the server left, want one that deletes its record", b)
 	}
 }
+
+// Guards against an attempt number that no holder has used: the next attempt
+// overflows and every worker refuses it, so the task never runs again (LOST), or its
+// record cannot be restored.
+func TestOddAttemptsOfListedRuns(t *testing.T) {
+	for _, attempt := range []int{math.MaxInt, 1 << 52, 0, -1, math.MinInt} {
+		f := newFixture(t, 1)
+		f.setUpServers(testServer("a"))
+		task := job.TaskRef{Job: testJob}
+		f.submit(testJob, oneTaskStep())
+		start := takeActions[Start](f)[0]
+		f.handle(StartAnswered{Server: "a", Task: task, Attempt: start.Attempt, Outcome: StartExpired, Sent: f.now})
+		f.now += 20 * time.Millisecond // the task waits for startRetryDelay
+		f.answerHolds(map[fleet.BackendServerID][]RunningRow{"a": {{Task: task, Attempt: attempt}}},
+			map[fleet.BackendServerID][]FinishedRow{"a": {{Number: 1, Task: task, Attempt: attempt, End: job.EndFailed}}})
+		f.advance(200 * time.Millisecond)
+		f.answerHolds(nil, nil)
+		f.advance(time.Second)
+		starts := takeActions[Start](f)
+		if len(starts) != 1 || starts[0].Attempt <= start.Attempt || starts[0].Attempt > start.Attempt+2 {
+			t.Errorf("attempt %d was listed: got starts %+v, want the next attempt after %d", attempt, starts, start.Attempt)
+		}
+		for key, r := range f.records {
+			if r.Progress == nil {
+				continue
+			}
+			if err := r.Check(); err != nil {
+				t.Errorf("attempt %d was listed: record %s cannot be restored: %v", attempt, key, err)
+			}
+		}
+	}
+}
+
+// Guards against tasks that are started nowhere, or twice, when a listed row names a
+// task that the job does not have.
+func TestListedRunsOfUnknownTasks(t *testing.T) {
+	for _, odd := range []job.TaskRef{
+		{Job: testJob, Step: math.MaxInt}, {Job: testJob, Index: math.MaxInt}, {Job: testJob, Occurrence: math.MaxInt}, {Job: "00000000000000ff"},
+	} {
+		f := newFixture(t, 1)
+		f.setUpServers(testServer("a"), testServer("b"))
+		f.submit(testJob, oneTaskStep())
+		start := takeActions[Start](f)[0]
+		f.acceptStart(start)
+		running := map[fleet.BackendServerID][]RunningRow{
+			start.Server: {{Task: odd, Attempt: 1}, {Task: start.Task, Attempt: start.Attempt, Percent: 10}},
+		}
+		for range 4 {
+			f.advance(50 * time.Millisecond)
+			f.answerHolds(running, map[fleet.BackendServerID][]FinishedRow{"b": {{Number: 1, Task: odd, Attempt: 1, End: job.EndDone}}})
+		}
+		if starts := takeActions[Start](f); len(starts) != 0 {
+			t.Errorf("%s was listed: got starts %+v, want none", odd, starts)
+		}
+		if stops := takeActions[Stop](f); len(stops) == 0 || stops[0].Task != odd {
+			t.Errorf("%s was listed: got stops %+v, want one of it", odd, stops)
+		}
+	}
+}
+
+// Guards against capacities that hide free room: the sums over the largest servers
+// that are accepted stay below the largest int64, and none is below 0.
+func TestLargestCapacitiesDoNotOverflow(t *testing.T) {
+	var sum int64
+	for range maxServers {
+		sum += maxCapacity
+	}
+	if sum <= 0 {
+		t.Errorf("got a sum of %d, want one above 0", sum)
+	}
+	large := testServer("a")
+	large.Address = "10.0.0.1:80"
+	large.DataCentre = "z"
+	large.Capacity = fleet.Resources{MilliCPU: maxCapacity, MemoryMiB: maxCapacity, Accelerators: maxCapacity}
+	if err := large.Check(); err != nil {
+		t.Errorf("largest capacity: got %v, want nil", err)
+	}
+	f := newFixture(t, 1)
+	f.setUpServers(large, testServer("b"))
+	step := oneTaskStep()
+	step.Count = 4
+	f.submit(testJob, step)
+	if starts := takeActions[Start](f); len(starts) != 4 {
+		t.Errorf("got %d starts beside a server of the largest capacity, want 4", len(starts))
+	}
+}
--- a/decision/cell/reconcile.go
+++ b/decision/cell/reconcile.go
@@ -69,7 +69,7 @@
 // unknown or must not run, adopt stops the run and returns nil.
 func (c *Cell) adopt(w *worker, row RunningRow) *run {
 	t := c.lookup(row.Task)
-	if t == nil || t.done || t.step.occurrence.job.ended || row.Attempt < t.attempt || len(t.runs) > 0 && !t.step.spec.Speculative {
+	if t == nil || !validAttempt(row.Attempt) || t.done || t.step.occurrence.job.ended || row.Attempt < t.attempt || len(t.runs) > 0 && !t.step.spec.Speculative {
 		c.emit(Note{Event: NoteRunWithoutTask, Job: row.Task.Job, Task: row.Task.String(), Server: w.server.ID, Detail: map[string]any{"attempt": row.Attempt}})
 		c.emit(Stop{Server: w.server.ID, Address: w.server.Address, Task: row.Task, Attempt: row.Attempt})
 		c.accountOrphan(w, row.Task)
