Pause after an answer of another incarnation

An entry whose incarnation is too high (born) made the holder ignore every answer of the real worker as late, and call it again without a pause: 1,000 holds within a second in TestWrongIncarnationCausesNoTightLoop, limited only by the test.

The next hold after such an answer now waits as long as after none, and an entry's incarnation is at most 2^53-1, the highest integer that every decoder of JSON reads exactly. Open: a smaller wrong one still ends the runs of the worker at once, although the worker itself has not restarted.

--- a/decision/cell/odd_entries_test.go
+++ b/decision/cell/odd_entries_test.go
@@ -173,3 +173,27 @@
 		t.Errorf("got %d starts beside a server of the largest capacity, want 4", len(starts))
 	}
 }
+
+// Guards against calls without a pause to a worker whose entry has an incarnation
+// that is higher than its own.
+func TestWrongIncarnationCausesNoTightLoop(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setUpServers(testServer("a"))
+	odd := testServer("a")
+	odd.Incarnation = maxIncarnation
+	f.handle(ServerListed{Server: odd})
+	holds := 0
+	for range 20 { // a second
+		for range 50 { // the worker answers at once
+			answered := takeActions[Hold](f)
+			holds += len(answered)
+			for _, h := range answered {
+				f.handle(HoldAnswered{Server: h.Server, Number: h.Number, Sent: f.now, OK: true, Incarnation: 1, Clock: f.now})
+			}
+		}
+		f.advance(50 * time.Millisecond)
+	}
+	if limit := int(time.Second/unreachableRetry) + 2; holds > limit {
+		t.Errorf("got %d holds within a second, want at most %d", holds, limit)
+	}
+}
--- a/decision/cell/server.go
+++ b/decision/cell/server.go
@@ -47,6 +47,9 @@
 	// maxServerIDBytes bounds the identifier of a server, so that the key of its
 	// record fits into MaxKeyBytes. A batch with a longer key is never stored.
 	maxServerIDBytes = MaxKeyBytes - len(serverPrefix)
+	// maxIncarnation is the highest integer that every decoder of JSON reads exactly.
+	// A wrong one that is higher than all later ones hides the worker.
+	maxIncarnation = 1<<53 - 1
 	// quotedBytes bounds a value that a finding quotes.
 	quotedBytes = 64
 )
@@ -75,8 +78,8 @@
 	if s.DataCentre == "" {
 		report("data_centre", "is missing", "the name of a data centre")
 	}
-	if s.Incarnation < 0 {
-		report("born", fmt.Sprintf("is %d", s.Incarnation), "0 or more")
+	if s.Incarnation < 0 || s.Incarnation > maxIncarnation {
+		report("born", fmt.Sprintf("is %d", s.Incarnation), fmt.Sprintf("0 to %d", int64(maxIncarnation)))
 	}
 	for _, r := range []struct {
 		key    string
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -305,7 +305,10 @@
 		c.holdUnanswered(w, extra, e.OtherIncarnation, e.Broke)
 		return
 	}
-	c.holdSucceeded(w, e)
+	if !c.holdSucceeded(w, e) {
+		w.nextHoldAt = c.now.Steady + unreachableRetry
+		return
+	}
 	if extra {
 		w.lastEndForgotten = max(w.lastEndForgotten, w.extraHoldAck)
 	} else {
@@ -355,10 +358,11 @@
 	c.needsScheduling = true
 }
 
-// holdSucceeded applies the clock and the lists of a successful hold.
-func (c *Cell) holdSucceeded(w *worker, e HoldAnswered) {
+// holdSucceeded applies the clock and the lists of a successful hold. It returns
+// false for the late answer of an earlier incarnation, which has no effect.
+func (c *Cell) holdSucceeded(w *worker, e HoldAnswered) bool {
 	if e.Incarnation != 0 && w.incarnation != 0 && e.Incarnation < w.incarnation {
-		return // a late answer of an earlier incarnation
+		return false
 	}
 	if w.incarnation != 0 && e.Incarnation > w.incarnation {
 		c.newIncarnation(w, e.Incarnation)
@@ -387,6 +391,7 @@
 		c.reconcileRuns(w, e)
 	}
 	c.adjustSpeeds(w)
+	return true
 }
 
 // updateClock replaces the clock sample by a more accurate or newer one.
