Refuse jobs whose due times cannot be stored

The check of a submission now reports a first due time outside the years 0 to 9999, and an interval that is negative or overflows over the largest number of occurrences. FuzzSubmission and FuzzServerEntry check that what is accepted is stored and restored.

--- a/decision/job/check.go
+++ b/decision/job/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"time"
 
 	"lacewingfork.example/lacewingfork/findings"
 )
@@ -13,6 +15,12 @@
 	MaxSteps     = 256
 	MaxTasks     = 20000
 	MaxRepeats   = 10000
+	// maxInterval keeps the time from the first occurrence to the last within a
+	// time.Duration.
+	maxInterval = time.Duration(math.MaxInt64) / MaxRepeats
+	// maxYear is the last year that JSON encodes. A job that is due later cannot be
+	// stored.
+	maxYear = 9999
 )
 
 // Check returns the findings on a submission, or nil if it is valid. document is
@@ -34,6 +42,12 @@
 	if j.Repeats < 0 || j.Repeats > MaxRepeats {
 		report("repeats", fmt.Sprintf("is %d", j.Repeats), fmt.Sprintf("0 to %d", MaxRepeats))
 	}
+	if j.Interval < 0 || j.Interval > maxInterval {
+		report("interval", "is "+j.Interval.String(), "0 to "+maxInterval.String())
+	}
+	if year := j.FirstDue.Year(); j.Repeats > 0 && (year < 0 || year > maxYear) {
+		report("first_due", fmt.Sprintf("is in the year %d", year), fmt.Sprintf("a year of 0 to %d", maxYear))
+	}
 	tasks := 0
 	for i, s := range j.Steps {
 		s.check(i, report)
