Count no negative room of a server whose capacity has shrunk

A server with more in use than its present capacity cancelled the room that was about to become free on others, so that a second long-running task was preempted for one waiting task.

--- a/decision/cell/preempt.go
+++ b/decision/cell/preempt.go
@@ -107,7 +107,8 @@
 			}
 		}
 		if freed > 0 {
-			room += (w.server.Capacity.MilliCPU - w.used.MilliCPU + freed) / max(1, s.spec.Need.MilliCPU)
+			// The capacity of a server may have shrunk below what runs there.
+			room += max(0, w.server.Capacity.MilliCPU-w.used.MilliCPU+freed) / max(1, s.spec.Need.MilliCPU)
 		}
 	}
 	for _, other := range c.ready {
