Begin the operators' topic where a peer has passed a publication on

A read of the newest publication that fails begins again. When a whole region restarts, 23 instances read 1.1 MB each over one link of 60 Mbit/s: 3.5 s, against a timeout of 3.2 s. A publication that the holder had passed on meanwhile did not end these reads.

--- a/scheduler/store/configuration.go
+++ b/scheduler/store/configuration.go
@@ -74,7 +74,8 @@
 		case publication := <-c.read.Items():
 			c.apply(ctx, publication, "store")
 		case publication := <-c.Offers.Items():
-			if c.apply(ctx, publication, "peer") {
+			// Instances of earlier versions don't pass the offset on.
+			if c.apply(ctx, publication, "peer") && publication.Offset > 0 {
 				_ = c.received.Put(ctx, publication.Offset+1) // keeps the newest; never fails
 			}
 		case r := <-dumps:
--- a/scheduler/store/configuration_tail.go
+++ b/scheduler/store/configuration_tail.go
@@ -59,8 +59,11 @@
 	}
 }
 
-// skipTo leaves out records that a peer has passed on.
-func (t *configurationTail) skipTo(offset fleet.Offset) { t.next = max(t.next, offset) }
+// skipTo leaves out records that a peer has passed on. A tail that has not read the
+// newest publication yet begins there.
+func (t *configurationTail) skipTo(offset fleet.Offset) {
+	t.next, t.positioned = max(t.next, offset), true
+}
 
 // passedOver looks where the topic ends and reports whether records have to be
 // read: no peer has passed them on in time, or the look has failed.
