--- a/decision/cell/crash.go
+++ b/decision/cell/crash.go
@@ -78,8 +78,9 @@
 
 func (r crashedRun) job() *jobState { return r.task.step.occurrence.job }
 
-// crashUnderTask is a crash of a server that had just started the task. It counts
-// unless the server had crashed shortly before without the task.
+// crashUnderTask is a crash of a server that had just started the task. It counts if
+// the server may have crashed within lastStarts of the start, unless it had crashed
+// shortly before without the task.
 type crashUnderTask struct {
 	*crash
 	counts bool
@@ -135,7 +136,7 @@
 	crashed.explained = c.commonCause(crashed) && !crashed.onlySuspects()
 	faulty := previous != nil && !previous.explained && crashed.lost.to-previous.lost.to < faultyServerTime
 	for _, r := range crashed.runs {
-		c.suspect(r, crashUnderTask{crash: crashed, counts: !faulty || previous.involves(r.task)})
+		c.suspect(r, crashUnderTask{crash: crashed, counts: r.soon && (!faulty || previous.involves(r.task))})
 	}
 	c.giveUpCrashing(crashed)
 }
