--- /dev/null
+++ b/decision/cell/hold.go
@@ -0,0 +1,231 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/job"
+)
+
+// leaseExpiry returns the time by which every run on the worker has certainly
+// ended if no further call reaches it.
+func (w *worker) leaseExpiry() time.Duration {
+	if w.leaseGranted == 0 || !w.clock.known {
+		return w.lateOrderUntil
+	}
+	left := float64(w.leaseGranted-w.clock.workerTime) / (1 - clockDrift)
+	return max(w.lateOrderUntil, w.clock.received+time.Duration(left)+clockMargin)
+}
+
+// holdIfDue sends the next hold of a worker, or an extra one, if due.
+func (c *Cell) holdIfDue(w *worker) {
+	if !c.authority {
+		return
+	}
+	if w.holdInFlight == 0 && c.now.Steady >= w.nextHoldAt {
+		w.holdAck = w.endsToAcknowledge()
+		w.holdInFlight = c.sendHold(w, c.holdWaitFor(w), w.holdAck, false)
+		return
+	}
+	// The regular holds of an unreachable worker do not wait, and occupy no order
+	// duty, so it needs no extra ones.
+	if w.extraHoldAt > 0 && c.now.Steady >= w.extraHoldAt && w.extraHoldInFlight == 0 && !w.unreachable {
+		w.extraHoldAt = 0
+		w.extraHoldAck = w.endsToAcknowledge()
+		w.extraHoldInFlight = c.sendHold(w, 0, w.extraHoldAck, true)
+	}
+}
+
+// holdWaitFor returns how long the worker may delay the answer to the next hold.
+func (c *Cell) holdWaitFor(w *worker) time.Duration {
+	switch {
+	case !w.fenced, w.unreachable, w.answers.missing, w.lastEndApplied > w.lastEndRecorded:
+		return 0
+	case w.throttling.watched:
+		return watchedHoldWait
+	default:
+		return holdWait
+	}
+}
+
+// endsToAcknowledge returns the number up to which the next hold acknowledges ends; 0
+// for none. A hold without an answer may be carried out by the next incarnation,
+// which numbers its ends from 1, so no hold acknowledges more often than needed, or
+// while the worker does not answer.
+func (w *worker) endsToAcknowledge() int64 {
+	if w.lastEndRecorded <= w.lastEndForgotten || w.unreachable || w.answers.missing {
+		return 0
+	}
+	return w.lastEndRecorded
+}
+
+func (c *Cell) sendHold(w *worker, wait time.Duration, ack int64, extra bool) uint64 {
+	c.holdNumber++
+	h := Hold{Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: ack, Wait: wait, Extra: extra}
+	// A call to a worker that does not answer carries no lease: each call may
+	// still reach the worker, so its lease would never count as expired.
+	if len(w.runs) > 0 && w.clock.known && !w.unreachable && !w.answers.missing {
+		h.Deadline = c.leaseEnd(w)
+		w.leaseGranted = max(w.leaseGranted, h.Deadline)
+	}
+	c.emit(h)
+	return c.holdNumber
+}
+
+// leaseEnd returns the end of a lease that begins now, on the worker's clock.
+func (c *Cell) leaseEnd(w *worker) time.Duration {
+	lease := c.settings.Lease
+	if w.server.Draining {
+		lease = drainLease
+	}
+	return (w.clock.workerTime + c.now.Steady - w.clock.received + lease).Truncate(time.Millisecond)
+}
+
+// holdAnswered applies the answer to a hold.
+func (c *Cell) holdAnswered(e HoldAnswered) {
+	w := c.workers[e.Server]
+	if w == nil {
+		return
+	}
+	extra := e.Number == w.extraHoldInFlight && e.Number != 0
+	switch e.Number {
+	case w.holdInFlight:
+		w.holdInFlight = 0
+	case w.extraHoldInFlight:
+		w.extraHoldInFlight = 0
+	default:
+		return // an answer to a hold of an earlier holder duty
+	}
+	switch {
+	case e.Fenced:
+		c.emit(Superseded{Server: e.Server})
+		w.nextHoldAt = c.now.Steady + unreachableRetry
+		return
+	case !e.OK:
+		c.holdUnanswered(w, extra, e.OtherIncarnation, e.Broke)
+		return
+	}
+	if !c.holdSucceeded(w, e) {
+		w.nextHoldAt = c.now.Steady + unreachableRetry
+		return
+	}
+	if extra {
+		w.lastEndForgotten = max(w.lastEndForgotten, w.extraHoldAck)
+	} else {
+		w.lastEndForgotten = max(w.lastEndForgotten, w.holdAck)
+	}
+	w.nextHoldAt = c.now.Steady
+	if w.lastEndApplied > w.lastEndRecorded {
+		w.nextHoldAt += unrecordedRetry // or as soon as the ends are recorded
+	}
+	c.holdIfDue(w)
+}
+
+// holdUnanswered handles a hold without an answer of the tracked incarnation.
+func (c *Cell) holdUnanswered(w *worker, extra, otherIncarnation, broke bool) {
+	if extra {
+		w.extraHoldAt = c.now.Steady + unreachableRetry
+		if !w.answers.missing {
+			return
+		}
+	}
+	if !w.unreachable {
+		w.unreachable, w.unreachableSince, w.connectionBroke = true, c.now.Steady, broke
+		c.emit(Note{Event: NoteWorkerUnreachable, Server: w.server.ID, Detail: map[string]any{
+			"runs": len(w.runs), "heard_ms_ago": (c.now.Steady - w.lastAnswerAt).Milliseconds(),
+			"lease_left_ms": (w.leaseExpiry() - c.now.Steady).Milliseconds(), "other_life": otherIncarnation,
+		}})
+	}
+	if extra {
+		return
+	}
+	w.missedCalls++
+	w.nextHoldAt = c.now.Steady + unreachableRetry
+	if otherIncarnation {
+		c.incarnationReplaced(w)
+	}
+}
+
+// incarnationReplaced ends the runs of a worker at whose address another worker
+// answers: its incarnation has ended, and the other worker refuses orders to it.
+func (c *Cell) incarnationReplaced(w *worker) {
+	w.earlierHolderUntil = 0
+	c.serverCrashed(w)
+	for _, r := range slices.Clone(w.runsInOrder) {
+		c.runEnded(r, job.EndLost, "")
+	}
+	c.checkBlocked()
+	c.needsScheduling = true
+}
+
+// holdSucceeded applies the clock and the lists of a successful hold. It returns
+// false for the late answer of an earlier incarnation, which has no effect.
+func (c *Cell) holdSucceeded(w *worker, e HoldAnswered) bool {
+	if e.Incarnation != 0 && w.incarnation != 0 && e.Incarnation < w.incarnation {
+		return false
+	}
+	if w.incarnation != 0 && e.Incarnation > w.incarnation {
+		c.newIncarnation(w, e.Incarnation)
+	}
+	w.lapsedRuns = nil // the incarnation goes on, or serverCrashed has used them
+	if w.unreachable {
+		c.emit(Note{Event: NoteWorkerReachable, Server: w.server.ID, Detail: map[string]any{"silent_ms": (c.now.Steady - w.unreachableSince).Milliseconds()}})
+		w.unreachable = false
+		c.needsScheduling = true
+	}
+	c.heard(w)
+	w.missedCalls, w.incarnation, w.lastAnswerAt = 0, e.Incarnation, c.now.Steady
+	w.updateClock(e.Clock, c.now.Steady)
+	if !w.fenced {
+		w.fenced, w.earlierHolderUntil = true, 0
+		c.queueRecord(w)
+		c.emit(Note{Event: NoteWorkerFenced, Server: w.server.ID, Detail: map[string]any{
+			"running": len(e.Running), "finished": len(e.Finished), "born": e.Incarnation,
+		}})
+		c.checkBlocked()
+		c.needsScheduling = true
+	}
+	c.processEnds(w, e.Finished)
+	if e.Clock >= w.listClock {
+		w.listClock = e.Clock
+		c.reconcileRuns(w, e)
+	}
+	c.adjustSpeeds(w)
+	return true
+}
+
+// updateClock replaces the clock sample by a more accurate or newer one.
+func (w *worker) updateClock(clock, received time.Duration) {
+	if clock == 0 {
+		return
+	}
+	// The sample in which the worker's clock is furthest ahead is the most
+	// accurate: the answers of the others were longer in transit.
+	if w.clock.known && clock-w.clock.workerTime < received-w.clock.received && received-w.clock.received < maxClockSampleAge {
+		return
+	}
+	w.clock = clockSample{known: true, workerTime: clock, received: received}
+}
+
+// maxClockSampleAge bounds the drift of a clock sample to 2 % of this time.
+const maxClockSampleAge = 2 * time.Second
+
+// checkLeaseExpiry ends the runs of a worker that does not answer once its lease
+// has certainly expired.
+func (c *Cell) checkLeaseExpiry(w *worker) {
+	if w.earlierHolderUntil > 0 && c.now.Steady >= w.earlierHolderUntil && w.unreachable {
+		w.earlierHolderUntil = 0
+		c.emit(Note{Event: NoteWorkerLeaseExpired, Server: w.server.ID, Detail: map[string]any{"holder": "earlier"}})
+	}
+	if !w.unreachable || len(w.runs) == 0 || c.now.Steady < w.leaseExpiry() {
+		return
+	}
+	c.emit(Note{Event: NoteWorkerLeaseExpired, Server: w.server.ID, Detail: map[string]any{
+		"runs": len(w.runs), "silent_ms": (c.now.Steady - w.unreachableSince).Milliseconds(),
+	}})
+	w.lapsedRuns = w.lastRuns(w.lostAt(c.now.Steady))
+	for _, r := range slices.Clone(w.runsInOrder) {
+		c.runEnded(r, job.EndLeaseExpired, "")
+	}
+	c.needsScheduling = true
+}
