--- a/fleet/address_test.go
+++ b/fleet/address_test.go
@@ -5,7 +5,7 @@
 // Guards against calls to an address that can never be reached: each of them
 // fails, and a takeover waits for its server.
 func TestCheckAddress(t *testing.T) {
-	for _, address := range []string{"10.1.64.26:8743", "10.1.64.26:1", "10.1.64.26:65535", "[fd00::1]:80", "minion-7.accra_1.example:8743"} {
+	for _, address := range []string{"10.1.64.26:8743", "10.1.64.26:1", "10.1.64.26:65535", "[fd00::1]:80", "server-7.accra_1.example:8743"} {
 		if err := CheckAddress(address); err != nil {
 			t.Errorf("%q: got %v, want nil", address, err)
 		}
