Let 96 starts wait for an answer again, and 16 late ones beside them

A start takes about 0.1 s from the order to its answer there, so the bound limits the rate. 128 order duties cover 96 starts and 16 late ones and leave 16 for other calls; the test of a start beside unanswered ones takes the new sum, 112.

--- a/decision/cell/answers.go
+++ b/decision/cell/answers.go
@@ -58,10 +58,10 @@
 	// maxUnansweredStarts bounds the starts that wait for an answer, except late
 	// ones. The order duties handle 128 orders at a time; urgent starts would wait
 	// behind further ones.
-	maxUnansweredStarts = 64
+	maxUnansweredStarts = 96
 	// maxLateStarts bounds the late starts beside which others may be ordered. The
 	// sum of both bounds leaves order duties for stops and other calls.
-	maxLateStarts = 32
+	maxLateStarts = 16
 	// A data centre is unresponsive while minSilentWorkers of its workers, and one in
 	// silentShare, don't answer. Single workers fail more often than that.
 	minSilentWorkers = 4
--- a/scheduler/workers/workers.go
+++ b/scheduler/workers/workers.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	// orderDuties is the number of concurrent orders. It covers the 96 starts without
+	// orderDuties is the number of concurrent orders. It covers the 112 starts without
 	// an answer that a cell may have ordered, and other calls beside them. With 256,
 	// the holder of a cell of 490 workers made 550 starts a second, with 128 it makes
 	// over 1,000.
--- a/scheduler/workers/workers_test.go
+++ b/scheduler/workers/workers_test.go
@@ -70,7 +70,7 @@
 }
 
 // Guards against a start that waits behind starts without an answer: the holder orders
-// up to 96 of them at a time.
+// up to 112 of them at a time.
 func TestStartIsSentWhileOthersAreUnanswered(t *testing.T) {
 	events := supervise.NewRing[message.WorkerEvent]("test.events", 512, supervise.Wait)
 	tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
@@ -78,7 +78,7 @@
 	s := New(tree, silentWorkers{}, nil, c, events, prometheus.NewRegistry())
 	ctx := t.Context()
 	go func() { _ = tree.Serve(ctx) }() // ends with the test
-	for range 96 {
+	for range 112 {
 		_ = s.Orders.Put(ctx, message.Order{Action: cell.Start{Server: "silent"}, IssuedAt: c.Steady()}) // the ring has room
 	}
 	_ = s.Orders.Put(ctx, message.Order{Action: cell.Start{Server: "sound"}, IssuedAt: c.Steady()})
