Keep a link on which frames wait for the router

Callers of an instance waited for a second dial, and its requests were sent again, although the link to the holder was sound: the router had been busy with a slow send for longer than the link's time limit, and its next tick closed the link while a heartbeat of the holder was queued.

Cause: silence was measured since the router last handled a frame. Ruled out: a longer limit, which would delay the takeover of a frozen holder. Change: a link with queued frames is not silent. Measured: TestLinkWithQueuedFramesIsNotSilent failed before and passes now.

--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -286,7 +286,8 @@
 func (r *router) tick(ctx context.Context) {
 	now := r.supervisor.clock.Steady()
 	if r.session != nil {
-		if now-r.session.receivedAt > linkTimeout {
+		// Queued frames show that the link works and this duty was busy.
+		if now-r.session.receivedAt > linkTimeout && r.session.received.Stats().Depth == 0 {
 			r.closeLink(ctx, "silent", nil)
 		} else {
 			r.sendOrClose(ctx, encodeHeartbeat(message.Heartbeat{
