Keep the newest of the configurations that peers offer

An instance that held the cell without the store went on with an older configuration: offers of an older version by other instances displaced the newer one from a ring of four, and each instance offers a version once on a link.

Cause: a ring that discards its oldest item orders offers by arrival. Ruled out: a larger ring, as the number of instances has no bound. Change: supervise has two kinds of rings more. One keeps the greatest item by a given order; the offers use it, ordered by version and offset.

--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -2,6 +2,7 @@
 package message
 
 import (
+	"cmp"
 	"time"
 
 	"lacewingfork.example/lacewingfork/decision/cell"
@@ -79,7 +80,7 @@
 	IsHolder             bool
 	ConfigurationVersion int64
 	StoreOutage          time.Duration
-	Pending              map[job.Queue]int
+	Pending          map[job.Queue]int
 }
 
 // AppendResult is the outcome of an append of the holder.
@@ -116,12 +117,18 @@
 }
 
 // Publication is an encoded publication of the operators and the offset of its
-// record in the store.
+// record in the store. Version is 0 if only the document tells it.
 type Publication struct {
+	Version  int64
 	Document []byte
 	Offset   fleet.Offset
 }
 
+// ComparePublications orders publications by version, then by offset.
+func ComparePublications(a, b Publication) int {
+	return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Offset, b.Offset))
+}
+
 // ConfigurationRing carries the configuration in force to a duty. Only the
 // newest one is kept.
 type ConfigurationRing = supervise.Ring[*api.Configuration]
--- a/scheduler/peers/codec.go
+++ b/scheduler/peers/codec.go
@@ -98,7 +98,7 @@
 }
 
 func decodeConfiguration(c *cellpb.Configuration) (message.Publication, error) {
-	publication := message.Publication{Document: c.Document, Offset: fleet.Offset(c.Offset)}
+	publication := message.Publication{Version: c.Version, Document: c.Document, Offset: fleet.Offset(c.Offset)}
 	if len(c.GzipDocument) == 0 {
 		return publication, nil
 	}
--- a/scheduler/store/configuration.go
+++ b/scheduler/store/configuration.go
@@ -33,7 +33,7 @@
 func NewConfigurations(records api.RecordDecoder, log *logs.Log) *Configurations {
 	return &Configurations{
 		records: records, log: log,
-		Offers:   supervise.NewRing[message.Publication]("configuration.offers", 4, supervise.DropOldest),
+		Offers:   supervise.NewGreatestRing("configuration.offers", message.ComparePublications),
 		Followed: supervise.NewRing[bool]("configuration.followed", 1, supervise.DropOldest),
 		read:     supervise.NewRing[message.Publication]("configuration.read", 16, supervise.Wait),
 		received: supervise.NewRing[fleet.Offset]("configuration.received", 1, supervise.DropOldest),
--- a/supervise/ring.go
+++ b/supervise/ring.go
@@ -25,6 +25,8 @@
 	Wait
 	// DropOldest discards the oldest item to make room for the new one.
 	DropOldest
+	// KeepGreatest keeps the greatest item, whatever the order of arrival.
+	KeepGreatest
 )
 
 // String returns the policy's name as shown in the state dump.
@@ -36,6 +38,8 @@
 		return "wait"
 	case DropOldest:
 		return "drop-oldest"
+	case KeepGreatest:
+		return "keep-greatest"
 	default:
 		return "unknown"
 	}
@@ -50,6 +54,8 @@
 	items   chan T
 	refused atomic.Uint64
 	dropped atomic.Uint64
+	compare func(a, b T) int   // of KeepGreatest
+	latest  *atomic.Pointer[T] // of a state ring; nil for any other
 }
 
 // NewRing returns a ring that holds up to capacity items, at least 1. The name
@@ -58,10 +64,53 @@
 	return &Ring[T]{name: name, policy: policy, items: make(chan T, max(1, capacity))}
 }
 
+// NewGreatestRing returns a ring that holds one item, the greatest by compare of
+// those that have not been received.
+func NewGreatestRing[T any](name string, compare func(a, b T) int) *Ring[T] {
+	return &Ring[T]{name: name, policy: KeepGreatest, items: make(chan T, 1), compare: compare}
+}
+
+// NewStateRing returns a ring that carries the present value of a state: it holds
+// the newest item only, and Replay delivers that item again.
+func NewStateRing[T any](name string) *Ring[T] {
+	r := NewRing[T](name, 1, DropOldest)
+	r.latest = &atomic.Pointer[T]{}
+	return r
+}
+
+// Replay makes a state ring deliver its newest item again. A duty calls it for each
+// of its state rings when it starts: after a failure its sources send nothing until
+// the state changes.
+func (r *Ring[T]) Replay() {
+	if r.latest == nil || len(r.items) > 0 {
+		return
+	}
+	for item := r.latest.Load(); item != nil; {
+		r.putDroppingOldest(*item)
+		put := item
+		if item = r.latest.Load(); item == put {
+			return // otherwise it may have displaced a newer item
+		}
+	}
+}
+
+// Replayer is a ring whose newest item can be delivered again.
+type Replayer interface{ Replay() }
+
+// Replay calls Replay for each ring.
+func Replay(rings ...Replayer) {
+	for _, r := range rings {
+		r.Replay()
+	}
+}
+
 // Put adds an item to the ring. When the ring is full, its policy applies: Refuse
 // returns ErrRingFull, and Wait returns the context's error when the context ends
 // first.
 func (r *Ring[T]) Put(ctx context.Context, item T) error {
+	if r.latest != nil {
+		r.latest.Store(&item)
+	}
 	select {
 	case r.items <- item:
 		return nil
@@ -73,6 +122,9 @@
 	case DropOldest:
 		r.putDroppingOldest(item)
 		return nil
+	case KeepGreatest:
+		r.putKeepingGreatest(item)
+		return nil
 	default:
 		r.refused.Add(1)
 		return errors.Wrap(ErrRingFull, r.name)
@@ -106,6 +158,25 @@
 	}
 }
 
+// putKeepingGreatest replaces a smaller queued item.
+func (r *Ring[T]) putKeepingGreatest(item T) {
+	for {
+		select {
+		case r.items <- item:
+			return
+		default:
+		}
+		select {
+		case queued := <-r.items:
+			r.dropped.Add(1)
+			if r.compare(queued, item) > 0 {
+				item = queued
+			}
+		default:
+		}
+	}
+}
+
 // Items returns the channel that the duty receives from. It is never closed.
 func (r *Ring[T]) Items() <-chan T { return r.items }
 
