Give a restarted duty the state that its sources have sent before

An instance stayed ready and answered 503 to every call after its router had failed: the supervisor started a new one, and the election publishes a holder only when it changes, so the router never dialled again. The link table, the readiness, the routes and the configuration tail had the same gap.

Cause: inputs that are sent on change, and a reader that starts with clean state. Ruled out: a restart of the whole group of duties, which would end every link. Change: one rule for the scheduler's duties: a ring that carries a state keeps its newest value, and a duty that starts has it delivered again.

--- a/scheduler/callers/callers.go
+++ b/scheduler/callers/callers.go
@@ -93,6 +93,7 @@
 // updateRoutes is the routing duty: it replaces the route table when a
 // configuration comes into force.
 func (s *Supervisor) updateRoutes(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	s.Configurations.Replay()
 	for {
 		select {
 		case <-ctx.Done():
--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -135,5 +135,5 @@
 
 // NewConfigurationRing returns a ring with the given name.
 func NewConfigurationRing(name string) *ConfigurationRing {
-	return supervise.NewRing[*api.Configuration](name, 1, supervise.DropOldest)
+	return supervise.NewStateRing[*api.Configuration](name)
 }
--- a/scheduler/operations/operations.go
+++ b/scheduler/operations/operations.go
@@ -56,9 +56,9 @@
 func New(root *supervise.Tree, listener net.Listener, log *logs.Log, registry *prometheus.Registry) *Supervisor {
 	s := &Supervisor{
 		listener: listener, directory: root.Directory(), log: log,
-		Linked:         supervise.NewRing[bool]("operations.linked", 1, supervise.DropOldest),
+		Linked:         supervise.NewStateRing[bool]("operations.linked"),
 		Configurations: message.NewConfigurationRing("operations.configurations"),
-		Draining:       supervise.NewRing[struct{}]("operations.draining", 1, supervise.DropOldest),
+		Draining:       supervise.NewStateRing[struct{}]("operations.draining"),
 	}
 	registry.MustRegister(ringmetrics.New(s.directory))
 	s.server = &http.Server{Handler: s.routes(registry), ReadHeaderTimeout: headerTimeout}
@@ -98,6 +98,7 @@
 	var state readiness
 	ticker := time.NewTicker(readinessInterval)
 	defer ticker.Stop()
+	supervise.Replay(s.Linked, s.Configurations, s.Draining)
 	for {
 		select {
 		case <-ctx.Done():
--- a/scheduler/peers/accept.go
+++ b/scheduler/peers/accept.go
@@ -200,6 +200,7 @@
 	r := t.supervisor.rings
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
+	supervise.Replay(t.configurations, r.LinkTableStatus, r.Members)
 	for {
 		select {
 		case <-ctx.Done():
--- a/scheduler/peers/peers.go
+++ b/scheduler/peers/peers.go
@@ -103,12 +103,12 @@
 	return &Rings{
 		Requests:        supervise.NewRing[message.Request]("peers.asks", requestCapacity, supervise.Refuse),
 		CountRequests:   supervise.NewRing[CountRequest]("peers.counts", requestCapacity, supervise.Refuse),
-		Holders:         supervise.NewRing[message.Holder]("peers.holders", 1, supervise.DropOldest),
+		Holders:         supervise.NewStateRing[message.Holder]("peers.holders"),
 		Configurations:  message.NewConfigurationRing("peers.configurations"),
-		LinkTableStatus: supervise.NewRing[holder.Status]("peers.status", 1, supervise.DropOldest),
-		RouterStatus:    supervise.NewRing[holder.Status]("peers.own-status", 1, supervise.DropOldest),
-		StoreOutage:     supervise.NewRing[time.Duration]("peers.store-silent", 1, supervise.DropOldest),
-		Members:         supervise.NewRing[[]cellrecord.Member]("peers.members", 1, supervise.DropOldest),
+		LinkTableStatus: supervise.NewStateRing[holder.Status]("peers.status"),
+		RouterStatus:    supervise.NewStateRing[holder.Status]("peers.own-status"),
+		StoreOutage:     supervise.NewStateRing[time.Duration]("peers.store-silent"),
+		Members:         supervise.NewStateRing[[]cellrecord.Member]("peers.members"),
 		StartHandover:   supervise.NewRing[struct{}]("peers.handover", 1, supervise.DropOldest),
 	}
 }
--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -51,6 +51,7 @@
 	defer ticker.Stop()
 	defer r.failPending()
 	r.downSince = r.supervisor.clock.Steady()
+	supervise.Replay(rings.Holders, rings.Configurations, rings.StoreOutage, rings.RouterStatus)
 	for {
 		var frames <-chan *cellpb.Frame
 		var failed <-chan error
--- a/scheduler/store/configuration.go
+++ b/scheduler/store/configuration.go
@@ -34,9 +34,9 @@
 	return &Configurations{
 		records: records, log: log,
 		Offers:   supervise.NewGreatestRing("configuration.offers", message.ComparePublications),
-		Followed: supervise.NewRing[bool]("configuration.followed", 1, supervise.DropOldest),
+		Followed: supervise.NewStateRing[bool]("configuration.followed"),
 		read:     supervise.NewRing[message.Publication]("configuration.read", 16, supervise.Wait),
-		received: supervise.NewRing[fleet.Offset]("configuration.received", 1, supervise.DropOldest),
+		received: supervise.NewStateRing[fleet.Offset]("configuration.received"),
 	}
 }
 
--- a/scheduler/store/configuration_tail.go
+++ b/scheduler/store/configuration_tail.go
@@ -36,6 +36,7 @@
 }
 
 func (t *configurationTail) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	supervise.Replay(t.followed, t.received)
 	for {
 		for settled := false; !settled; {
 			select {
