Tell linked instances how far the publications have been applied

A version that operators published again was read from the store by every instance, a megabyte each over one link between regions: the holder passes only newer versions on, so the others saw a record that nobody passed on and read it.

Cause: an instance could not know that a record holds what it already has. Ruled out: passing the document on again (the same bytes over the same link); a longer wait before the read (it has to be in force within 2.5 s). Change: a heartbeat names the offset up to which its sender has applied the publications, and is sent at once when that changes. A linked instance with the same version leaves these records out. make proto regenerates cellpb too.

--- a/Makefile
+++ b/Makefile
@@ -61,4 +61,4 @@
 	@mkdir -p bin
 	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	PATH=$(CURDIR)/bin:$$PATH protoc --go_out=. --go_opt=module=lacewingfork.example/lacewingfork \
-		--go-drpc_out=. --go-drpc_opt=module=lacewingfork.example/lacewingfork peerpb/peer.proto
+		--go-drpc_out=. --go-drpc_opt=module=lacewingfork.example/lacewingfork peerpb/peer.proto cellpb/cell.proto
--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -79,7 +79,10 @@
 	Epoch                fleet.Epoch
 	IsHolder             bool
 	ConfigurationVersion int64
-	StoreOutage          time.Duration
+	// ConfigurationEnd is the offset up to which the operators' publications have
+	// been applied in ConfigurationVersion; 0 if it is not known.
+	ConfigurationEnd fleet.Offset
+	StoreOutage      time.Duration
 	Pending          map[job.Queue]int
 }
 
@@ -129,6 +132,13 @@
 	return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Offset, b.Offset))
 }
 
+// ConfigurationProgress says that the publications before the offset End have been
+// applied, which has brought Version into force.
+type ConfigurationProgress struct {
+	Version int64
+	End     fleet.Offset
+}
+
 // ConfigurationRing carries the configuration in force to a duty. Only the
 // newest one is kept.
 type ConfigurationRing = supervise.Ring[*api.Configuration]
--- a/scheduler/peers/accept.go
+++ b/scheduler/peers/accept.go
@@ -157,6 +157,7 @@
 	links         map[*acceptedLink]message.Heartbeat // with the last heartbeat received
 	status        holder.Status
 	configuration *api.Configuration
+	progress      message.ConfigurationProgress
 	encoded       *cellpb.Frame // the configuration last sent, the same for all links
 	announcer     *announcer
 }
@@ -191,7 +192,7 @@
 	r := t.supervisor.rings
 	return supervise.Duty{
 		Name:  "links",
-		Rings: []supervise.AnyRing{t.changes, t.heartbeats, t.configurations, r.LinkTableStatus, r.Members, r.StartHandover},
+		Rings: []supervise.AnyRing{t.changes, t.heartbeats, t.configurations, r.Progress, r.LinkTableStatus, r.Members, r.StartHandover},
 		Run:   t.run,
 	}
 }
@@ -200,7 +201,7 @@
 	r := t.supervisor.rings
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	supervise.Replay(t.configurations, r.LinkTableStatus, r.Members)
+	supervise.Replay(t.configurations, r.Progress, r.LinkTableStatus, r.Members)
 	for {
 		select {
 		case <-ctx.Done():
@@ -218,6 +219,12 @@
 			for link, heartbeat := range t.links {
 				t.passConfiguration(ctx, link, heartbeat)
 			}
+		case t.progress = <-r.Progress.Items():
+			// At once: a linked instance reads the record if it is not told within
+			// half a second that it needs not.
+			for link := range t.links {
+				t.sendHeartbeat(ctx, link)
+			}
 		case status := <-r.LinkTableStatus.Items():
 			t.status = status
 		case members := <-r.Members.Items():
@@ -236,10 +243,14 @@
 }
 
 func (t *linkTable) sendHeartbeat(ctx context.Context, link *acceptedLink) {
-	_ = link.outbound.Put(ctx, encodeHeartbeat(message.Heartbeat{ // drops the oldest when full; never fails
+	heartbeat := message.Heartbeat{
 		Epoch: t.status.Epoch, IsHolder: t.status.IsHolder, StoreOutage: t.status.StoreOutage, Pending: t.status.Pending,
 		ConfigurationVersion: configurationVersion(t.configuration),
-	}))
+	}
+	if t.progress.Version == heartbeat.ConfigurationVersion {
+		heartbeat.ConfigurationEnd = t.progress.End
+	}
+	_ = link.outbound.Put(ctx, encodeHeartbeat(heartbeat)) // drops the oldest when full; never fails
 }
 
 // handleHeartbeat stores the heartbeat of a peer and passes the configuration on
--- a/scheduler/peers/codec.go
+++ b/scheduler/peers/codec.go
@@ -62,7 +62,7 @@
 func encodeHeartbeat(heartbeat message.Heartbeat) *cellpb.Frame {
 	beat := &cellpb.Beat{
 		Epoch: uint64(heartbeat.Epoch), Holder: heartbeat.IsHolder, ConfigurationVersion: heartbeat.ConfigurationVersion,
-		StoreSilentMs: heartbeat.StoreOutage.Milliseconds(),
+		StoreSilentMs: heartbeat.StoreOutage.Milliseconds(), ConfigurationEnd: int64(heartbeat.ConfigurationEnd),
 	}
 	for queue, count := range heartbeat.Pending {
 		beat.Pending = append(beat.Pending, &cellpb.QueueCount{Queue: string(queue), Count: int64(count)})
@@ -74,6 +74,7 @@
 	heartbeat := message.Heartbeat{
 		Epoch: fleet.Epoch(b.Epoch), IsHolder: b.Holder, ConfigurationVersion: b.ConfigurationVersion,
 		StoreOutage: time.Duration(b.StoreSilentMs) * time.Millisecond, Pending: map[job.Queue]int{},
+		ConfigurationEnd: fleet.Offset(b.ConfigurationEnd),
 	}
 	for _, count := range b.Pending {
 		heartbeat.Pending[job.Queue(count.Queue)] = int(count.Count)
--- a/scheduler/peers/peers.go
+++ b/scheduler/peers/peers.go
@@ -57,6 +57,11 @@
 	Holders *supervise.Ring[message.Holder]
 	// Configurations carries the configuration in force to the router.
 	Configurations *message.ConfigurationRing
+	// Progress carries to the link table how far this instance has applied the
+	// operators' publications, and PeerProgress to the configuration duty how far
+	// the holder has.
+	Progress     *supervise.Ring[message.ConfigurationProgress]
+	PeerProgress *supervise.Ring[message.ConfigurationProgress]
 	// LinkTableStatus carries the status of a local holder to the link table.
 	LinkTableStatus *supervise.Ring[holder.Status]
 	// RouterStatus carries the same status to the router.
@@ -105,6 +110,7 @@
 		CountRequests:   supervise.NewRing[CountRequest]("peers.counts", requestCapacity, supervise.Refuse),
 		Holders:         supervise.NewStateRing[message.Holder]("peers.holders"),
 		Configurations:  message.NewConfigurationRing("peers.configurations"),
+		Progress:        supervise.NewStateRing[message.ConfigurationProgress]("peers.configuration-progress"),
 		LinkTableStatus: supervise.NewStateRing[holder.Status]("peers.status"),
 		RouterStatus:    supervise.NewStateRing[holder.Status]("peers.own-status"),
 		StoreOutage:     supervise.NewStateRing[time.Duration]("peers.store-silent"),
--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -206,7 +206,12 @@
 	if !r.up() {
 		r.linkUp(ctx)
 	}
-	if version := configurationVersion(r.configuration); heartbeat.ConfigurationVersion < version && r.session.sentVersion < version {
+	version := configurationVersion(r.configuration)
+	if heartbeat.ConfigurationEnd > 0 && heartbeat.ConfigurationVersion == version {
+		// Keeps the newest; never fails.
+		_ = r.supervisor.rings.PeerProgress.Put(ctx, message.ConfigurationProgress{Version: version, End: heartbeat.ConfigurationEnd})
+	}
+	if heartbeat.ConfigurationVersion < version && r.session.sentVersion < version {
 		r.session.sentVersion = version
 		r.sendOrClose(ctx, encodeConfiguration(r.configuration))
 	}
--- a/scheduler/store/configuration.go
+++ b/scheduler/store/configuration.go
@@ -20,6 +20,10 @@
 	Subscribers []*message.ConfigurationRing
 	// Offers carries publications received from peers.
 	Offers *supervise.Ring[message.Publication]
+	// PeerProgress carries how far the holder has applied the publications, and
+	// Progress how far this instance has.
+	PeerProgress *supervise.Ring[message.ConfigurationProgress]
+	Progress     *supervise.Ring[message.ConfigurationProgress]
 	// Followed carries whether a linked instance passes publications on.
 	Followed *supervise.Ring[bool]
 	// read carries publications that the tail has read from the store.
@@ -33,10 +37,11 @@
 func NewConfigurations(records api.RecordDecoder, log *logs.Log) *Configurations {
 	return &Configurations{
 		records: records, log: log,
-		Offers:   supervise.NewGreatestRing("configuration.offers", message.ComparePublications),
-		Followed: supervise.NewStateRing[bool]("configuration.followed"),
-		read:     supervise.NewRing[message.Publication]("configuration.read", 16, supervise.Wait),
-		received: supervise.NewStateRing[fleet.Offset]("configuration.received"),
+		Offers:       supervise.NewGreatestRing("configuration.offers", message.ComparePublications),
+		PeerProgress: supervise.NewRing[message.ConfigurationProgress]("configuration.peer-progress", 1, supervise.DropOldest),
+		Followed:     supervise.NewStateRing[bool]("configuration.followed"),
+		read:         supervise.NewRing[message.Publication]("configuration.read", 16, supervise.Wait),
+		received:     supervise.NewStateRing[fleet.Offset]("configuration.received"),
 	}
 }
 
@@ -63,7 +68,7 @@
 			return t.run(ctx, dumps)
 		},
 	})
-	tree.Start(supervise.Duty{Name: "configuration", Rings: []supervise.AnyRing{c.Offers, c.read}, Run: c.run})
+	tree.Start(supervise.Duty{Name: "configuration", Rings: []supervise.AnyRing{c.Offers, c.PeerProgress, c.read}, Run: c.run})
 }
 
 func (c *Configurations) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
@@ -73,10 +78,15 @@
 			return ctx.Err()
 		case publication := <-c.read.Items():
 			c.apply(ctx, publication, "store")
+			c.reportProgress(ctx, publication.Offset+1)
 		case publication := <-c.Offers.Items():
 			// Instances of earlier versions don't pass the offset on.
 			if c.apply(ctx, publication, "peer") && publication.Offset > 0 {
-				_ = c.received.Put(ctx, publication.Offset+1) // keeps the newest; never fails
+				c.skipTo(ctx, publication.Offset+1)
+			}
+		case progress := <-c.PeerProgress.Items():
+			if c.inForce != nil && c.inForce.Version >= progress.Version {
+				c.skipTo(ctx, progress.End)
 			}
 		case r := <-dumps:
 			version := int64(0)
@@ -88,6 +98,20 @@
 	}
 }
 
+// skipTo makes the tail leave out the records before an offset.
+func (c *Configurations) skipTo(ctx context.Context, end fleet.Offset) {
+	_ = c.received.Put(ctx, end) // keeps the newest; never fails
+	c.reportProgress(ctx, end)
+}
+
+// reportProgress tells the linked instances up to which offset the publications are
+// applied, so that they don't read a version that is published again.
+func (c *Configurations) reportProgress(ctx context.Context, end fleet.Offset) {
+	if c.Progress != nil && c.inForce != nil {
+		_ = c.Progress.Put(ctx, message.ConfigurationProgress{Version: c.inForce.Version, End: end}) // keeps the newest; never fails
+	}
+}
+
 // apply puts a publication into force if it is newer than the one in force, and
 // reports whether it did.
 func (c *Configurations) apply(ctx context.Context, publication message.Publication, source string) bool {
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -88,6 +88,7 @@
 	p.PeerRings.LinkChanges, p.PeerRings.Announcements = p.Election.LinkChanges, p.Election.Announcements
 	p.PeerRings.HolderHeartbeats, p.PeerRings.Handovers = p.Election.HolderHeartbeats, p.Election.Handovers
 	p.PeerRings.Offers, p.PeerRings.Followed = p.Configurations.Offers, p.Configurations.Followed
+	p.PeerRings.PeerProgress, p.Configurations.Progress = p.Configurations.PeerProgress, p.PeerRings.Progress
 	p.PeerRings.Linked = p.Operations.Linked
 	p.PeerRings.HolderRequests, p.PeerRings.PeerHeartbeats = p.Holder.Requests, p.Holder.Heartbeats
 
