Bound the starts on each path by its round-trip times

Calls to a silent region also took all order duties, so that starts on sound workers waited 700 ms behind stops and lists.

Cause: a constant window of 96 starts for every link, and one queue for all kinds of calls, of which each unanswered start adds two. Change: - decision/congestion: a window for each path, that is for the workers of a data centre, follows the mean round-trip time against the least one; the time limit of a call and the time after which an answer is late follow the round trips too. A start that the window holds back stays in the queue, where it is known not to have run. The members of a gang are not held back one by one. - at most 96 starts and calls to silent workers at a time, one stop at a time to a silent worker, and no list beside it; - starts have order duties of their own; other calls are passed on to control duties. TestUnansweredStartsAreBounded spreads its servers over four data centres, because one path carries fewer than the bound that it checks.

--- a/decision/cell/answers.go
+++ b/decision/cell/answers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lacewingfork.example/lacewingfork/decision/congestion"
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
@@ -16,12 +17,30 @@
 	// missing means that a start or a stop got no answer, and that the worker has
 	// answered nothing since.
 	missing bool
+	// stops is the number of stops without an answer yet, and lastStop the time of
+	// the newest one.
+	stops    int
+	lastStop time.Duration
 }
 
-// lateAnswer is the time after which the answer to a start counts as late. It covers
-// several round trips of 20 ms between regions, and is well below the 700 ms after
-// which the order counts as unanswered.
-const lateAnswer = 150 * time.Millisecond
+// stopForgotten is the time after which a stop counts as answered in any case: the
+// call takes less.
+const stopForgotten = 3 * time.Second
+
+func (a *answers) stopSent(now time.Duration) {
+	a.stops++
+	a.lastStop = now
+}
+
+func (a *answers) stopEnded() { a.stops = max(0, a.stops-1) }
+
+// stopsAwaited returns the number of stops without an answer yet.
+func (a *answers) stopsAwaited(now time.Duration) int {
+	if now-a.lastStop > stopForgotten {
+		a.stops = 0
+	}
+	return a.stops
+}
 
 func (a *answers) startOrdered(now time.Duration) {
 	if a.awaited == 0 {
@@ -30,15 +49,15 @@
 	a.awaited++
 }
 
-// late reports whether the worker has answered nothing since a start was ordered
-// lateAnswer ago.
-func (a *answers) late(now time.Duration) bool {
-	return a.awaited > 0 && now-a.awaitedSince >= lateAnswer
+// late reports whether the worker has answered nothing since a start was ordered, for
+// longer than the answers of its data centre usually take.
+func (w *worker) late(now time.Duration) bool {
+	return w.answers.awaited > 0 && now-w.answers.awaitedSince >= w.dataCentre.path.LateAfter()
 }
 
 // heard applies an answer of a worker to any call.
 func (c *Cell) heard(w *worker) {
-	if w.answers.missing || w.answers.late(c.now.Steady) {
+	if w.answers.missing || w.late(c.now.Steady) {
 		c.needsScheduling = true
 	}
 	w.answers.heardAt, w.answers.awaitedSince, w.answers.missing = c.now.Steady, c.now.Steady, false
@@ -55,12 +74,13 @@
 }
 
 const (
-	// maxUnansweredStarts bounds the starts that wait for an answer, except late
-	// ones. The order duties handle 128 orders at a time; urgent starts would wait
+	// maxUnansweredCalls bounds the starts that wait for an answer and the calls to
+	// workers that leave one unanswered, except late starts. A path may carry fewer
+	// (package congestion). There are 128 duties for starts; urgent ones would wait
 	// behind further ones.
-	maxUnansweredStarts = 96
+	maxUnansweredCalls = 96
 	// maxLateStarts bounds the late starts beside which others may be ordered. The
-	// sum of both bounds leaves order duties for stops and other calls.
+	// sum of both bounds leaves order duties for starts on sound workers.
 	maxLateStarts = 16
 	// A data centre is unresponsive while minSilentWorkers of its workers, and one in
 	// silentShare, don't answer. Single workers fail more often than that.
@@ -78,6 +98,7 @@
 
 // dataCentre is what is known about the answers of the workers of a data centre.
 type dataCentre struct {
+	path            *congestion.Window // of the starts there
 	workers, silent int
 	// unresponsiveSince is when the data centre became unresponsive; 0 if it is not.
 	unresponsiveSince time.Duration
@@ -87,15 +108,21 @@
 // countLateStarts counts the starts whose answer is late, and finds the data centres
 // whose workers do not answer.
 func (c *Cell) countLateStarts() {
-	c.lateStarts = 0
+	c.lateStarts, c.silentCalls = 0, 0
 	for _, d := range c.dataCentres {
 		d.workers, d.silent = 0, 0
 	}
 	for _, w := range c.sortedWorkers {
-		late := w.answers.late(c.now.Steady)
+		late := w.late(c.now.Steady)
 		if late {
 			c.lateStarts += w.answers.awaited
 		}
+		if w.answers.missing {
+			c.silentCalls += w.answers.stopsAwaited(c.now.Steady)
+			if w.extraHoldInFlight != 0 {
+				c.silentCalls++
+			}
+		}
 		if !w.listed || w.server.Draining {
 			continue
 		}
@@ -124,13 +151,13 @@
 // startsExhausted reports whether no further start may be ordered until others are
 // answered or late.
 func (c *Cell) startsExhausted() bool {
-	return c.unansweredStarts-min(c.lateStarts, maxLateStarts) >= maxUnansweredStarts
+	return c.unansweredStarts+c.silentCalls-min(c.lateStarts, maxLateStarts) >= maxUnansweredCalls
 }
 
 // dataCentreOf returns the record of a data centre.
 func (c *Cell) dataCentreOf(name fleet.DataCentre) *dataCentre {
 	if c.dataCentres[name] == nil {
-		c.dataCentres[name] = &dataCentre{}
+		c.dataCentres[name] = &dataCentre{path: congestion.NewWindow()}
 	}
 	return c.dataCentres[name]
 }
@@ -140,7 +167,7 @@
 // unresponsive it has answered something lately.
 func (c *Cell) answersStarts(w *worker) bool {
 	a, now := &w.answers, c.now.Steady
-	if a.missing || a.late(now) {
+	if a.missing || w.late(now) {
 		return false
 	}
 	since := w.dataCentre.unresponsiveSince
--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -93,6 +93,7 @@
 
 	unansweredStarts int // starts without an answer yet
 	lateStarts       int // part of unansweredStarts whose answers are late
+	silentCalls      int // stops and holds in flight to workers that leave an order unanswered
 	dataCentres      map[fleet.DataCentre]*dataCentre
 	adviceInFlight   int           // advisor calls without an answer yet
 	authority        bool          // the holder may give orders
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -205,6 +205,8 @@
 		Deadline time.Duration
 		// Wait is how long the worker may delay the answer until a run ends.
 		Wait time.Duration
+		// Timeout is how long the answer may take beyond Wait.
+		Timeout time.Duration
 		// Extra marks an additional call while another hold is in flight to the
 		// same worker.
 		Extra bool
@@ -219,6 +221,7 @@
 		Deadline   time.Duration // end of the lease on the worker's clock
 		Checkpoint string        // to resume from; empty to start afresh
 		Ticket     string        // of the advisor; empty for a queue without one
+		Timeout    time.Duration // time limit of the call
 	}
 	// Stop orders the end of a run and of all lower attempts of its task.
 	Stop struct {
@@ -226,6 +229,7 @@
 		Address string
 		Task    job.TaskRef
 		Attempt int
+		Timeout time.Duration // time limit of the call
 	}
 	// Throttle sets the speed of a run, in percent of full speed.
 	Throttle struct {
--- a/decision/cell/hold.go
+++ b/decision/cell/hold.go
@@ -29,7 +29,10 @@
 	}
 	// The regular holds of an unreachable worker do not wait, and occupy no order
 	// duty, so it needs no extra ones.
-	if w.extraHoldAt > 0 && c.now.Steady >= w.extraHoldAt && w.extraHoldInFlight == 0 && !w.unreachable {
+	// The stops in flight to a worker that leaves an order unanswered show as well
+	// whether it answers again.
+	if w.extraHoldAt > 0 && c.now.Steady >= w.extraHoldAt && w.extraHoldInFlight == 0 && !w.unreachable &&
+		(!w.answers.missing || w.answers.stopsAwaited(c.now.Steady) == 0) {
 		w.extraHoldAt = 0
 		w.extraHoldAck = w.endsToAcknowledge()
 		w.extraHoldInFlight = c.sendHold(w, 0, w.extraHoldAck, true)
@@ -61,7 +64,10 @@
 
 func (c *Cell) sendHold(w *worker, wait time.Duration, ack int64, extra bool) uint64 {
 	c.holdNumber++
-	h := Hold{Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: ack, Wait: wait, Extra: extra}
+	h := Hold{
+		Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: ack, Wait: wait, Extra: extra,
+		Timeout: w.dataCentre.path.Timeout(),
+	}
 	// A call to a worker that does not answer carries no lease: each call may
 	// still reach the worker, so its lease would never count as expired.
 	if len(w.runs) > 0 && w.clock.known && !w.unreachable && !w.answers.missing {
--- a/decision/cell/regression_test.go
+++ b/decision/cell/regression_test.go
@@ -265,14 +265,15 @@
 	servers := make([]Server, 40)
 	for i := range servers {
 		servers[i] = testServer(fleet.BackendServerID("s" + string(rune('A'+i))))
+		servers[i].DataCentre = fleet.DataCentre(string(rune('a' + i%4))) // the path to each carries fewer
 	}
 	f.setUpServers(servers...)
 	many := oneTaskStep()
-	many.Count, many.Need = 3*maxUnansweredStarts, fleet.Resources{MilliCPU: 100, MemoryMiB: 10}
+	many.Count, many.Need = 3*maxUnansweredCalls, fleet.Resources{MilliCPU: 100, MemoryMiB: 10}
 	f.submit(testJob, many)
 	starts := takeActions[Start](f)
-	if len(starts) != maxUnansweredStarts {
-		t.Fatalf("got %d unanswered starts, want %d", len(starts), maxUnansweredStarts)
+	if len(starts) != maxUnansweredCalls {
+		t.Fatalf("got %d unanswered starts, want %d", len(starts), maxUnansweredCalls)
 	}
 	f.acceptStart(starts[0])
 	if next := takeActions[Start](f); len(next) != 1 {
--- a/decision/cell/return_test.go
+++ b/decision/cell/return_test.go
@@ -315,10 +315,10 @@
 	}
 	f.setUpServers(servers...)
 	f.fillWithLongRunning(longRunningStep(40))
-	f.cell.unansweredStarts = maxUnansweredStarts - 1
+	f.cell.unansweredStarts = maxUnansweredCalls - 1
 	f.submit("00000000000000b1", job.Step{Count: 30, Need: fleet.Resources{MilliCPU: 4000, MemoryMiB: 1000}, Estimate: time.Second})
 	for range 10 { // one start is answered in each interval
-		f.cell.unansweredStarts = maxUnansweredStarts - 1
+		f.cell.unansweredStarts = maxUnansweredCalls - 1
 		f.advance(50 * time.Millisecond)
 	}
 	if stops := takeActions[Stop](f); len(stops) != 0 {
--- a/decision/cell/room.go
+++ b/decision/cell/room.go
@@ -12,6 +12,7 @@
 	service    fleet.Service
 	label      string
 	bestEffort bool
+	gang       bool
 }
 
 // room is the capacity left on the workers of a key. Within a scheduling pass it
@@ -58,14 +59,14 @@
 }
 
 func (c *Cell) roomKeyOf(s *stepState) roomKey {
-	return roomKey{c.queueOf(s.occurrence.job).Service, s.spec.Label, s.spec.BestEffort}
+	return roomKey{c.queueOf(s.occurrence.job).Service, s.spec.Label, s.spec.BestEffort, s.spec.Gang}
 }
 
 // measureRoom measures the capacity left on the workers of a key.
 func (c *Cell) measureRoom(key roomKey, r *room) {
 	r.measured, r.starts = true, c.starts
 	for _, w := range c.sortedWorkers {
-		if w.server.Service != key.service || c.closedTo(w, key.bestEffort) != obstacleNone ||
+		if w.server.Service != key.service || c.closedTo(w, key.bestEffort) != obstacleNone || !key.gang && !w.dataCentre.path.Allows() ||
 			key.label != "" && !slices.Contains(w.server.Labels, key.label) {
 			continue
 		}
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lacewingfork.example/lacewingfork/decision/congestion"
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
@@ -43,7 +44,8 @@
 	stopAcked          bool          // the worker has acknowledged the stop
 	stopAckedAt        time.Duration // time of the acknowledgement
 	stops              int
-	suspect            bool // counted in suspectRuns of the worker
+	suspect            bool               // counted in suspectRuns of the worker
+	path               *congestion.Window // on which the start is in flight
 }
 
 // stopResendInterval is the time until an unanswered stop is sent again. A stop
@@ -57,6 +59,8 @@
 	}
 	if state == runOrdered {
 		c.unansweredStarts++
+		r.path = w.dataCentre.path
+		r.path.Sent()
 		w.answers.startOrdered(c.now.Steady)
 	}
 	w.runs[r.key] = r
@@ -72,12 +76,18 @@
 // setState sets the state of a run and updates the count of unanswered starts.
 func (c *Cell) setState(r *run, state runState) {
 	if r.state == runOrdered && state != runOrdered {
-		c.unansweredStarts--
-		r.worker.answers.awaited--
+		c.startSettled(r)
 	}
 	r.state = state
 }
 
+// startSettled removes a run from the starts without an answer.
+func (c *Cell) startSettled(r *run) {
+	c.unansweredStarts--
+	r.path.Ended()
+	r.worker.answers.awaited--
+}
+
 // account adds the resources of a run to those in use; sign -1 subtracts them.
 func (w *worker) account(r *run, sign int64) {
 	need := r.need
@@ -113,8 +123,7 @@
 
 func (c *Cell) removeRun(r *run) {
 	if r.state == runOrdered {
-		c.unansweredStarts--
-		r.worker.answers.awaited--
+		c.startSettled(r)
 	}
 	r.setSuspect(false)
 	delete(r.worker.runs, r.key)
@@ -140,7 +149,7 @@
 	w.leaseGranted = max(w.leaseGranted, deadline)
 	c.emit(Start{
 		Server: w.server.ID, Address: w.server.Address, Task: r.key.task, Attempt: attempt, Spec: j.job.Spec,
-		Deadline: deadline, Checkpoint: t.checkpoint, Ticket: ticket,
+		Deadline: deadline, Checkpoint: t.checkpoint, Ticket: ticket, Timeout: r.path.Timeout(),
 	})
 	c.emit(Note{Event: NoteStartOrdered, Job: j.job.ID, Task: r.key.task.String(), Server: w.server.ID, Detail: map[string]any{
 		"attempt": attempt, "waited_ms": (c.now.Steady - max(j.acceptedAt, t.requeuedAt)).Milliseconds(), "free_milli_cpu": w.server.Capacity.MilliCPU - w.used.MilliCPU,
@@ -165,9 +174,14 @@
 	}
 	w.updateClock(e.Clock, c.now.Steady)
 	switch e.Outcome {
-	case StartUnknown, StartNotConnected, StartNotSent:
+	case StartUnknown, StartNotConnected:
+		if w.dataCentre.unresponsiveSince > 0 {
+			r.path.Lost(c.now.Steady, r.orderedAt)
+		}
+	case StartNotSent:
 	default:
 		c.heard(w)
+		r.path.Answered(c.now.Steady, r.orderedAt)
 	}
 	switch e.Outcome {
 	case StartAccepted:
@@ -254,10 +268,19 @@
 	c.sendStop(r)
 }
 
+// sendStop sends a stop, but only one at a time to a worker that leaves an order
+// unanswered; resendStops sends the others when it answers.
 func (c *Cell) sendStop(r *run) {
+	if r.worker.answers.missing && r.worker.answers.stopsAwaited(c.now.Steady) > 0 {
+		return
+	}
 	r.stopSent = c.now.Steady
 	r.stops++
-	c.emit(Stop{Server: r.worker.server.ID, Address: r.worker.server.Address, Task: r.key.task, Attempt: r.key.attempt})
+	r.worker.answers.stopSent(c.now.Steady)
+	c.emit(Stop{
+		Server: r.worker.server.ID, Address: r.worker.server.Address, Task: r.key.task, Attempt: r.key.attempt,
+		Timeout: r.worker.dataCentre.path.Timeout(),
+	})
 }
 
 // resendStops sends unanswered stops again, except to a worker that left an order
@@ -279,6 +302,7 @@
 	if w == nil {
 		return
 	}
+	w.answers.stopEnded()
 	if e.Fenced {
 		c.emit(Superseded{Server: e.Server})
 		return
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -171,6 +171,8 @@
 		return obstacleLabel
 	case s.MaxPerServer > 0 && w.runsOfStep(t.step) >= s.MaxPerServer:
 		return obstacleMaxPerServer
+	case !s.Gang && !w.dataCentre.path.Allows():
+		return obstaclePath // the members of a gang are ordered together, or not at all
 	default:
 		return obstacleNone
 	}
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -22,13 +22,14 @@
 	obstacleAccelerators
 	obstacleLabel
 	obstacleMaxPerServer
+	obstaclePath // the path to its data centre carries no further start now
 	obstacleCount
 )
 
 // obstacleNames are the names of the obstacles in the log. A worker without an
 // obstacle has room for the task.
 var obstacleNames = [obstacleCount]string{
-	"with_room", "unusable", "no_answer", "set_aside", "suspect", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit",
+	"with_room", "unusable", "no_answer", "set_aside", "suspect", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit", "path_full",
 }
 
 // Reasons in the log for the wait of a step that are not obstacles of workers.
@@ -36,7 +37,7 @@
 	waitTakeover     = "takeover"          // a run of an earlier holder may still exist
 	waitCrashRecord  = "crash_record"      // a crash under a task of the job is being recorded
 	waitRetry        = "retry_delay"       // the last start was not accepted, or the task was preempted
-	waitStarts       = "unanswered_starts" // maxUnansweredStarts
+	waitStarts       = "unanswered_starts" // maxUnansweredCalls
 	waitAdvice       = "advice"            // no valid ticket of the advisor
 	waitInterference = "interference"      // it would disturb serving tasks
 	waitGang         = "gang"              // there is room for some of its tasks only
--- a/scheduler/workers/workers.go
+++ b/scheduler/workers/workers.go
@@ -1,8 +1,9 @@
 // Package workers is the supervisor of the calls to the workers. The manager
 // duty starts a hold duty for each worker, which makes the hold calls that wait
-// for the worker's lists. A fixed number of order duties executes starts,
-// stops, throttles, advice calls and holds that do not wait. The duties own
-// only the call in progress. When a duty fails, its call counts as unanswered
+// for the worker's lists. A fixed number of order duties executes starts, and
+// another of control duties stops, throttles, advice calls and holds that do not
+// wait: calls of one kind to silent workers do not hold up the other kind. The duties
+// own only the call in progress. When a duty fails, its call counts as unanswered
 // after the holder's own timeout.
 package workers
 
@@ -22,18 +23,17 @@
 )
 
 const (
-	// orderDuties is the number of concurrent orders. It covers the 112 starts without
-	// an answer that a cell may have ordered, and other calls beside them. With 256,
-	// the holder of a cell of 490 workers made 550 starts a second, with 128 it makes
-	// over 1,000.
+	// orderDuties is the number of concurrent starts. It exceeds the 112 without an
+	// answer that a cell may have ordered.
 	orderDuties = 128
+	// controlDuties is the number of concurrent calls of the other kinds.
+	controlDuties = 128
 	// orderCapacity covers the starts of a job with the maximum number of tasks
 	// in every queue at once.
 	orderCapacity = 8192
 	// holdCapacity covers one hold for every worker of a deployment.
 	holdCapacity = 1024
-	// orderTimeout covers many round trips between regions. It is less than the
-	// time after which an unanswered order is executed anyway.
+	// orderTimeout is the time limit of a call for which the decisions give none.
 	orderTimeout = 700 * time.Millisecond
 	// adviceCalls is the number of this instance's calls that an advisor may
 	// have to process until a new call is answered, including that call.
@@ -60,6 +60,9 @@
 	Orders *supervise.Ring[message.Order]
 	// Holds carries holds that wait.
 	Holds *supervise.Ring[message.Order]
+	// controls carries what is not a start from the order duties to the control
+	// duties.
+	controls *supervise.Ring[message.Order]
 	// idleHolds carries the workers whose hold duty has had no hold for
 	// holdIdleTimeout.
 	idleHolds *supervise.Ring[fleet.BackendServerID]
@@ -70,6 +73,7 @@
 	s := &Supervisor{
 		tree: root.Child("workers", supervise.DefaultIntensity), workers: workers, advisor: advisor, clock: c, events: events,
 		Orders:    supervise.NewRing[message.Order]("workers.orders", orderCapacity, supervise.Refuse),
+		controls:  supervise.NewRing[message.Order]("workers.controls", orderCapacity, supervise.Wait),
 		Holds:     supervise.NewRing[message.Order]("workers.holds", holdCapacity, supervise.Refuse),
 		idleHolds: supervise.NewRing[fleet.BackendServerID]("workers.idle", holdCapacity, supervise.Wait),
 		callSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -78,10 +82,13 @@
 		}, []string{"call", "outcome"}),
 	}
 	registry.MustRegister(s.callSeconds)
-	s.tree.Start(supervise.Duty{Name: "manager", Rings: []supervise.AnyRing{s.Holds, s.idleHolds, s.Orders}, Run: s.manage})
+	s.tree.Start(supervise.Duty{Name: "manager", Rings: []supervise.AnyRing{s.Holds, s.idleHolds, s.Orders, s.controls}, Run: s.manage})
 	for i := range orderDuties {
 		s.tree.Start(supervise.Duty{Name: fmt.Sprintf("order/%d", i), Run: s.order})
 	}
+	for i := range controlDuties {
+		s.tree.Start(supervise.Duty{Name: fmt.Sprintf("control/%d", i), Run: s.control})
+	}
 	return s
 }
 
@@ -157,13 +164,33 @@
 	}
 }
 
-// order is the loop of one order duty.
+// order is the loop of one order duty. It makes starts and passes the other calls on.
 func (s *Supervisor) order(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case o := <-s.Orders.Items():
+			if _, ok := o.Action.(cell.Start); ok {
+				s.call(ctx, o)
+				continue
+			}
+			if err := s.controls.Put(ctx, o); err != nil {
+				return err
+			}
+		case r := <-dumps:
+			r.Answer(nil)
+		}
+	}
+}
+
+// control is the loop of one control duty.
+func (s *Supervisor) control(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case o := <-s.controls.Items():
 			s.call(ctx, o)
 		case r := <-dumps:
 			r.Answer(nil)
@@ -171,16 +198,32 @@
 	}
 }
 
+// timeoutOf returns the time limit of a call, beyond the time that a hold may wait.
+func timeoutOf(a cell.Action) time.Duration {
+	timeout := time.Duration(0)
+	switch a := a.(type) {
+	case cell.Hold:
+		timeout = a.Timeout
+	case cell.Start:
+		timeout = a.Timeout
+	case cell.Stop:
+		timeout = a.Timeout
+	case cell.Advise:
+		timeout = orderTimeout + adviceCalls*a.Duration
+	}
+	if timeout == 0 {
+		return orderTimeout
+	}
+	return timeout
+}
+
 // call executes one order and reports its outcome.
 func (s *Supervisor) call(ctx context.Context, o message.Order) {
-	timeout, holdWait := orderTimeout, time.Duration(0)
+	holdWait := time.Duration(0)
 	if h, ok := o.Action.(cell.Hold); ok {
 		holdWait = h.Wait
 	}
-	if a, ok := o.Action.(cell.Advise); ok {
-		timeout += adviceCalls * a.Duration
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+holdWait)
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(o.Action)+holdWait)
 	defer cancel()
 	start := time.Now()
 	event, name, ok := s.execute(ctx, o)
