--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -2,6 +2,7 @@
 package message
 
 import (
+	"cmp"
 	"time"
 
 	"lacewingfork.example/lacewingfork/decision/cell"
@@ -78,8 +79,11 @@
 	Epoch                fleet.Epoch
 	IsHolder             bool
 	ConfigurationVersion int64
-	StoreOutage          time.Duration
-	Pending              map[job.Queue]int
+	// ConfigurationEnd is the offset up to which the operators' publications have
+	// been applied in ConfigurationVersion; 0 if it is not known.
+	ConfigurationEnd fleet.Offset
+	StoreOutage      time.Duration
+	Pending          map[job.Queue]int
 }
 
 // AppendResult is the outcome of an append of the holder.
@@ -116,17 +120,30 @@
 }
 
 // Publication is an encoded publication of the operators and the offset of its
-// record in the store.
+// record in the store. Version is 0 if only the document tells it.
 type Publication struct {
+	Version  int64
 	Document []byte
 	Offset   fleet.Offset
 }
 
+// ComparePublications orders publications by version, then by offset.
+func ComparePublications(a, b Publication) int {
+	return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Offset, b.Offset))
+}
+
+// ConfigurationProgress says that the publications before the offset End have been
+// applied, which has brought Version into force.
+type ConfigurationProgress struct {
+	Version int64
+	End     fleet.Offset
+}
+
 // ConfigurationRing carries the configuration in force to a duty. Only the
 // newest one is kept.
 type ConfigurationRing = supervise.Ring[*api.Configuration]
 
 // NewConfigurationRing returns a ring with the given name.
 func NewConfigurationRing(name string) *ConfigurationRing {
-	return supervise.NewRing[*api.Configuration](name, 1, supervise.DropOldest)
+	return supervise.NewStateRing[*api.Configuration](name)
 }
--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -51,6 +51,7 @@
 	defer ticker.Stop()
 	defer r.failPending()
 	r.downSince = r.supervisor.clock.Steady()
+	supervise.Replay(rings.Holders, rings.Configurations, rings.StoreOutage, rings.RouterStatus)
 	for {
 		var frames <-chan *cellpb.Frame
 		var failed <-chan error
@@ -205,7 +206,12 @@
 	if !r.up() {
 		r.linkUp(ctx)
 	}
-	if version := configurationVersion(r.configuration); heartbeat.ConfigurationVersion < version && r.session.sentVersion < version {
+	version := configurationVersion(r.configuration)
+	if heartbeat.ConfigurationEnd > 0 && heartbeat.ConfigurationVersion == version {
+		// Keeps the newest; never fails.
+		_ = r.supervisor.rings.PeerProgress.Put(ctx, message.ConfigurationProgress{Version: version, End: heartbeat.ConfigurationEnd})
+	}
+	if heartbeat.ConfigurationVersion < version && r.session.sentVersion < version {
 		r.session.sentVersion = version
 		r.sendOrClose(ctx, encodeConfiguration(r.configuration))
 	}
@@ -286,7 +292,8 @@
 func (r *router) tick(ctx context.Context) {
 	now := r.supervisor.clock.Steady()
 	if r.session != nil {
-		if now-r.session.receivedAt > linkTimeout {
+		// Queued frames show that the link works and this duty was busy.
+		if now-r.session.receivedAt > linkTimeout && r.session.received.Stats().Depth == 0 {
 			r.closeLink(ctx, "silent", nil)
 		} else {
 			r.sendOrClose(ctx, encodeHeartbeat(message.Heartbeat{
