Rate the workers once for all tasks of a step

Most of that went into the interference of best-effort tasks that had to wait anyway. Ruled out: the order duties (224 starts in flight change nothing); calls to workers (18 % of the holder). Change: - the tasks of a step are alike: its workers are rated once and kept as a heap. A cost that has become the lowest is brought up to date before it is used; - a best-effort step that may still wait is compared with the room that disturbs no serving task, kept for its image within a pass, before any worker is rated; - the slack of the serving images of a worker, the upcoming load of a step and the utilisation of a service are worked out once for a moment; - passes take a twentieth of the processor: their interval grows with the waiting steps and the workers, from 2 ms on; in a smaller cell a pass follows each event as before. PassDue tells the holder when the next one is due. The fixtures of large cells let the time until the next pass pass.

--- a/decision/cell/bench_test.go
+++ b/decision/cell/bench_test.go
@@ -20,7 +20,7 @@
 			for n := 0; b.Loop(); n++ {
 				f.now += time.Millisecond
 				f.submit(fleet.JobID(fmt.Sprintf("%016x", 1<<32+n)), oneTaskStep())
-				start := takeActions[Start](f)[0]
+				start := f.takeStarts()[0]
 				f.acceptStart(start)
 				w := f.cell.workers[start.Server]
 				f.handle(HoldAnswered{
@@ -51,7 +51,7 @@
 	small.Need = fleet.Resources{MilliCPU: 1000, MemoryMiB: 100}
 	for i := range benchRunningJobs {
 		f.submit(fleet.JobID(fmt.Sprintf("%016x", i)), small)
-		for _, s := range takeActions[Start](f) {
+		for _, s := range f.takeStarts() {
 			f.acceptStart(s)
 		}
 	}
@@ -67,7 +67,7 @@
 	step := longRunningStep(workers * tasksPerWorker)
 	step.Need = fleet.Resources{MilliCPU: 12000 / int64(tasksPerWorker), MemoryMiB: 100}
 	f.submit("000000000000c001", step)
-	for starts := takeActions[Start](f); len(starts) > 0; starts = takeActions[Start](f) {
+	for starts := f.takeStarts(); len(starts) > 0; starts = f.takeStarts() {
 		for _, s := range starts {
 			f.acceptStart(s)
 		}
--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -83,7 +83,10 @@
 	// all others, by service.
 	longRunningExcess map[fleet.Service]int64
 	crowdingMeasured  bool
-	room              map[roomKey]*room // of the present scheduling pass
+	room              map[roomKey]*room // of the present scheduling pass or event
+	ratedBuffer       ratedWorkers      // reused by the searches of a pass
+	interferenceWaits map[fleet.Service]interferenceWait
+	nextPass          time.Duration // no scheduling pass before
 
 	interference           *interferenceModel
 	interferenceRecordedAt time.Duration // time of the last record of the model
@@ -119,7 +122,8 @@
 		settings: settings, round: max(1, round), authority: true,
 		queues: map[job.Queue]QueueSettings{}, retiredQueues: map[job.Queue]QueueSettings{}, jobs: map[fleet.JobID]*jobState{},
 		workers: map[fleet.BackendServerID]*worker{}, longRunningExcess: map[fleet.Service]int64{}, room: map[roomKey]*room{},
-		dataCentres: map[fleet.DataCentre]*dataCentre{},
+		interferenceWaits: map[fleet.Service]interferenceWait{},
+		dataCentres:       map[fleet.DataCentre]*dataCentre{},
 	}
 	c.nextBatch, c.interference = newBatch(1), newInterferenceModel()
 	c.batchNumber = 1
@@ -130,6 +134,7 @@
 // is called.
 func (c *Cell) Handle(now Moment, event Event) {
 	c.now = now
+	clear(c.room)
 	switch e := event.(type) {
 	case Submitted:
 		c.submit(e)
@@ -176,16 +181,44 @@
 // Actions returns the actions that resulted from events since the last call, in
 // order.
 func (c *Cell) Actions() []Action {
-	if c.needsScheduling {
+	if c.needsScheduling && c.now.Steady >= c.nextPass {
 		c.needsScheduling = false
 		c.schedule()
 		c.reportWaits()
+		c.nextPass = c.now.Steady + c.passInterval()
 	}
 	actions := c.actions
 	c.actions = nil
 	return actions
 }
 
+const (
+	// passTimePerStep and passTimePerWorker are twenty times what a step that waits
+	// and a worker add to the time of a scheduling pass, so that passes take a
+	// twentieth of the processor.
+	passTimePerStep   = 8 * time.Microsecond
+	passTimePerWorker = 12 * time.Microsecond
+	// minPassInterval is the interval below which a pass follows each event, and
+	// maxPassInterval that of ticks.
+	minPassInterval = 2 * time.Millisecond
+	maxPassInterval = 50 * time.Millisecond
+)
+
+// passInterval returns the least time between two scheduling passes.
+func (c *Cell) passInterval() time.Duration {
+	interval := time.Duration(len(c.ready))*passTimePerStep + time.Duration(len(c.sortedWorkers))*passTimePerWorker
+	if interval < minPassInterval {
+		return 0
+	}
+	return min(interval, maxPassInterval)
+}
+
+// PassDue returns how long the next scheduling pass has to wait, and whether one is
+// due. Actions makes it after the first event from then on, PassTime at the latest.
+func (c *Cell) PassDue(now time.Duration) (time.Duration, bool) {
+	return max(0, c.nextPass-now), c.needsScheduling
+}
+
 func (c *Cell) emit(a Action) { c.actions = append(c.actions, a) }
 
 // tick does the work that depends on time alone: holds that are due, lease
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -130,6 +130,9 @@
 	AuthorityChanged struct{ Held bool }
 	// Tick reports that time has passed.
 	Tick struct{}
+	// PassTime reports that the time until the scheduling pass that PassDue has
+	// announced has passed.
+	PassTime struct{}
 )
 
 func (Submitted) isEvent()        {}
@@ -149,6 +152,7 @@
 func (StoreHealth) isEvent()      {}
 func (AuthorityChanged) isEvent() {}
 func (Tick) isEvent()             {}
+func (PassTime) isEvent()         {}
 
 // RunningRow is one run that a worker lists.
 type RunningRow struct {
--- a/decision/cell/fixture_test.go
+++ b/decision/cell/fixture_test.go
@@ -44,6 +44,16 @@
 	}
 }
 
+// takeStarts lets the time until the scheduling pass that is due pass, removes the
+// starts from the collected actions and returns them.
+func (f *fixture) takeStarts() []Start {
+	if wait, due := f.cell.PassDue(f.now); due {
+		f.now += wait
+		f.handle(PassTime{})
+	}
+	return takeActions[Start](f)
+}
+
 // advance lets time advance in ticks.
 func (f *fixture) advance(d time.Duration) {
 	for end := f.now + d; f.now < end; {
--- a/decision/cell/health.go
+++ b/decision/cell/health.go
@@ -143,7 +143,7 @@
 	if w.unreachable || !c.authority {
 		return
 	}
-	for _, r := range slices.Clone(w.runsInOrder) {
+	for _, r := range w.runsInOrder { // stopRun keeps it until its end is listed
 		if r.state != runConfirmed || r.task.step.spec.LongRunning || r.task.step.spec.Gang || r.speed < fullSpeed || r.percent >= fullSpeed {
 			continue
 		}
--- a/decision/cell/load.go
+++ b/decision/cell/load.go
@@ -11,6 +11,9 @@
 	fast, slow float64 // the load, smoothed over two time spans
 	peak       float64
 	at         time.Duration // middle of the time that the newest measurement covers
+	// upcoming is the result of upcomingMax at upcomingAt; 0 if it is not known.
+	upcoming   float64
+	upcomingAt time.Duration
 }
 
 const (
@@ -46,6 +49,7 @@
 
 // add applies the load derived from a measurement, with a weight from 0 to 1.
 func (e *loadEstimate) add(now time.Duration, load, weight float64) {
+	e.upcomingAt = 0
 	load = min(max(load, 0), 1)
 	at := now - measurementLag
 	if !e.known {
@@ -77,5 +81,8 @@
 
 // upcomingMax returns the higher of the loads now and at the placement horizon.
 func (e *loadEstimate) upcomingMax(now time.Duration) float64 {
-	return max(e.load(now), e.load(now+placementHorizon))
+	if e.upcomingAt != now || now == 0 {
+		e.upcoming, e.upcomingAt = max(e.load(now), e.load(now+placementHorizon)), now
+	}
+	return e.upcoming
 }
--- a/decision/cell/many_waiting_test.go
+++ b/decision/cell/many_waiting_test.go
@@ -56,8 +56,10 @@
 	return f
 }
 
-// tickWaits handles a tick and returns the number of lines on waits.
+// tickWaits lets the time between two scheduling passes pass, handles a tick and
+// returns the number of lines on waits.
 func (f *fixture) tickWaits() int {
+	f.now += maxPassInterval
 	f.cell.Handle(f.moment(), Tick{})
 	f.actions = append(f.actions[:0], f.cell.Actions()...)
 	return len(taskWaits(f))
--- a/decision/cell/preempt_test.go
+++ b/decision/cell/preempt_test.go
@@ -21,7 +21,7 @@
 func (f *fixture) fillWithLongRunning(step job.Step) map[fleet.BackendServerID][]RunningRow {
 	f.submit("00000000000000c1", step)
 	rows := map[fleet.BackendServerID][]RunningRow{}
-	for _, s := range takeActions[Start](f) {
+	for _, s := range f.takeStarts() {
 		f.acceptStart(s)
 		rows[s.Server] = append(rows[s.Server], RunningRow{Task: s.Task, Attempt: s.Attempt, Percent: fullSpeed})
 	}
@@ -139,7 +139,7 @@
 	step := longRunningStep(800)
 	f.submit("00000000000000c1", step)
 	running := map[fleet.BackendServerID][]RunningRow{}
-	for starts := takeActions[Start](f); len(starts) > 0; starts = takeActions[Start](f) {
+	for starts := f.takeStarts(); len(starts) > 0; starts = f.takeStarts() {
 		for _, s := range starts {
 			f.acceptStart(s)
 			running[s.Server] = append(running[s.Server], RunningRow{Task: s.Task, Attempt: s.Attempt, Percent: fullSpeed})
--- a/decision/cell/room.go
+++ b/decision/cell/room.go
@@ -13,6 +13,10 @@
 	label      string
 	bestEffort bool
 	gang       bool
+	// quiet limits the processor need to that which disturbs no serving task, for
+	// a best-effort image.
+	quiet bool
+	image imageID
 }
 
 // room is the capacity left on the workers of a key. Within a scheduling pass it
@@ -35,15 +39,42 @@
 	}
 	w, cost := c.choose(t)
 	if w == nil {
-		key := c.roomKeyOf(t.step)
-		if r := c.room[key]; r == nil || r.starts != c.starts {
-			// Measured at the next search, when no member of a gang reserves resources.
-			c.room[key] = &room{}
-		}
+		c.searchFailed(c.roomKeyOf(t.step))
 	}
 	return w, cost
 }
 
+// searchFailed has the room of a key measured again if starts have reduced it. That is
+// done at the next search, when no member of a gang reserves resources.
+func (c *Cell) searchFailed(key roomKey) {
+	if r := c.room[key]; r == nil || r.starts != c.starts {
+		c.room[key] = &room{}
+	}
+}
+
+// interferesEverywhere reports whether a best-effort task of a step would disturb a
+// serving task on each worker that has room for it.
+func (c *Cell) interferesEverywhere(s *stepState) bool {
+	key := c.quietKeyOf(s)
+	r := c.room[key]
+	if r == nil {
+		r = &room{}
+		c.room[key] = r
+	}
+	if !r.measured {
+		c.measureRoom(key, r)
+	}
+	need := s.spec.Need
+	need.Slots = 0
+	return !slices.ContainsFunc(r.free, need.Fits)
+}
+
+func (c *Cell) quietKeyOf(s *stepState) roomKey {
+	key := c.roomKeyOf(s)
+	key.quiet, key.image = true, s.image
+	return key
+}
+
 // exceedsRoom reports whether it is known in a scheduling pass that the tasks of a
 // step need more than any of its workers has left.
 func (c *Cell) exceedsRoom(s *stepState) bool {
@@ -59,7 +90,7 @@
 }
 
 func (c *Cell) roomKeyOf(s *stepState) roomKey {
-	return roomKey{c.queueOf(s.occurrence.job).Service, s.spec.Label, s.spec.BestEffort, s.spec.Gang}
+	return roomKey{c.queueOf(s.occurrence.job).Service, s.spec.Label, s.spec.BestEffort, s.spec.Gang, false, 0}
 }
 
 // measureRoom measures the capacity left on the workers of a key.
@@ -72,6 +103,9 @@
 		}
 		free := w.free()
 		free.Slots = 0 // not a resource of tasks
+		if key.quiet {
+			free.MilliCPU = c.quietCPU(w, key.image)
+		}
 		if slices.ContainsFunc(r.free, free.Fits) {
 			continue
 		}
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -56,6 +56,7 @@
 	if s.spec.LongRunning && c.exceedsRoom(s) {
 		return
 	}
+	var found candidates
 	waiting := slices.Clone(s.waiting)
 	if s.order.hasOverdue {
 		// The step owes its place in the order to these tasks.
@@ -69,8 +70,13 @@
 		if c.failIfAttemptsExhausted(t) || c.startsExhausted() {
 			return
 		}
-		w, cost := c.findWorker(t)
-		if w != nil && s.spec.BestEffort && cost >= costInterferes && c.now.Steady-c.waitingSince(t) < c.maxInterferenceWait(w.server.Service) {
+		waitsForQuiet := s.spec.BestEffort && c.waitsForQuiet(t)
+		if waitsForQuiet && len(t.avoid) == 0 && c.interferesEverywhere(s) {
+			return // as below, without rating the workers
+		}
+		w, cost := c.findCandidate(&found, t)
+		if w != nil && waitsForQuiet && cost >= costInterferes {
+			c.searchFailed(c.quietKeyOf(s))
 			return // the interference would cost more than the delay
 		}
 		if w == nil {
@@ -120,9 +126,31 @@
 	highUtilization = 0.6
 )
 
+// waitsForQuiet reports whether a best-effort task may still wait for a server
+// without interference.
+func (c *Cell) waitsForQuiet(t *task) bool {
+	return c.now.Steady-c.waitingSince(t) < c.maxInterferenceWait(c.queueOf(t.step.occurrence.job).Service)
+}
+
+// interferenceWait is the result of maxInterferenceWait after a number of starts.
+type interferenceWait struct {
+	at     time.Duration
+	starts uint64
+	wait   time.Duration
+}
+
 // maxInterferenceWait returns how long a best-effort task waits for a server
 // without interference.
 func (c *Cell) maxInterferenceWait(service fleet.Service) time.Duration {
+	kept, known := c.interferenceWaits[service]
+	if !known || kept.at != c.now.Steady || kept.starts != c.starts {
+		kept = interferenceWait{c.now.Steady, c.starts, c.measureInterferenceWait(service)}
+		c.interferenceWaits[service] = kept
+	}
+	return kept.wait
+}
+
+func (c *Cell) measureInterferenceWait(service fleet.Service) time.Duration {
 	var used, capacity int64
 	for _, w := range c.sortedWorkers {
 		if w.server.Service == service && w.usable() {
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -142,6 +142,8 @@
 	d.role = nil
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	pass := time.NewTimer(tickInterval)
+	defer pass.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -166,11 +168,20 @@
 			d.endRole("stopping")
 		case <-ticker.C:
 			d.tick()
+		case <-pass.C:
+			if d.role != nil {
+				d.handle(cell.PassTime{})
+			}
 		case r := <-dumps:
 			r.Answer(d.dump())
 		}
 		d.drain()
 		d.executeActions(ctx)
+		if d.role != nil {
+			if wait, due := d.role.cell.PassDue(d.clock.Steady()); due && wait > 0 {
+				pass.Reset(wait)
+			}
+		}
 	}
 }
 
