Say when the holder is behind, and shed optional work

Change: each answer of a worker carries the time at which it arrived. The longest wait since the last tick is a metric, lacewingfork_holder_lag_seconds.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -103,6 +103,7 @@
 	serverListRead   bool          // the whole server list has been read once
 	blocked          bool          // tasks of restored jobs may still run on workers that are not fenced yet
 	storeWait        time.Duration // how long an append has been unanswered
+	behind           bool          // the holder leaves out work that starts and ends nothing
 	holdNumber       uint64        // of the last hold sent
 	starts           uint64        // starts ordered
 	workerChecks     uint64        // checks whether a worker can run a task
@@ -177,6 +178,8 @@
 		c.tick()
 	}
 }
+	case HolderLoad:
+		c.behind = e.Behind
 
 // Actions returns the actions that resulted from events since the last call, in
 // order.
@@ -184,7 +187,9 @@
 	if c.needsScheduling && c.now.Steady >= c.nextPass {
 		c.needsScheduling = false
 		c.schedule()
-		c.reportWaits()
+		if !c.behind {
+			c.reportWaits()
+		}
 		c.nextPass = c.now.Steady + c.passInterval()
 	}
 	actions := c.actions
@@ -233,7 +238,9 @@
 	c.countLateStarts()
 	c.removeUnlisted()
 	c.checkBlocked()
-	c.consolidate()
+	if !c.behind {
+		c.consolidate()
+	}
 	if c.interference.changed && c.now.Steady-c.interferenceRecordedAt >= interferenceRecordInterval {
 		c.interferenceRecordedAt, c.interference.changed = c.now.Steady, false
 		c.nextBatch.interference = true
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -128,6 +128,9 @@
 	StoreHealth struct{ Waiting time.Duration }
 	// AuthorityChanged reports whether the holder may give orders.
 	AuthorityChanged struct{ Held bool }
+	// HolderLoad reports whether the holder decides later than it should, for want of
+	// processor time.
+	HolderLoad struct{ Behind bool }
 	// Tick reports that time has passed.
 	Tick struct{}
 	// PassTime reports that the time until the scheduling pass that PassDue has
@@ -151,6 +154,7 @@
 func (BatchRefused) isEvent()     {}
 func (StoreHealth) isEvent()      {}
 func (AuthorityChanged) isEvent() {}
+func (HolderLoad) isEvent()       {}
 func (Tick) isEvent()             {}
 func (PassTime) isEvent()         {}
 
--- a/decision/cell/waits_test.go
+++ b/decision/cell/waits_test.go
@@ -67,3 +67,22 @@
 	}
 	return found
 }
+
+// Guards against a holder that spends processor time on reports while it is behind.
+func TestHolderThatIsBehindReportsNoWaits(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setUpServers(testServer("a"))
+	step := oneTaskStep()
+	step.Need.MilliCPU = 99000
+	f.submit(testJob, step)
+	f.handle(HolderLoad{Behind: true})
+	f.advance(10 * time.Second)
+	if lines := taskWaits(f); len(lines) != 0 {
+		t.Fatalf("got %d lines on waits while the holder is behind, want none", len(lines))
+	}
+	f.handle(HolderLoad{})
+	f.advance(time.Second)
+	if lines := taskWaits(f); len(lines) == 0 {
+		t.Error("got no line on a wait of 11 s after the holder has caught up, want one")
+	}
+}
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -121,6 +121,9 @@
 	hasAuthority        bool
 	configured          bool // a configuration has been passed to the decisions
 	ticks               int
+	lag                 time.Duration // longest time that an answer waited since the last tick
+	behind              bool
+	punctualTicks       int // ticks since the last one with a lag
 }
 
 // New returns the duty; Start starts it.
@@ -276,6 +279,7 @@
 
 func (d *Duty) handleWorkerEvent(e message.WorkerEvent) {
 	if d.role != nil && d.role.epoch == e.Epoch {
+		d.role.lag = max(d.role.lag, d.clock.Steady()-e.AnsweredAt)
 		d.handle(e.Event)
 	}
 }
@@ -368,6 +372,7 @@
 		d.handle(cell.StoreHealth{Waiting: outage})
 	}
 	d.checkAuthority()
+	d.checkLag()
 	d.handle(cell.Tick{})
 	if r.ticks++; r.ticks%ticksPerStatus == 0 {
 		d.publish()
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -17,6 +17,7 @@
 	taskWaits       *prometheus.CounterVec
 	takeovers       prometheus.Counter
 	unreadResponses prometheus.Counter
+	lag             prometheus.Gauge
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -47,7 +48,10 @@
 			Name: "lacewingfork_answers_unread_total", Help: "Responses dropped because the caller no longer waited.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.jobSeconds, m.takeovers, m.unreadResponses)
+	m.lag = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "lacewingfork_holder_lag_seconds", Help: "Longest time that an answer of a worker has waited for the holder since its last tick.",
+	})
+	registry.MustRegister(m.lag, m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.jobSeconds, m.takeovers, m.unreadResponses)
 	return m
 }
 
--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -100,8 +100,9 @@
 // WorkerEvent is the answer of a worker or the advisor to an order of an epoch's
 // holder.
 type WorkerEvent struct {
-	Epoch fleet.Epoch
-	Event cell.Event
+	Epoch      fleet.Epoch
+	Event      cell.Event
+	AnsweredAt time.Duration // on the steady clock
 }
 
 // Order is a call to a worker or to the advisor.
--- a/scheduler/workers/workers.go
+++ b/scheduler/workers/workers.go
@@ -239,7 +239,7 @@
 	}
 	// Put waits for room in the ring. When the process ends the answer is not
 	// needed.
-	_ = s.events.Put(context.WithoutCancel(ctx), message.WorkerEvent{Epoch: o.Epoch, Event: event})
+	_ = s.events.Put(context.WithoutCancel(ctx), message.WorkerEvent{Epoch: o.Epoch, Event: event, AnsweredAt: s.clock.Steady()})
 }
 
 // execute makes the call of an order. It returns the resulting event, or nil if
