Keep the lists of all workers within half of the link and the processor

On the small twin of the large site (holder with 2 Mbit/s and 0.07 cores, 90 workers) each end of a task fetched the whole list of its worker at once; the lists displaced the starts.

Change: between two lists of a worker the time in which the newest lists of all workers pass through half of the holder's link, or take half of its processor, a second at most. The link's rate comes from the settings (link_mbps). On a link of 1,000 Mbit/s with 66 workers that is 50 ms, on the small twin 0.4 to 0.7 s. Ruled out: shorter lists (the protocol has none); longer waits at the workers (they answer at the first end).

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -22,6 +22,7 @@
 import (
 	"time"
 
+	"lacewingfork.example/lacewingfork/decision/congestion"
 	"lacewingfork.example/lacewingfork/decision/job"
 	"lacewingfork.example/lacewingfork/fleet"
 )
@@ -43,6 +44,8 @@
 	RemoteFactor float64
 	// MaxTimeOverTarget is how long a task may exceed its latency target.
 	MaxTimeOverTarget time.Duration
+	// Capacity is that of the holder's instance.
+	Capacity congestion.Capacity
 }
 
 // DefaultSettings returns the settings for the project's own stand-in platform.
@@ -100,11 +103,12 @@
 	dataCentres      map[fleet.DataCentre]*dataCentre
 	adviceInFlight   int           // advisor calls without an answer yet
 	authority        bool          // the holder may give orders
+	behind           bool          // the holder leaves out work that starts and ends nothing
 	serverListRead   bool          // the whole server list has been read once
 	blocked          bool          // tasks of restored jobs may still run on workers that are not fenced yet
 	storeWait        time.Duration // how long an append has been unanswered
-	behind           bool          // the holder leaves out work that starts and ends nothing
 	holdNumber       uint64        // of the last hold sent
+	listInterval     time.Duration // least time between two lists of a worker
 	starts           uint64        // starts ordered
 	workerChecks     uint64        // checks whether a worker can run a task
 	orderChecks      uint64        // computations of the place of a step in the order
@@ -174,12 +178,12 @@
 	case AuthorityChanged:
 		c.authority = e.Held
 		c.needsScheduling = true
+	case HolderLoad:
+		c.behind = e.Behind
 	case Tick:
 		c.tick()
 	}
 }
-	case HolderLoad:
-		c.behind = e.Behind
 
 // Actions returns the actions that resulted from events since the last call, in
 // order.
@@ -229,6 +233,11 @@
 // tick does the work that depends on time alone: holds that are due, lease
 // expiry, scheduled occurrences and the removal of finished jobs.
 func (c *Cell) tick() {
+	listBytes := 0
+	for _, w := range c.sortedWorkers {
+		listBytes += w.listBytes
+	}
+	c.listInterval = congestion.ListInterval(c.settings.Capacity, len(c.sortedWorkers), listBytes)
 	for _, w := range c.sortedWorkers {
 		c.checkLeaseExpiry(w)
 		c.checkStalls(w)
--- a/decision/cell/hold.go
+++ b/decision/cell/hold.go
@@ -22,7 +22,7 @@
 	if !c.authority {
 		return
 	}
-	if w.holdInFlight == 0 && c.now.Steady >= w.nextHoldAt {
+	if w.holdInFlight == 0 && c.now.Steady >= max(w.nextHoldAt, w.listedAt+c.listInterval) {
 		w.holdAck = w.endsToAcknowledge()
 		w.holdInFlight = c.sendHold(w, c.holdWaitFor(w), w.holdAck, false)
 		return
@@ -120,7 +120,8 @@
 	} else {
 		w.lastEndForgotten = max(w.lastEndForgotten, w.holdAck)
 	}
-	w.nextHoldAt = c.now.Steady
+	w.nextHoldAt, w.listedAt = c.now.Steady, c.now.Steady
+	w.listBytes = listOverheadBytes + listRowBytes*(len(e.Running)+len(e.Finished))
 	if w.lastEndApplied > w.lastEndRecorded {
 		w.nextHoldAt += unrecordedRetry // or as soon as the ends are recorded
 	}
@@ -213,6 +214,13 @@
 	w.clock = clockSample{known: true, workerTime: clock, received: received}
 }
 
+// A hold and its answer take listOverheadBytes on the wire, and listRowBytes for each
+// row.
+const (
+	listOverheadBytes = 450
+	listRowBytes      = 60
+)
+
 // maxClockSampleAge bounds the drift of a clock sample to 2 % of this time.
 const maxClockSampleAge = 2 * time.Second
 
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -64,6 +64,8 @@
 	unknownOrphan     bool
 	holdInFlight      uint64        // number of the hold in flight, 0 when none
 	nextHoldAt        time.Duration // time of the next hold
+	listedAt          time.Duration // time of the answer to the last hold
+	listBytes         int           // estimated size of that answer
 	extraHoldAt       time.Duration // time of an extra hold; 0 if none is needed
 	extraHoldInFlight uint64
 	listClock         time.Duration // worker's clock at the newest list applied
--- a/scheduler/settings/settings.go
+++ b/scheduler/settings/settings.go
@@ -34,6 +34,7 @@
 	DataCentre fleet.DataCentre
 	Processor  float64 // cores
 	MemoryMiB  int
+	LinkMbps   float64 // 0 if it is not known
 }
 
 // Listen holds the listen addresses as IP:port.
@@ -120,6 +121,10 @@
 			Name: "memory_mib", Description: "memory of the instance", Unit: "MiB",
 			Default: 256, Min: 64, Max: 1 << 20, Field: func(s *Settings) any { return &s.Instance.MemoryMiB },
 		},
+		{
+			Name: "link_mbps", Description: "rate of the instance's own link, each way; 0 if it is not known", Unit: "Mbit/s",
+			Default: 0.0, Min: 0.0, Max: 1e6, Field: func(s *Settings) any { return &s.Instance.LinkMbps },
+		},
 	}},
 	{Name: "listen", Keys: []tomlfile.Key[Settings]{
 		{
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"lacewingfork.example/lacewingfork/decision/cell"
+	"lacewingfork.example/lacewingfork/decision/congestion"
 	"lacewingfork.example/lacewingfork/internal/clock"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/callers"
@@ -97,7 +98,7 @@
 		p.PeerRings.Configurations, p.Peers.Configurations(),
 	}
 	p.Configurations.Start(storeTree, p.Platform.Store)
-	holder.New(p.Holder, cellSettings(p.Settings.Bounds), p.Clock, p.Log, p.Registry).Start(p.Tree)
+	holder.New(p.Holder, cellSettings(p.Settings), p.Clock, p.Log, p.Registry).Start(p.Tree)
 	election.New(p.Election, electionSettings(p.Settings), p.Platform.Store, p.Clock, p.Log).Start(p.Tree)
 	p.Peers.Start()
 }
@@ -107,8 +108,11 @@
 // worker is rescheduled only after the lease has expired.
 const workerLease = 8 * time.Second
 
-func cellSettings(b settings.Bounds) cell.Settings {
-	s := cell.DefaultSettings()
+const bytesPerMbit = 1e6 / 8
+
+func cellSettings(all settings.Settings) cell.Settings {
+	b, s := all.Bounds, cell.DefaultSettings()
+	s.Capacity = congestion.Capacity{BytesPerSecond: all.Instance.LinkMbps * bytesPerMbit, Processor: all.Instance.Processor}
 	s.MaxLease, s.Lease = b.LeaseMax, min(workerLease, b.LeaseMax)
 	s.StatusRetention, s.MaxTimeOverTarget, s.RemoteFactor = b.StatusKept, b.Impact, b.RemoteFactor
 	return s
