--- a/cmd/lacewingfork-scheduler/main.go
+++ b/cmd/lacewingfork-scheduler/main.go
@@ -45,6 +45,8 @@
 func main() { os.Exit(run(os.Stdout, os.Stderr)) }
 
 func run(stdout, stderr io.Writer) int {
+	// A SIGHUP must not terminate the process before the reload duty handles it.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	o := options{Settings: platform.SettingsPath()}
 	if _, err := flags.Parse(&o); err != nil {
 		if flags.WroteHelp(err) {
@@ -77,8 +79,6 @@
 // serve runs the application until a stop signal or a failure and returns the
 // exit code.
 func serve(app *fx.App, stderr io.Writer) int {
-	// A SIGHUP must not terminate the process before the reload duty handles it.
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	if err := app.Start(context.Background()); err != nil {
 		_, _ = fmt.Fprintln(stderr, err) // a failed write to stderr cannot be reported
 		return exitFailed
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -65,9 +65,7 @@
 	t.Cleanup(cancel)
 	d.store = standin.NewStore(tree)
 	storeAddress := serve(t, d.store)
-	d.store.Put(wire.TopicOperator, wire.KeyConfiguration, fmt.Appendf(nil, `{"version":3,"routes":[{"name":"r","host":"soak.example","path-prefix":"/cut/",
-		"timeout-ms":3000,"target-latency-ms":400,"priority":0,"service":"cutting","max-attempts":%d,"slack-factor":1.5}],
-		"services":[{"name":"cutting"}],"limits":{"max-body-bytes":65536}}`, maxAttempts))
+	d.publish(firstVersion)
 	for n := range servers {
 		id := fmt.Sprintf("i-%d", n)
 		var worker *standin.Worker
@@ -89,6 +87,20 @@
 	return d
 }
 
+// firstVersion is the version of the configuration with which a deployment starts.
+const firstVersion = 3
+
+// publish publishes a version of the configuration. Its route /version-N/ shows whether
+// an instance has it in force.
+func (d *deployment) publish(version int) {
+	route := func(name, prefix string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"soak.example","path-prefix":%q,"timeout-ms":3000,"target-latency-ms":400,"priority":0,
+			"service":"cutting","max-attempts":%d,"slack-factor":1.5}`, name, prefix, maxAttempts)
+	}
+	d.store.Put(wire.TopicOperator, wire.KeyConfiguration, fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s],
+		"services":[{"name":"cutting"}],"limits":{"max-body-bytes":65536}}`, version, route("r", "/cut/"), route("v", fmt.Sprintf("/version-%d/", version))))
+}
+
 // serve runs an HTTP server for the handler and returns its address.
 func serve(t *testing.T, handler http.Handler) string {
 	t.Helper()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -111,6 +111,9 @@
 	undos.Wait()
 	d.clearFaults()
 	clients.Wait()
+	if w.atEnd != nil {
+		w.atEnd(d)
+	}
 	d.awaitExpectedStates()
 	d.checker.checkRejected()
 	t.Logf("seed %d: faults %v, %d jobs, %d starts, counts %v", seed, injected, d.checker.counts["jobs"], d.checker.counts["starts"], d.checker.counts)
@@ -131,6 +134,7 @@
 type workload struct {
 	faults []fault
 	job    func(r *rand.Rand) *submission
+	atEnd  func(d *deployment) // nil, or called once the faults have ended
 }
 
 // everyFault is the workload of TestSoak.
