--- a/decision/congestion/lists.go
+++ b/decision/congestion/lists.go
@@ -18,7 +18,7 @@
 	listLinkShare      = 0.5
 	listProcessorShare = 0.5
 	// listProcessorTime is the processor time of a list: the call and its decoding.
-	listProcessorTime = 150 * time.Microsecond
+	listProcessorTime = 100 * time.Microsecond
 	// maxListInterval keeps the ends of tasks known within a second.
 	maxListInterval = time.Second
 )
