Space the lists of workers only while paths are congested

Change: it applies while the calls on most paths meet a queue (Window.Congested), then with what a list costs the holder in all, 0.25 ms, and up to 1.5 s. Test: TestListsAreFetchedLessOftenUnderCongestion.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -201,6 +201,25 @@
 	return actions
 }
 
+// spaceLists sets the least time between two lists of a worker while most paths are
+// congested.
+func (c *Cell) spaceLists() {
+	congested, listBytes := 0, 0
+	for _, d := range c.dataCentres {
+		if d.path.Congested() {
+			congested++
+		}
+	}
+	c.listInterval = 0
+	if 2*congested <= len(c.dataCentres) {
+		return
+	}
+	for _, w := range c.sortedWorkers {
+		listBytes += w.listBytes
+	}
+	c.listInterval = congestion.ListInterval(c.settings.Capacity, len(c.sortedWorkers), listBytes)
+}
+
 const (
 	// passTimePerStep and passTimePerWorker are twenty times what a step that waits
 	// and a worker add to the time of a scheduling pass, so that passes take a
@@ -233,11 +252,7 @@
 // tick does the work that depends on time alone: holds that are due, lease
 // expiry, scheduled occurrences and the removal of finished jobs.
 func (c *Cell) tick() {
-	listBytes := 0
-	for _, w := range c.sortedWorkers {
-		listBytes += w.listBytes
-	}
-	c.listInterval = congestion.ListInterval(c.settings.Capacity, len(c.sortedWorkers), listBytes)
+	c.spaceLists()
 	for _, w := range c.sortedWorkers {
 		c.checkLeaseExpiry(w)
 		c.checkStalls(w)
--- a/decision/congestion/window.go
+++ b/decision/congestion/window.go
@@ -99,6 +99,12 @@
 // RoundTrip returns the smoothed round-trip time; 0 before the first answer.
 func (w *Window) RoundTrip() time.Duration { return w.smoothed }
 
+// Congested reports whether the calls of late had a queue before them, on the path or
+// in the processes at its ends.
+func (w *Window) Congested() bool {
+	return w.smoothed > w.leastRoundTrip()+delayTarget
+}
+
 // Timeout returns the time limit of a call.
 func (w *Window) Timeout() time.Duration {
 	return min(max(minTimeout, timeoutFactor*w.smoothed), maxTimeout)
