Look for open workers once a pass

A room was measured for each image that waits, and a step rated, over all workers, most of the time in closedTo. Change: the workers of a service that are not closed are listed once in a pass, in which they only close; best leaves out those that have closed since. The placements equal the full scan as before.

--- a/decision/cell/candidates.go
+++ b/decision/cell/candidates.go
@@ -58,12 +58,13 @@
 	return w, cost
 }
 
-// collect rates all workers that can run a task.
+// collect rates all workers that can run a task. Some of them may be closed since the
+// beginning of the pass; best leaves these out.
 func (c *Cell) collect(found *candidates, t *task) {
 	found.collected, found.rated = true, c.ratedBuffer[:0]
 	queue := c.queueOf(t.step.occurrence.job)
-	for i, w := range c.sortedWorkers {
-		if w.server.Service == queue.Service && c.canRunFrom(queue, w, t) {
+	for _, i := range c.openWorkers(queue.Service, t.step.spec.BestEffort) {
+		if w := c.sortedWorkers[i]; c.obstacleOnOpen(w, t) == obstacleNone && c.hasTicket(queue, w, t) {
 			found.rated = append(found.rated, ratedWorker{w, i, c.cost(w, t)})
 		}
 	}
@@ -93,9 +94,11 @@
 
 // canRunFrom is canRun for a task of a known queue.
 func (c *Cell) canRunFrom(queue QueueSettings, w *worker, t *task) bool {
-	if !c.feasible(w, t) {
-		return false
-	}
+	return c.feasible(w, t) && c.hasTicket(queue, w, t)
+}
+
+// hasTicket reports whether the advisor of the queue, if any, allows a start.
+func (c *Cell) hasTicket(queue QueueSettings, w *worker, t *task) bool {
 	if queue.Advisor.TicketValidity == 0 {
 		return true
 	}
--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -87,6 +87,7 @@
 	longRunningExcess map[fleet.Service]int64
 	crowdingMeasured  bool
 	room              map[roomKey]*room // of the present scheduling pass or event
+	open              map[openKey][]int // likewise, positions of the workers that are not closed
 	ratedBuffer       ratedWorkers      // reused by the searches of a pass
 	interferenceWaits map[fleet.Service]interferenceWait
 	nextPass          time.Duration // no scheduling pass before
@@ -127,8 +128,8 @@
 		settings: settings, round: max(1, round), authority: true,
 		queues: map[job.Queue]QueueSettings{}, retiredQueues: map[job.Queue]QueueSettings{}, jobs: map[fleet.JobID]*jobState{},
 		workers: map[fleet.BackendServerID]*worker{}, longRunningExcess: map[fleet.Service]int64{}, room: map[roomKey]*room{},
-		interferenceWaits: map[fleet.Service]interferenceWait{},
-		dataCentres:       map[fleet.DataCentre]*dataCentre{},
+		interferenceWaits: map[fleet.Service]interferenceWait{}, open: map[openKey][]int{},
+		dataCentres: map[fleet.DataCentre]*dataCentre{},
 	}
 	c.nextBatch, c.interference = newBatch(1), newInterferenceModel()
 	c.batchNumber = 1
@@ -139,7 +140,7 @@
 // is called.
 func (c *Cell) Handle(now Moment, event Event) {
 	c.now = now
-	clear(c.room)
+	c.forgetRoom()
 	switch e := event.(type) {
 	case Submitted:
 		c.submit(e)
--- a/decision/cell/room.go
+++ b/decision/cell/room.go
@@ -30,6 +30,35 @@
 	free []fleet.Resources
 }
 
+// openKey selects workers by closedTo.
+type openKey struct {
+	service    fleet.Service
+	bestEffort bool
+}
+
+// forgetRoom drops what is known about the workers before it may have grown.
+func (c *Cell) forgetRoom() {
+	clear(c.room)
+	clear(c.open)
+}
+
+// openWorkers returns the positions of the workers of a service that are not closed.
+// Within a scheduling pass workers only close, so some of them may be closed since.
+func (c *Cell) openWorkers(service fleet.Service, bestEffort bool) []int {
+	key := openKey{service, bestEffort}
+	if open, known := c.open[key]; known {
+		return open
+	}
+	open := []int{}
+	for i, w := range c.sortedWorkers {
+		if w.server.Service == service && c.closedTo(w, bestEffort) == obstacleNone {
+			open = append(open, i)
+		}
+	}
+	c.open[key] = open
+	return open
+}
+
 // findWorker is choose for a scheduling pass. After a search without a result it
 // compares the needs of further steps with the capacity left: many steps may wait,
 // and each search rates every worker.
@@ -96,8 +125,9 @@
 // measureRoom measures the capacity left on the workers of a key.
 func (c *Cell) measureRoom(key roomKey, r *room) {
 	r.measured, r.starts = true, c.starts
-	for _, w := range c.sortedWorkers {
-		if w.server.Service != key.service || c.closedTo(w, key.bestEffort) != obstacleNone || !key.gang && !w.dataCentre.path.Allows() ||
+	for _, i := range c.openWorkers(key.service, key.bestEffort) {
+		w := c.sortedWorkers[i]
+		if !key.gang && !w.dataCentre.path.Allows() ||
 			key.label != "" && !slices.Contains(w.server.Labels, key.label) {
 			continue
 		}
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -23,7 +23,7 @@
 	})
 	c.crowdingMeasured = false
 	c.countLateStarts()
-	clear(c.room)
+	c.forgetRoom()
 	for _, s := range c.ready {
 		s.order = c.orderOf(s)
 	}
@@ -180,11 +180,17 @@
 
 // obstacleTo returns the first reason why a worker cannot run a task.
 func (c *Cell) obstacleTo(w *worker, t *task) obstacle {
-	c.workerChecks++
-	s := t.step.spec
-	if closed := c.closedTo(w, s.BestEffort); closed != obstacleNone {
+	if closed := c.closedTo(w, t.step.spec.BestEffort); closed != obstacleNone {
+		c.workerChecks++
 		return closed
 	}
+	return c.obstacleOnOpen(w, t)
+}
+
+// obstacleOnOpen is obstacleTo for a worker that is not closed.
+func (c *Cell) obstacleOnOpen(w *worker, t *task) obstacle {
+	c.workerChecks++
+	s := t.step.spec
 	if c.besideSuspect(w, t) {
 		return obstacleSuspect
 	}
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -143,6 +143,7 @@
 func (c *Cell) addWorker(s Server) *worker {
 	w := &worker{server: s, runs: map[runKey]*run{}, dataCentre: c.dataCentreOf(s.DataCentre)}
 	c.workers[s.ID] = w
+	c.forgetRoom() // it holds positions
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, s.ID, func(w *worker, id fleet.BackendServerID) int {
 		return strings.Compare(string(w.server.ID), string(id))
 	})
@@ -195,6 +196,7 @@
 // nothing. A later holder waits for every worker that has a record, so records
 // of removed workers would delay it.
 func (c *Cell) removeUnlisted() {
+	c.forgetRoom() // it holds positions
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(w *worker) bool {
 		if w.listed || len(w.runs) > 0 || w.hasOrphans() || w.missedCalls == 0 || w.earlierHolderUntil > 0 {
 			return false
