--- a/decision/cell/bench_test.go
+++ b/decision/cell/bench_test.go
@@ -67,16 +67,7 @@
 	step := longRunningStep(workers * tasksPerWorker)
 	step.Need = fleet.Resources{MilliCPU: 12000 / int64(tasksPerWorker), MemoryMiB: 100}
 	f.submit("000000000000c001", step)
-	for starts := f.takeStarts(); len(starts) > 0; starts = f.takeStarts() {
-		for _, s := range starts {
-			f.acceptStart(s)
-		}
-	}
-	for _, w := range f.cell.sortedWorkers {
-		for _, r := range w.runsInOrder {
-			r.percent = fullSpeed
-		}
-	}
+	f.acceptAllStarts()
 	return f
 }
 
--- a/decision/cell/candidates_test.go
+++ b/decision/cell/candidates_test.go
@@ -115,15 +115,8 @@
 		LatencyTarget: 20 * time.Millisecond, Image: "serving", MaxPerServer: 1,
 	}
 	f.submit("000000000000c001", serving)
-	for starts := f.takeStarts(); len(starts) > 0; starts = f.takeStarts() {
-		for _, s := range starts {
-			f.acceptStart(s)
-		}
-	}
+	f.acceptAllStarts()
 	for _, w := range f.cell.sortedWorkers {
-		for _, r := range w.runsInOrder {
-			r.percent = fullSpeed
-		}
 		if w.throttling.serving == 0 {
 			w.server.Capacity.MemoryMiB = w.used.MemoryMiB // best-effort tasks fit beside serving ones only
 		}
--- a/decision/cell/fixture_test.go
+++ b/decision/cell/fixture_test.go
@@ -116,6 +116,21 @@
 	f.handle(StartAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, Outcome: StartAccepted, Sent: f.now})
 }
 
+// acceptAllStarts accepts starts until none follows, and lets all runs reach full
+// speed.
+func (f *fixture) acceptAllStarts() {
+	for starts := f.takeStarts(); len(starts) > 0; starts = f.takeStarts() {
+		for _, s := range starts {
+			f.acceptStart(s)
+		}
+	}
+	for _, w := range f.cell.sortedWorkers {
+		for _, r := range w.runsInOrder {
+			r.percent = fullSpeed
+		}
+	}
+}
+
 // oneTaskStep returns a step with one task. A test server has capacity for one such
 // task.
 func oneTaskStep() job.Step {
