Report the end of the role when the holder duty is restarted

Cause: the duty dropped its role at the start instead of ending it. Change: it ends the role as in any other case, so that the election searches at once and the routers send the waiting requests to the next holder. Measured: TestRestartedHolderGivesUpItsRole failed on both counts before and passes.

--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -138,7 +138,7 @@
 }
 
 func (d *Duty) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
-	d.role = nil
+	d.endRole("duty_failed") // of the run before, if it panicked
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	pass := time.NewTimer(tickInterval)
