Keep starts on sound workers going beside hundreds of silent ones

Found while the diff was read: calls to silent workers counted in full against the bound of 96 starts, so 96 silent workers would have stopped every start. They count up to 64 now.

--- a/decision/cell/answers.go
+++ b/decision/cell/answers.go
@@ -23,9 +23,9 @@
 	lastStop time.Duration
 }
 
-// stopForgotten is the time after which a stop counts as answered in any case: the
-// call takes less.
-const stopForgotten = 3 * time.Second
+// maxStopTime is the time after which a stop counts as answered in any case: its call
+// takes less.
+const maxStopTime = 3 * time.Second
 
 func (a *answers) stopSent(now time.Duration) {
 	a.stops++
@@ -36,7 +36,7 @@
 
 // stopsAwaited returns the number of stops without an answer yet.
 func (a *answers) stopsAwaited(now time.Duration) int {
-	if now-a.lastStop > stopForgotten {
+	if now-a.lastStop > maxStopTime {
 		a.stops = 0
 	}
 	return a.stops
@@ -82,6 +82,9 @@
 	// maxLateStarts bounds the late starts beside which others may be ordered. The
 	// sum of both bounds leaves order duties for starts on sound workers.
 	maxLateStarts = 16
+	// maxSilentCalls bounds how far calls to silent workers reduce the starts, so that
+	// starts on sound workers go on however many are silent.
+	maxSilentCalls = 64
 	// A data centre is unresponsive while minSilentWorkers of its workers, and one in
 	// silentShare, don't answer. Single workers fail more often than that.
 	minSilentWorkers = 4
@@ -151,7 +154,7 @@
 // startsExhausted reports whether no further start may be ordered until others are
 // answered or late.
 func (c *Cell) startsExhausted() bool {
-	return c.unansweredStarts+c.silentCalls-min(c.lateStarts, maxLateStarts) >= maxUnansweredCalls
+	return c.unansweredStarts+min(c.silentCalls, maxSilentCalls)-min(c.lateStarts, maxLateStarts) >= maxUnansweredCalls
 }
 
 // dataCentreOf returns the record of a data centre.
--- a/decision/cell/quiet.go
+++ b/decision/cell/interference_free.go
@@ -31,10 +31,10 @@
 	return w.imageSlacks
 }
 
-// quietCPU returns a bound on the processor need of a best-effort task of an image
+// interferenceFreeCPU returns a bound on the processor need of a best-effort task of an image
 // that disturbs no serving task of the worker: no larger task does not, and hardly
 // any smaller one does. It is negative if any task would disturb one.
-func (c *Cell) quietCPU(w *worker, image imageID) int64 {
+func (c *Cell) interferenceFreeCPU(w *worker, image imageID) int64 {
 	if w.throttling.serving == 0 {
 		return math.MaxInt64
 	}
--- a/decision/cell/path_test.go
+++ b/decision/cell/path_test.go
@@ -63,3 +63,21 @@
 		t.Errorf("got starts of %d members of a gang, want all %d", len(members), gang.Count)
 	}
 }
+
+// Guards against sound workers that get no start because hundreds of others are silent.
+func TestSilentWorkersLeaveStartsToSoundOnes(t *testing.T) {
+	f := newUnresponsiveRegion(t, 0, 200)
+	f.run(2 * time.Second)
+	for _, w := range f.cell.sortedWorkers {
+		if f.far(w.server.ID) {
+			w.answers.missing = true
+			w.answers.stopSent(f.now)
+		}
+	}
+	f.silent = true
+	f.submit(testJob, smallTasks(10))
+	f.run(100 * time.Millisecond)
+	if len(f.accepted) != 10 {
+		t.Errorf("got %d tasks started beside 200 silent workers after 100ms, want 10", len(f.accepted))
+	}
+}
--- a/decision/cell/room.go
+++ b/decision/cell/room.go
@@ -13,10 +13,10 @@
 	label      string
 	bestEffort bool
 	gang       bool
-	// quiet limits the processor need to that which disturbs no serving task, for
-	// a best-effort image.
-	quiet bool
-	image imageID
+	// interferenceFree limits the processor need to that which disturbs no serving
+	// task, for a best-effort image.
+	interferenceFree bool
+	image            imageID
 }
 
 // room is the capacity left on the workers of a key. Within a scheduling pass it
@@ -84,7 +84,7 @@
 // interferesEverywhere reports whether a best-effort task of a step would disturb a
 // serving task on each worker that has room for it.
 func (c *Cell) interferesEverywhere(s *stepState) bool {
-	key := c.quietKeyOf(s)
+	key := c.interferenceFreeKeyOf(s)
 	r := c.room[key]
 	if r == nil {
 		r = &room{}
@@ -98,9 +98,9 @@
 	return !slices.ContainsFunc(r.free, need.Fits)
 }
 
-func (c *Cell) quietKeyOf(s *stepState) roomKey {
+func (c *Cell) interferenceFreeKeyOf(s *stepState) roomKey {
 	key := c.roomKeyOf(s)
-	key.quiet, key.image = true, s.image
+	key.interferenceFree, key.image = true, s.image
 	return key
 }
 
@@ -133,8 +133,8 @@
 		}
 		free := w.free()
 		free.Slots = 0 // not a resource of tasks
-		if key.quiet {
-			free.MilliCPU = c.quietCPU(w, key.image)
+		if key.interferenceFree {
+			free.MilliCPU = c.interferenceFreeCPU(w, key.image)
 		}
 		if slices.ContainsFunc(r.free, free.Fits) {
 			continue
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -70,13 +70,13 @@
 		if c.failIfAttemptsExhausted(t) || c.startsExhausted() {
 			return
 		}
-		waitsForQuiet := s.spec.BestEffort && c.waitsForQuiet(t)
-		if waitsForQuiet && len(t.avoid) == 0 && c.interferesEverywhere(s) {
+		mayAvoidInterference := s.spec.BestEffort && c.mayAvoidInterference(t)
+		if mayAvoidInterference && len(t.avoid) == 0 && c.interferesEverywhere(s) {
 			return // as below, without rating the workers
 		}
 		w, cost := c.findCandidate(&found, t)
-		if w != nil && waitsForQuiet && cost >= costInterferes {
-			c.searchFailed(c.quietKeyOf(s))
+		if w != nil && mayAvoidInterference && cost >= costInterferes {
+			c.searchFailed(c.interferenceFreeKeyOf(s))
 			return // the interference would cost more than the delay
 		}
 		if w == nil {
@@ -126,9 +126,9 @@
 	highUtilization = 0.6
 )
 
-// waitsForQuiet reports whether a best-effort task may still wait for a server
+// mayAvoidInterference reports whether a best-effort task may still wait for a server
 // without interference.
-func (c *Cell) waitsForQuiet(t *task) bool {
+func (c *Cell) mayAvoidInterference(t *task) bool {
 	return c.now.Steady-c.waitingSince(t) < c.maxInterferenceWait(c.queueOf(t.step.occurrence.job).Service)
 }
 
