Apply the progress of the publications once, not with each heartbeat

Found while the diff was read: the holder repeats in each heartbeat how far it has applied the publications, and each repetition woke the configuration duty, its tail and the link table of every instance. Change: an offset that is known changes nothing.

--- a/scheduler/store/configuration.go
+++ b/scheduler/store/configuration.go
@@ -16,6 +16,7 @@
 	records api.RecordDecoder
 	log     *logs.Log
 	inForce *api.Configuration
+	applied fleet.Offset // publications before it are applied, as far as is known
 	// Subscribers receive each version that comes into force.
 	Subscribers []*message.ConfigurationRing
 	// Offers carries publications received from peers.
@@ -85,7 +86,8 @@
 				c.skipTo(ctx, publication.Offset+1)
 			}
 		case progress := <-c.PeerProgress.Items():
-			if c.inForce != nil && c.inForce.Version >= progress.Version {
+			// The holder repeats it with each heartbeat.
+			if c.inForce != nil && c.inForce.Version >= progress.Version && progress.End > c.applied {
 				c.skipTo(ctx, progress.End)
 			}
 		case r := <-dumps:
@@ -107,6 +109,7 @@
 // reportProgress tells the linked instances up to which offset the publications are
 // applied, so that they don't read a version that is published again.
 func (c *Configurations) reportProgress(ctx context.Context, end fleet.Offset) {
+	c.applied = max(c.applied, end)
 	if c.Progress != nil && c.inForce != nil {
 		_ = c.Progress.Put(ctx, message.ConfigurationProgress{Version: c.inForce.Version, End: end}) // keeps the newest; never fails
 	}
