Keep interference and waits for one event only

Cause: what a pass keeps was taken for valid at the same moment, also after another event; and the room without interference grows within a pass when a serving task is stopped, by a preemption or with its job. Change: the slack of serving images and the wait for room without interference are kept for one event; the stop of a serving task drops what is known about the room.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -75,6 +75,7 @@
 	settings Settings
 	round    int // number of this holder, counted from 1
 	now      Moment
+	events   uint64 // applied so far
 
 	queues        map[job.Queue]QueueSettings
 	retiredQueues map[job.Queue]QueueSettings // removed from the configuration, with their last settings
@@ -140,6 +141,7 @@
 // is called.
 func (c *Cell) Handle(now Moment, event Event) {
 	c.now = now
+	c.events++
 	c.forgetRoom()
 	switch e := event.(type) {
 	case Submitted:
--- a/decision/cell/equivalence_test.go
+++ b/decision/cell/equivalence_test.go
@@ -15,7 +15,7 @@
 )
 
 // equivalenceSeeds is the number of histories of TestPassEqualsReference.
-const equivalenceSeeds = 12
+const equivalenceSeeds = 32
 
 // Guards against a shortcut of the scheduling pass that changes which tasks start, on
 // which workers or in which order.
--- a/decision/cell/interference_free.go
+++ b/decision/cell/interference_free.go
@@ -10,13 +10,13 @@
 }
 
 // slacks returns the slack of each serving image on the worker. It is kept until the
-// runs, their speeds or the time change.
+// next event, or a change of the runs or their speeds.
 func (c *Cell) slacks(w *worker) []imageSlack {
-	if !w.runListsStale && w.slacksAt == c.now.Steady {
+	if !w.runListsStale && w.slacksEvent == c.events {
 		return w.imageSlacks
 	}
 	c.refreshRunLists(w)
-	w.slacksAt, w.imageSlacks = c.now.Steady, w.imageSlacks[:0]
+	w.slacksEvent, w.imageSlacks = c.events, w.imageSlacks[:0]
 next:
 	for _, s := range w.serving {
 		slack := s.loadLimit - s.task.step.load.upcomingMax(c.now.Steady) - s.addedLoad - placementMargin
--- a/decision/cell/room.go
+++ b/decision/cell/room.go
@@ -40,6 +40,7 @@
 func (c *Cell) forgetRoom() {
 	clear(c.room)
 	clear(c.open)
+	clear(c.interferenceWaits)
 }
 
 // openWorkers returns the positions of the workers of a service that are not closed.
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -262,6 +262,9 @@
 	}
 	r.reason = reason
 	r.worker.runListsStale = true
+	if r.serves() {
+		c.forgetRoom() // nothing disturbs the task any more
+	}
 	c.emit(Note{Event: NoteStopOrdered, Job: r.key.task.Job, Task: r.key.task.String(), Server: r.worker.server.ID, Detail: map[string]any{
 		"attempt": r.key.attempt, "reason": reason, "percent": r.percent,
 	}})
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -132,9 +132,9 @@
 	return c.now.Steady-c.waitingSince(t) < c.maxInterferenceWait(c.queueOf(t.step.occurrence.job).Service)
 }
 
-// interferenceWait is the result of maxInterferenceWait after a number of starts.
+// interferenceWait is the result of maxInterferenceWait after a number of starts of a
+// scheduling pass.
 type interferenceWait struct {
-	at     time.Duration
 	starts uint64
 	wait   time.Duration
 }
@@ -143,8 +143,8 @@
 // without interference.
 func (c *Cell) maxInterferenceWait(service fleet.Service) time.Duration {
 	kept, known := c.interferenceWaits[service]
-	if !known || kept.at != c.now.Steady || kept.starts != c.starts {
-		kept = interferenceWait{c.now.Steady, c.starts, c.measureInterferenceWait(service)}
+	if !known || kept.starts != c.starts {
+		kept = interferenceWait{c.starts, c.measureInterferenceWait(service)}
 		c.interferenceWaits[service] = kept
 	}
 	return kept.wait
--- a/decision/cell/throttle.go
+++ b/decision/cell/throttle.go
@@ -47,7 +47,7 @@
 	if !w.runListsStale {
 		return
 	}
-	w.runListsStale = false
+	w.runListsStale, w.slacksEvent = false, 0
 	w.serving, w.bestEffort = w.serving[:0], w.bestEffort[:0]
 	for _, r := range w.runsInOrder {
 		if r.state != runConfirmed {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -54,8 +54,8 @@
 	serving       []*run
 	bestEffort    []*run
 	runListsStale bool
-	imageSlacks   []imageSlack // at slacksAt
-	slacksAt      time.Duration
+	imageSlacks   []imageSlack  // as of the event slacksEvent
+	slacksEvent   uint64        // 0 if imageSlacks is stale
 	shareHistory  []shareChange // recent processor use of the best-effort runs
 	// orphanResources are the resources of listed runs that belong to no task
 	// and are being stopped. unknownOrphan means that the need of such a run is
