Stop the rest of a gang of which some members wait

A long-running gang never started again once one of its members was missing: its start was not accepted, or a takeover found some members only. The others ran on, and the gang waits until all of its members wait.

Cause: only the end of a run that the worker lists broke the gang. Change: when members wait while others run, the others are stopped (gang_incomplete). No site at hand has gangs.

--- a/decision/cell/gang.go
+++ b/decision/cell/gang.go
@@ -6,7 +6,8 @@
 // number and a checkpoint.
 func (c *Cell) startGang(s *stepState) {
 	if len(s.waiting) < len(s.tasks) {
-		return // members of an earlier run have not ended yet
+		c.stopRest(s)
+		return // until the members of the earlier run have ended
 	}
 	if c.failIfAttemptsExhausted(s.tasks[0]) {
 		return
@@ -76,6 +77,18 @@
 	}
 }
 
+// stopRest stops the members that run while others wait: a start was not accepted, or
+// a takeover has found some of them only. Without the others they do no work.
+func (c *Cell) stopRest(s *stepState) {
+	for _, t := range s.tasks {
+		for _, r := range slices.Clone(t.runs) {
+			if r.state == runOrdered || r.state == runConfirmed {
+				c.stopRun(r, "gang_incomplete")
+			}
+		}
+	}
+}
+
 // breakGang stops the remaining members of a gang after one has ended.
 func (c *Cell) breakGang(s *stepState) {
 	for _, t := range s.tasks {
