Don't give a job up for two crashes of one server

Cause: two crashes count as enough whatever the servers. Change: if all crashes under a task are of one server, which may be at fault itself, a third is needed.

--- a/decision/cell/crash.go
+++ b/decision/cell/crash.go
@@ -108,6 +108,11 @@
 	return slices.ContainsFunc(s.crashes, func(c crashUnderTask) bool { return c.counts && !c.explained && c.withOthers })
 }
 
+// onOneServer reports whether all observed crashes are of one server.
+func (s *suspicion) onOneServer() bool {
+	return len(s.crashes) > 1 && !slices.ContainsFunc(s.crashes, func(c crashUnderTask) bool { return c.server != s.crashes[0].server })
+}
+
 // lastRuns returns the runs on a worker that were the last to be ordered before it
 // was lost.
 func (w *worker) lastRuns(lost interval) []crashedRun {
@@ -285,8 +290,8 @@
 	}
 	var accused []*task
 	for _, r := range crashed.runs {
-		if r.task.suspicion.anyWithOthers() {
-			enough = crashesBesideOthers // a common cause may explain one of them
+		if s := &r.task.suspicion; s.anyWithOthers() || s.onOneServer() {
+			enough = crashesBesideOthers // a common cause, or the server, may explain one of them
 		}
 	}
 	for _, r := range crashed.runs {
