--- a/review/rig/case_soak.go
+++ b/review/rig/case_soak.go
@@ -28,6 +28,9 @@
 		id        string
 		lasts     bool
 		cancelled bool
+		accepted  bool
+		refused   bool
+		acked     time.Time
 	}
 	var mu sync.Mutex
 	var jobs []*kept
@@ -123,11 +126,18 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			s.submit("jobs", j.id, w, phases...)
-			if cancel {
+			statuses := s.offer("jobs", j.id, w, phases...)
+			last := statuses[len(statuses)-1]
+			j.accepted, j.refused = last/100 == 2, true
+			for _, status := range statuses {
+				j.refused = j.refused && (status == 429 || status == 503)
+			}
+			if cancel && j.accepted {
 				time.Sleep(after)
 				j.cancelled = true
-				s.ask(http.MethodDelete, "/jobs/"+j.id, nil, 8)
+				if status, _ := s.ask(http.MethodDelete, "/jobs/"+j.id, nil, 8); status == 200 || status == 410 {
+					j.acked = time.Now()
+				}
 			}
 		}()
 		time.Sleep(time.Duration(50+rnd.Intn(250)) * time.Millisecond)
@@ -139,6 +149,11 @@
 		shown := s.state("jobs", j.id)
 		last, going := rec.lastStart(j.id)
 		switch {
+		case j.refused && !last.IsZero():
+			lines = append(lines, fmt.Sprintf("REFUSED %s has started, last at %s", j.id, rec.at(last)))
+		case !j.accepted:
+		case !j.acked.IsZero() && last.After(j.acked.Add(3*time.Second)):
+			lines = append(lines, fmt.Sprintf("UNASKED %s cancel acked at %s, last start %s", j.id, rec.at(j.acked), rec.at(last)))
 		case j.cancelled && shown != "cancelled" && shown != "complete" || j.cancelled && going > 0:
 			lines = append(lines, fmt.Sprintf("CANCEL %s is shown as %s, %d go on", j.id, shown, going))
 		case j.cancelled:
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -97,10 +98,26 @@
 	s.version += 3
 }
 
+var givenPorts = map[int]bool{}
+
+// freePort returns a port below those that the kernel gives to outgoing connections, so
+// that none of these takes it before a process listens.
 func freePort() int {
-	l := listen()
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	for range 200 {
+		port := 20000 + rand.Intn(10000)
+		if givenPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		givenPorts[port] = true
+		return port
+	}
+	fatal("find a free port")
+	return 0
 }
 
 var placeholder = regexp.MustCompile(`\{\{([a-z0-9_.\-]+)\}\}`)
@@ -353,6 +370,35 @@
 	}
 }
 
+// offer hands a job in a few times and returns the answers.
+func (s *system) offer(queue, id string, w work, phases ...phase) (statuses []int) {
+	spec, _ := json.Marshal(w)
+	body, _ := json.Marshal(map[string]any{"spec": string(spec), "phases": phases})
+	s.record.mu.Lock()
+	s.record.jobs[id] = phases
+	s.record.mu.Unlock()
+	for range 5 {
+		status, _ := s.ask(http.MethodPost, "/"+queue+"/"+id, body, 1)
+		statuses = append(statuses, status)
+		if status/100 == 2 {
+			break
+		}
+	}
+	return statuses
+}
+
+// offerAt hands a job in at one node and returns the status.
+func (s *system) offerAt(n *node, queue, id string, w work, phases ...phase) int {
+	spec, _ := json.Marshal(w)
+	body, _ := json.Marshal(map[string]any{"spec": string(spec), "phases": phases})
+	s.record.mu.Lock()
+	s.record.jobs[id] = phases
+	s.record.mu.Unlock()
+	status, answer := s.call(n, http.MethodPost, "/"+queue+"/"+id, body)
+	s.record.add("client: POST /%s/%s to %s: %d %s", queue, id, n.name, status, answer)
+	return status
+}
+
 // state asks for the state of a job.
 func (s *system) state(queue, id string) string {
 	status, answer := s.ask(http.MethodGet, "/"+queue+"/"+id, nil, 5)
