--- a/review/rig/case_ends.go
+++ b/review/rig/case_ends.go
@@ -9,7 +9,8 @@
 
 func init() { cases["ends"] = playEnds }
 
-// playEnds kills the leading process while more than 500 tasks end on each minion.
+// playEnds freezes the leading process for 3.5 s while more than 500 tasks end on each
+// minion.
 func playEnds(rec *record, root string, trouble bool) verdict {
 	const (
 		prefix = "0000000000000e"
@@ -40,7 +41,9 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 	if trouble {
-		s.signal(s.leader(), syscall.SIGKILL, 3*time.Second)
+		first := s.leader()
+		s.signal(first, syscall.SIGSTOP, 0)
+		time.AfterFunc(3500*time.Millisecond, func() { s.signal(first, syscall.SIGCONT, 0) })
 	}
 	for i := range jobs {
 		if shown := s.waitState("jobs", fmt.Sprintf("%s%02x", prefix, i), 30*time.Second, "complete", "failed"); shown != "complete" {
