--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -81,9 +81,13 @@
 		Broke       bool
 		Incarnation int64
 		// Clock is the time of the worker's monotonic clock.
-		Clock    time.Duration
-		Running  []RunningRow
+		Clock   time.Duration
+		Running []RunningRow
+		// Finished are the ends that have not been acknowledged, the earliest first.
+		// MoreEnds means that there may be later ones, so that a run in neither list
+		// may have ended in any way.
 		Finished []FinishedRow
+		MoreEnds bool
 	}
 	// StartAnswered is the outcome of a Start.
 	StartAnswered struct {
--- a/decision/cell/hold.go
+++ b/decision/cell/hold.go
@@ -42,7 +42,7 @@
 // holdWaitFor returns how long the worker may delay the answer to the next hold.
 func (c *Cell) holdWaitFor(w *worker) time.Duration {
 	switch {
-	case !w.fenced, w.unreachable, w.answers.missing, w.lastEndApplied > w.lastEndRecorded:
+	case !w.fenced, w.unreachable, w.moreEnds, w.answers.missing, w.lastEndApplied > w.lastEndRecorded:
 		return 0
 	case w.throttling.watched:
 		return watchedHoldWait
@@ -184,19 +184,22 @@
 	w.missedCalls, w.incarnation, w.lastAnswerAt = 0, e.Incarnation, c.now.Steady
 	w.updateClock(e.Clock, c.now.Steady)
 	if !w.fenced {
-		w.fenced, w.earlierHolderUntil = true, 0
+		w.fenced = true
 		c.queueRecord(w)
 		c.emit(Note{Event: NoteWorkerFenced, Server: w.server.ID, Detail: map[string]any{
-			"running": len(e.Running), "finished": len(e.Finished), "born": e.Incarnation,
+			"running": len(e.Running), "finished": len(e.Finished), "more_ends": e.MoreEnds, "born": e.Incarnation,
 		}})
-		c.checkBlocked()
 		c.needsScheduling = true
 	}
 	c.processEnds(w, e.Finished)
 	if e.Clock >= w.listClock {
-		w.listClock = e.Clock
+		w.listClock, w.moreEnds = e.Clock, e.MoreEnds
 		c.reconcileRuns(w, e)
 	}
+	if !w.moreEnds && w.earlierHolderUntil > 0 {
+		w.earlierHolderUntil = 0
+		c.checkBlocked()
+	}
 	c.adjustSpeeds(w)
 	return true
 }
--- a/decision/cell/model_test.go
+++ b/decision/cell/model_test.go
@@ -40,6 +40,7 @@
 	lostResponses float64 // share of calls whose response is lost
 	alwaysFails   float64 // share of jobs that always fail
 	crashingTasks float64 // share of jobs with a task, or a step, that crashes the workers that start it
+	listedEnds    int     // ends that a worker lists at a time; 0 if it lists all
 }
 
 // modelJob is a job as seen by its submitter.
--- a/decision/cell/model_worker_test.go
+++ b/decision/cell/model_worker_test.go
@@ -99,6 +99,9 @@
 		held.Running = append(held.Running, RunningRow{Task: key.task, Attempt: key.attempt, Percent: min(percent, 100)})
 	}
 	held.Finished = append(held.Finished, w.ends...)
+	if limit := w.m.faults.listedEnds; limit > 0 && len(w.ends) >= limit {
+		held.Finished, held.MoreEnds = held.Finished[:limit], true
+	}
 	return held
 }
 
--- a/decision/cell/reconcile.go
+++ b/decision/cell/reconcile.go
@@ -8,7 +8,8 @@
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
-// reconcileRuns compares the running list of a worker with the tracked runs.
+// reconcileRuns compares the running list of a worker with the tracked runs. A run
+// that it lacks has ended; how is not known until all ends have been listed.
 func (c *Cell) reconcileRuns(w *worker, e HoldAnswered) {
 	listed := make(map[runKey]bool, len(e.Running))
 	w.orphanResources, w.unknownOrphan = fleet.Resources{}, false
@@ -24,6 +25,9 @@
 		}
 		c.updateRun(r, row)
 	}
+	if e.MoreEnds {
+		return
+	}
 	for _, r := range slices.Clone(w.runsInOrder) {
 		if !listed[r.key] {
 			c.runUnlisted(r, e.Sent)
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -31,13 +31,16 @@
 	fenced     bool
 	// unreachable means that the last call got no answer; missedCalls counts
 	// such calls.
-	unreachable        bool
-	missedCalls        int
-	unreachableSince   time.Duration
-	connectionBroke    bool // the first of these calls ended with its connection
-	lastAnswerAt       time.Duration
-	vacatingUntil      time.Duration // long-running tasks avoid the worker until then
-	earlierHolderUntil time.Duration // an earlier holder may use it until then; 0 if none can
+	unreachable      bool
+	missedCalls      int
+	unreachableSince time.Duration
+	connectionBroke  bool // the first of these calls ended with its connection
+	lastAnswerAt     time.Duration
+	vacatingUntil    time.Duration // long-running tasks avoid the worker until then
+	// earlierHolderUntil is the time until which runs of an earlier holder that this
+	// holder does not know may be on the worker or have ended there; 0 if there are
+	// none.
+	earlierHolderUntil time.Duration
 	clock              clockSample
 	leaseGranted       time.Duration // latest lease end sent, on the worker's clock
 	// lateOrderUntil is the time until which the present incarnation may run a
@@ -69,6 +72,7 @@
 	extraHoldAt       time.Duration // time of an extra hold; 0 if none is needed
 	extraHoldInFlight uint64
 	listClock         time.Duration // worker's clock at the newest list applied
+	moreEnds          bool          // that list may lack ends
 	lastEndApplied    int64         // number of the highest end applied
 	lastEndRecorded   int64         // number of the highest end that may be acknowledged
 	lastEndForgotten  int64         // number of the highest end that the worker has forgotten
@@ -177,7 +181,7 @@
 	c.serverCrashed(w)
 	w.incarnation, w.fenced, w.replacedAt = incarnation, false, c.now.Steady
 	w.clock, w.leaseGranted = clockSample{}, 0
-	w.lastEndApplied, w.lastEndRecorded, w.lastEndForgotten, w.listClock = 0, 0, 0, 0
+	w.lastEndApplied, w.lastEndRecorded, w.lastEndForgotten, w.listClock, w.moreEnds = 0, 0, 0, 0, false
 	w.holdAck, w.extraHoldAck = 0, 0
 	w.nextHoldAt = 0
 	for _, r := range slices.Clone(w.runsInOrder) {
@@ -217,7 +221,8 @@
 func (w *worker) hasOrphans() bool { return w.unknownOrphan || w.orphanResources != fleet.Resources{} }
 
 // checkBlocked unblocks the tasks of restored jobs once every worker that an
-// earlier holder may have used is fenced or its lease has certainly expired.
+// earlier holder may have used has been fenced and has listed all its ends, or its
+// lease has certainly expired.
 func (c *Cell) checkBlocked() {
 	if !c.blocked || !c.serverListRead {
 		return
