Count the authority of a holder from when its confirmation was asked for

Cause: an acknowledged append, and a heartbeat of a peer, confirmed the role as of their arrival, so an answer that had waited in a socket counted as new. Besides, only two kinds of events checked the authority before the decisions handled them: a scheduling pass or a change of the server list that came first after a freeze still gave orders.

Ruled out: a suspension of the machine (it was detected by its clocks; a stopped process is not).

Change: decision/authority holds the evidence with the time at which each confirmation was asked for: the first attempt of an append that may have been executed, or the heartbeat of the holder that a peer answers (Beat.sent_us, answered_us). Each event is handled after a check of it. A holder without authority appends a heartbeat at once.

--- a/scheduler/election/election.go
+++ b/scheduler/election/election.go
@@ -32,6 +32,9 @@
 	// probeInterval is the time between probes of the store while the holder
 	// cannot reach it.
 	probeInterval = 500 * time.Millisecond
+	// membersInterval is the time after which the holder reads the registered
+	// instances again.
+	membersInterval = 5 * time.Second
 	// storeOutageThreshold is how long the holder's append may be unanswered
 	// before other instances probe the store.
 	storeOutageThreshold = 600 * time.Millisecond
@@ -68,8 +71,8 @@
 	Holders []*supervise.Ring[message.Holder]
 	// StoreOutage carries how long the store has not answered this instance.
 	StoreOutage *supervise.Ring[time.Duration]
-	// Members carries the registered instances.
-	Members *supervise.Ring[[]cellrecord.Member]
+	// Members receive the registered instances.
+	Members []*supervise.Ring[[]cellrecord.Member]
 }
 
 // NewRings returns the rings that the duty reads.
@@ -103,6 +106,7 @@
 	holderRecorded    bool // the members topic names this instance as holder
 	storeFailedAt     time.Duration
 	storeProbedAt     time.Duration
+	membersReadAt     time.Duration // start of the last read
 	storeLatency      time.Duration
 	delayStart        time.Duration // start of the delay before the next takeover attempt
 	followedEpoch     fleet.Epoch
@@ -160,6 +164,9 @@
 	if d.searching || !d.registered || d.holder.Self && !d.holderRecorded {
 		return retryInterval
 	}
+	if d.holder.Self {
+		return membersInterval
+	}
 	return time.Minute
 }
 
@@ -230,8 +237,8 @@
 	}
 }
 
-// runDueWork registers this instance, records it as the holder or searches for
-// a holder, whichever is due.
+// runDueWork registers this instance, records it as the holder, reads the members or
+// searches for a holder, whichever is due.
 func (d *Duty) runDueWork(ctx context.Context) {
 	if !d.registered && !d.stopping {
 		d.register(ctx)
@@ -239,6 +246,8 @@
 	switch {
 	case d.holder.Self && !d.holderRecorded && !d.stopping:
 		d.recordHolder(ctx)
+	case d.holder.Self && d.clock.Steady()-d.membersReadAt >= membersInterval:
+		_, _, _ = d.readMembers(ctx) // retried after membersInterval
 	case d.searching && !d.holder.Self:
 		d.search(ctx)
 	}
@@ -296,13 +305,16 @@
 func (d *Duty) readMembers(ctx context.Context) ([]cellrecord.Member, cellrecord.Holder, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	d.membersReadAt = d.clock.Steady()
 	items, _, err := d.store.Newest(ctx, cellrecord.MemberTopic)
 	d.recordStoreResult(err)
 	if err != nil {
 		return nil, cellrecord.Holder{}, err
 	}
 	decoded := cellrecord.Decode(items)
-	_ = d.rings.Members.Put(ctx, decoded.Members) // keeps the newest; never fails
+	for _, ring := range d.rings.Members {
+		_ = ring.Put(ctx, decoded.Members) // keeps the newest; never fails
+	}
 	return decoded.Members, decoded.Holder, nil
 }
 
--- a/scheduler/election/search.go
+++ b/scheduler/election/search.go
@@ -80,6 +80,7 @@
 	claim := cellrecord.Holder{
 		Epoch: election.NextEpoch(round, rand.Uint32()), Round: round, Instance: d.settings.Instance, Address: d.settings.Address,
 	}
+	claimedAt := d.clock.Steady()
 	if err := d.claim(ctx, claim, end); err != nil {
 		d.log.Event("claim_failed", "epoch", claim.Epoch, "at", end, "error", err)
 		if errors.Is(err, api.ErrFenced) {
@@ -92,7 +93,7 @@
 		"took_ms", (d.clock.Steady() - start).Milliseconds())
 	d.round, d.searching, d.claimNow, d.holderRecorded = round, false, false, false
 	d.follow(message.Holder{Epoch: claim.Epoch, Instance: claim.Instance, Address: claim.Address, Self: true}, "claimed")
-	_ = d.rings.Elected.Put(ctx, message.Elected{Epoch: claim.Epoch, Round: round, Records: decoded.Records}) // keeps the newest
+	_ = d.rings.Elected.Put(ctx, message.Elected{Epoch: claim.Epoch, Round: round, Records: decoded.Records, ClaimedAt: claimedAt}) // keeps the newest
 	d.recordHolder(ctx)
 }
 
--- a/scheduler/election/search_test.go
+++ b/scheduler/election/search_test.go
@@ -132,7 +132,7 @@
 	rings := NewRings()
 	rings.Elected = supervise.NewRing[message.Elected]("elected", 1, supervise.DropOldest)
 	rings.StoreOutage = supervise.NewRing[time.Duration]("silent", 1, supervise.DropOldest)
-	rings.Members = supervise.NewRing[[]cellrecord.Member]("members", 1, supervise.DropOldest)
+	rings.Members = []*supervise.Ring[[]cellrecord.Member]{supervise.NewRing[[]cellrecord.Member]("members", 1, supervise.DropOldest)}
 	tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
 	lines := logs.New()
 	lines.Start(tree, io.Discard, "self", log.InfoLevel)
--- a/scheduler/holder/actions.go
+++ b/scheduler/holder/actions.go
@@ -113,7 +113,7 @@
 			d.executeActions(ctx)
 			return
 		}
-	case d.clock.Steady()-r.appendedAt >= heartbeatInterval:
+	case d.clock.Steady()-r.appendedAt >= heartbeatInterval || !r.hasAuthority:
 		items = []api.Item{{Key: cellrecord.HeartbeatKey, Value: []byte("{}")}}
 	default:
 		return
--- a/scheduler/holder/authority.go
+++ b/scheduler/holder/authority.go
@@ -1,20 +1,12 @@
 package holder
 
 import (
-	"time"
-
 	"lacewingfork.example/lacewingfork/decision/cell"
+	"lacewingfork.example/lacewingfork/fleet"
 	"lacewingfork.example/lacewingfork/scheduler/message"
 )
 
-// authorityTimeout is how long a holder keeps its authority without a
-// confirmation that no other instance holds the cell. It must be less than
-// cell.Settings.AuthorityBound.
-const authorityTimeout = 2 * time.Second
-
-// handleHeartbeat handles a heartbeat of a linked instance. If that instance
-// cannot reach the store either, it confirms that no other instance has taken
-// over through it.
+// handleHeartbeat handles a heartbeat of a linked instance.
 func (d *Duty) handleHeartbeat(heartbeat message.Heartbeat) {
 	r := d.role
 	if r == nil {
@@ -24,23 +16,39 @@
 		d.endRole("peer_knows_later_epoch")
 		return
 	}
-	if heartbeat.Epoch == r.epoch && heartbeat.StoreOutage > 0 {
-		r.confirmedAt = d.clock.Steady()
+	if heartbeat.Epoch == r.epoch {
+		r.authority.Heard(d.clock.Steady(), heartbeat.Instance, heartbeat.StoreOutage > 0, heartbeat.Answered)
 		d.checkAuthority()
 	}
 }
 
-// checkAuthority updates whether the role is confirmed recently enough to decide.
+// registerMembers passes the other registered instances to the authority.
+func (d *Duty) registerMembers() {
+	if d.role == nil || d.members == nil {
+		return
+	}
+	var others []fleet.InstanceID
+	for _, m := range d.members {
+		if m.Instance != d.instance {
+			others = append(others, m.Instance)
+		}
+	}
+	d.role.authority.Register(d.clock.Steady(), others)
+}
+
+// checkAuthority informs the decisions if the role is no longer confirmed recently
+// enough to give orders, or is again.
 func (d *Duty) checkAuthority() {
 	r := d.role
 	if r == nil {
 		return
 	}
-	held := d.clock.Steady()-r.confirmedAt < authorityTimeout
+	now := d.clock.Now()
+	held := r.authority.Held(now.Steady)
 	if held == r.hasAuthority {
 		return
 	}
 	r.hasAuthority = held
-	d.log.Event("holder_authority", "epoch", r.epoch, "held", held, "confirmed_ms_ago", (d.clock.Steady() - r.confirmedAt).Milliseconds())
-	d.handle(cell.AuthorityChanged{Held: held})
+	d.log.Event("holder_authority", "epoch", r.epoch, "held", held, "confirmed_ms_ago", (now.Steady - r.authority.ConfirmedAt()).Milliseconds())
+	r.cell.Handle(now, cell.AuthorityChanged{Held: held})
 }
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -11,10 +11,12 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"lacewingfork.example/lacewingfork/decision/authority"
 	"lacewingfork.example/lacewingfork/decision/cell"
 	"lacewingfork.example/lacewingfork/decision/job"
 	"lacewingfork.example/lacewingfork/fleet"
 	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/records/cellrecord"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/logs"
 	"lacewingfork.example/lacewingfork/scheduler/message"
@@ -64,6 +66,8 @@
 	Elected        *supervise.Ring[message.Elected]
 	// Heartbeats carries the heartbeats of instances linked to this one.
 	Heartbeats *supervise.Ring[message.Heartbeat]
+	// Members carries the registered instances.
+	Members *supervise.Ring[[]cellrecord.Member]
 	// StepDown ends the role of holder on a planned stop.
 	StepDown *supervise.Ring[struct{}]
 
@@ -87,6 +91,7 @@
 		Configurations: message.NewConfigurationRing("holder.configurations"),
 		Elected:        supervise.NewRing[message.Elected]("holder.elected", 1, supervise.DropOldest),
 		Heartbeats:     supervise.NewRing[message.Heartbeat]("holder.beats", 256, supervise.DropOldest),
+		Members:        supervise.NewStateRing[[]cellrecord.Member]("holder.members"),
 		StepDown:       supervise.NewRing[struct{}]("holder.step-down", 1, supervise.DropOldest),
 	}
 }
@@ -94,12 +99,14 @@
 // Duty holds the cell while this instance is elected.
 type Duty struct {
 	rings    *Rings
+	instance fleet.InstanceID
 	settings cell.Settings
 	clock    *clock.Clock
 	log      *logs.Log
 	metrics  *metrics
 
 	configuration *api.Configuration
+	members       []cellrecord.Member // nil until they have been read
 	role          *role
 }
 
@@ -113,8 +120,8 @@
 	appendInFlight      bool
 	unacknowledgedSince time.Duration // start of the first append since the last acknowledgement; 0 if none
 	appendedAt          time.Duration // end of the last append
-	confirmedAt         time.Duration // last confirmation that no other instance holds the cell
-	hasAuthority        bool
+	authority           *authority.Authority
+	hasAuthority        bool // as the decisions know it
 	configured          bool // a configuration has been passed to the decisions
 	ticks               int
 	lag                 time.Duration // longest time that an answer waited since the last tick
@@ -123,8 +130,8 @@
 }
 
 // New returns the duty; Start starts it.
-func New(rings *Rings, settings cell.Settings, c *clock.Clock, log *logs.Log, registry prometheus.Registerer) *Duty {
-	return &Duty{rings: rings, settings: settings, clock: c, log: log, metrics: newMetrics(registry)}
+func New(rings *Rings, instance fleet.InstanceID, settings cell.Settings, c *clock.Clock, log *logs.Log, registry prometheus.Registerer) *Duty {
+	return &Duty{rings: rings, instance: instance, settings: settings, clock: c, log: log, metrics: newMetrics(registry)}
 }
 
 // Start adds the duty below root.
@@ -132,7 +139,7 @@
 	r := d.rings
 	root.Child("holder", supervise.DefaultIntensity).Start(supervise.Duty{
 		Name:  "cell",
-		Rings: []supervise.AnyRing{r.Requests, r.WorkerEvents, r.AppendResults, r.ServerChanges, r.Configurations, r.Elected, r.Heartbeats, r.StepDown},
+		Rings: []supervise.AnyRing{r.Requests, r.WorkerEvents, r.AppendResults, r.ServerChanges, r.Configurations, r.Elected, r.Heartbeats, r.Members, r.StepDown},
 		Run:   d.run,
 	})
 }
@@ -143,15 +150,14 @@
 	defer ticker.Stop()
 	pass := time.NewTimer(tickInterval)
 	defer pass.Stop()
+	supervise.Replay(d.rings.Members)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case request := <-d.rings.Requests.Items():
-			d.checkAuthority()
 			d.handleRequest(request)
 		case e := <-d.rings.WorkerEvents.Items():
-			d.checkAuthority()
 			d.handleWorkerEvent(e)
 		case result := <-d.rings.AppendResults.Items():
 			d.handleAppendResult(result)
@@ -163,6 +169,8 @@
 			d.beginRole(elected)
 		case heartbeat := <-d.rings.Heartbeats.Items():
 			d.handleHeartbeat(heartbeat)
+		case d.members = <-d.rings.Members.Items():
+			d.registerMembers()
 		case <-d.rings.StepDown.Items():
 			d.endRole("stopping")
 		case <-ticker.C:
@@ -204,8 +212,9 @@
 	now := d.clock.Now()
 	d.role = &role{
 		epoch: elected.Epoch, cell: cell.New(d.settings, elected.Round), requests: map[cell.Token]message.Request{},
-		confirmedAt: now.Steady, appendedAt: now.Steady, hasAuthority: true,
+		authority: authority.New(elected.ClaimedAt), appendedAt: now.Steady, hasAuthority: true,
 	}
+	d.registerMembers()
 	d.role.cell.Restore(now, elected.Records)
 	d.configure()
 	_ = d.rings.FollowServers.Put(context.Background(), true) // keeps the newest; never fails
@@ -244,8 +253,12 @@
 	d.handle(cell.QueuesChanged{Queues: queues})
 }
 
-// handle passes an event to the decisions.
-func (d *Duty) handle(e cell.Event) { d.role.cell.Handle(d.clock.Now(), e) }
+// handle passes an event to the decisions. It checks the authority first: the process
+// may have stood still before any event.
+func (d *Duty) handle(e cell.Event) {
+	d.checkAuthority()
+	d.role.cell.Handle(d.clock.Now(), e)
+}
 
 // handleRequest passes a request to the decisions and keeps it until the reply.
 func (d *Duty) handleRequest(request message.Request) {
@@ -298,12 +311,12 @@
 		d.handle(cell.BatchRefused{Batch: result.Batch})
 		return
 	}
-	r.appendInFlight, r.unacknowledgedSince, r.appendedAt, r.confirmedAt = false, 0, d.clock.Steady(), d.clock.Steady()
+	r.appendInFlight, r.unacknowledgedSince, r.appendedAt = false, 0, d.clock.Steady()
+	r.authority.StoreConfirmed(result.SentAt)
 	d.handle(cell.StoreHealth{})
 	if result.Batch > 0 {
 		d.handle(cell.Committed{Batch: result.Batch})
 	}
-	d.checkAuthority()
 }
 
 // handleServerChange passes a change of the server list to the decisions.
@@ -329,7 +342,7 @@
 	}
 	if suspended := d.clock.Suspended(); suspended > 0 {
 		d.log.Event("instance_was_suspended", "slept_ms", suspended.Milliseconds())
-		r.confirmedAt -= authorityTimeout // until the store or a peer confirms the role again
+		r.authority.Suspended(d.clock.Steady())
 	}
 	if outage := d.storeOutage(); outage > 0 {
 		d.handle(cell.StoreHealth{Waiting: outage})
--- a/scheduler/holder/lag_test.go
+++ b/scheduler/holder/lag_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"lacewingfork.example/lacewingfork/decision/authority"
 	"lacewingfork.example/lacewingfork/decision/cell"
 	"lacewingfork.example/lacewingfork/internal/clock"
 	"lacewingfork.example/lacewingfork/scheduler/logs"
@@ -15,8 +16,8 @@
 // Guards against a holder that decides late without a sign of it, and against one that
 // leaves out work for good after a short lag.
 func TestLagIsReportedUntilHolderHasCaughtUp(t *testing.T) {
-	d := New(NewRings(), cell.DefaultSettings(), clock.New(), logs.New(), prometheus.NewRegistry())
-	d.role = &role{epoch: 7, cell: cell.New(cell.DefaultSettings(), 1)}
+	d := New(NewRings(), "self", cell.DefaultSettings(), clock.New(), logs.New(), prometheus.NewRegistry())
+	d.role = &role{epoch: 7, cell: cell.New(cell.DefaultSettings(), 1), authority: authority.New(d.clock.Steady()), hasAuthority: true}
 	answer := func(lag time.Duration) {
 		d.handleWorkerEvent(message.WorkerEvent{Epoch: 7, Event: cell.HoldAnswered{Server: "a"}, AnsweredAt: d.clock.Steady() - lag})
 		d.checkLag()
--- a/scheduler/holder/restart_test.go
+++ b/scheduler/holder/restart_test.go
@@ -20,7 +20,7 @@
 	rings := NewRings()
 	rings.RoleEnded = supervise.NewRing[fleet.Epoch]("test.ended", 1, supervise.DropOldest)
 	rings.FollowServers = supervise.NewRing[bool]("test.follow", 1, supervise.DropOldest)
-	d := New(rings, cell.DefaultSettings(), clock.New(), logs.New(), prometheus.NewRegistry())
+	d := New(rings, "self", cell.DefaultSettings(), clock.New(), logs.New(), prometheus.NewRegistry())
 	reply := supervise.NewRing[message.Response]("test.reply", 1, supervise.Refuse)
 	d.role = &role{epoch: 7, cell: cell.New(cell.DefaultSettings(), 1), requests: map[cell.Token]message.Request{1: {Reply: reply}}}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -62,6 +62,8 @@
 	Epoch   fleet.Epoch
 	Round   int
 	Records []cell.Record
+	// ClaimedAt is when the claim was sent, on the steady clock.
+	ClaimedAt time.Duration
 }
 
 // LinkChange reports a change of the link to the holder to the election duty.
@@ -76,6 +78,7 @@
 // Heartbeat is the state that the other side of a link reports. Pending, the
 // number of pending jobs by queue, is set only by a holder.
 type Heartbeat struct {
+	Instance             fleet.InstanceID // that sent it, if it arrived on an accepted link
 	Epoch                fleet.Epoch
 	IsHolder             bool
 	ConfigurationVersion int64
@@ -84,6 +87,9 @@
 	ConfigurationEnd fleet.Offset
 	StoreOutage      time.Duration
 	Pending          map[job.Queue]int
+	// SentAt is when a holder sent it, on its steady clock, and Answered the SentAt of
+	// the newest heartbeat that the sender has received on the link; 0 if none.
+	SentAt, Answered time.Duration
 }
 
 // AppendResult is the outcome of an append of the holder.
@@ -94,7 +100,10 @@
 	Fenced bool
 	// Refused means that the append was not executed and is not retried.
 	Refused bool
-	Took    time.Duration
+	// SentAt is when the append was sent, on the steady clock: its success confirms
+	// the role of holder as of then.
+	SentAt time.Duration
+	Took   time.Duration
 }
 
 // WorkerEvent is the answer of a worker or the advisor to an order of an epoch's
--- a/scheduler/peers/accept.go
+++ b/scheduler/peers/accept.go
@@ -107,6 +107,7 @@
 		}
 	case *cellpb.Frame_Beat:
 		heartbeat := decodeHeartbeat(body.Beat)
+		heartbeat.Instance = link.peer
 		if err := a.supervisor.links.heartbeats.Put(ctx, peerHeartbeat{link: link, heartbeat: heartbeat}); err != nil {
 			return err
 		}
@@ -245,7 +246,7 @@
 func (t *linkTable) sendHeartbeat(ctx context.Context, link *acceptedLink) {
 	heartbeat := message.Heartbeat{
 		Epoch: t.status.Epoch, IsHolder: t.status.IsHolder, StoreOutage: t.status.StoreOutage, Pending: t.status.Pending,
-		ConfigurationVersion: configurationVersion(t.configuration),
+		ConfigurationVersion: configurationVersion(t.configuration), SentAt: t.supervisor.clock.Steady(),
 	}
 	if t.progress.Version == heartbeat.ConfigurationVersion {
 		heartbeat.ConfigurationEnd = t.progress.End
--- a/scheduler/peers/announce.go
+++ b/scheduler/peers/announce.go
@@ -19,7 +19,8 @@
 	announceInterval = time.Second
 	// announceDuration is how long a new holder announces itself. It is bounded
 	// because an instance that has been removed stays among the members for a
-	// while.
+	// while. A holder that cannot reach the store goes on, as it needs the report of
+	// each instance, including those that have restarted.
 	announceDuration = 8 * time.Second
 	// announceCapacity is the number of queued announcements. It covers each
 	// instance of a deployment once.
@@ -59,7 +60,8 @@
 	if t.status.Epoch != a.epoch {
 		a.epoch, a.epochSince, a.announcedAt = t.status.Epoch, now, 0
 	}
-	if now-a.epochSince > announceDuration || now-a.announcedAt < announceInterval {
+	withoutStore := t.status.StoreOutage > 0
+	if now-a.epochSince > announceDuration && !withoutStore || now-a.announcedAt < announceInterval {
 		return
 	}
 	a.announcedAt = now
--- a/scheduler/peers/codec.go
+++ b/scheduler/peers/codec.go
@@ -63,6 +63,7 @@
 	beat := &cellpb.Beat{
 		Epoch: uint64(heartbeat.Epoch), Holder: heartbeat.IsHolder, ConfigurationVersion: heartbeat.ConfigurationVersion,
 		StoreSilentMs: heartbeat.StoreOutage.Milliseconds(), ConfigurationEnd: int64(heartbeat.ConfigurationEnd),
+		SentUs: heartbeat.SentAt.Microseconds(), AnsweredUs: heartbeat.Answered.Microseconds(),
 	}
 	for queue, count := range heartbeat.Pending {
 		beat.Pending = append(beat.Pending, &cellpb.QueueCount{Queue: string(queue), Count: int64(count)})
@@ -75,6 +76,7 @@
 		Epoch: fleet.Epoch(b.Epoch), IsHolder: b.Holder, ConfigurationVersion: b.ConfigurationVersion,
 		StoreOutage: time.Duration(b.StoreSilentMs) * time.Millisecond, Pending: map[job.Queue]int{},
 		ConfigurationEnd: fleet.Offset(b.ConfigurationEnd),
+		SentAt:           time.Duration(b.SentUs) * time.Microsecond, Answered: time.Duration(b.AnsweredUs) * time.Microsecond,
 	}
 	for _, count := range b.Pending {
 		heartbeat.Pending[job.Queue(count.Queue)] = int(count.Count)
--- a/scheduler/peers/router.go
+++ b/scheduler/peers/router.go
@@ -201,7 +201,7 @@
 		_ = r.supervisor.rings.Announcements.Put(ctx, h) // the election decides which holder to follow
 		return
 	}
-	r.counts = heartbeat.Pending
+	r.counts, r.session.heartbeatAt = heartbeat.Pending, heartbeat.SentAt
 	_ = r.supervisor.rings.HolderHeartbeats.Put(ctx, heartbeat) // keeps the newest; never fails
 	if !r.up() {
 		r.linkUp(ctx)
@@ -298,6 +298,7 @@
 		} else {
 			r.sendOrClose(ctx, encodeHeartbeat(message.Heartbeat{
 				Epoch: r.holder.Epoch, StoreOutage: r.storeOutage, ConfigurationVersion: configurationVersion(r.configuration),
+				Answered: r.session.heartbeatAt,
 			}))
 		}
 	}
--- a/scheduler/peers/session.go
+++ b/scheduler/peers/session.go
@@ -20,13 +20,14 @@
 // session is one dialled connection to the holder. The receiver duty reads the
 // stream; only the router uses the rest.
 type session struct {
-	close      func() error
-	stream     cellpb.DRPCCell_LinkClient
-	receiver   supervise.Handle
-	received   *supervise.Ring[*cellpb.Frame]
-	failed     *supervise.Ring[error]
-	openedAt   time.Duration
-	receivedAt time.Duration
+	close       func() error
+	stream      cellpb.DRPCCell_LinkClient
+	receiver    supervise.Handle
+	received    *supervise.Ring[*cellpb.Frame]
+	failed      *supervise.Ring[error]
+	openedAt    time.Duration
+	receivedAt  time.Duration
+	heartbeatAt time.Duration // SentAt of the newest heartbeat of the followed holder
 	// sentVersion is the newest configuration sent to the holder.
 	sentVersion int64
 }
--- a/scheduler/store/store.go
+++ b/scheduler/store/store.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/clock"
 	"lacewingfork.example/lacewingfork/internal/wait"
 	"lacewingfork.example/lacewingfork/records/cellrecord"
 	"lacewingfork.example/lacewingfork/scheduler/api"
@@ -44,6 +45,7 @@
 // Writer is the duty that appends for the holder.
 type Writer struct {
 	store         api.Store
+	clock         *clock.Clock
 	log           *logs.Log
 	results       *supervise.Ring[message.AppendResult]
 	appendSeconds *prometheus.HistogramVec
@@ -53,9 +55,9 @@
 }
 
 // NewWriter adds the writer below tree.
-func NewWriter(tree *supervise.Tree, store api.Store, log *logs.Log, results *supervise.Ring[message.AppendResult], registry prometheus.Registerer) *Writer {
+func NewWriter(tree *supervise.Tree, store api.Store, c *clock.Clock, log *logs.Log, results *supervise.Ring[message.AppendResult], registry prometheus.Registerer) *Writer {
 	w := &Writer{
-		store: store, log: log, results: results,
+		store: store, clock: c, log: log, results: results,
 		Appends: supervise.NewRing[Append]("store.appends", 1, supervise.DropOldest),
 		appendSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lacewingfork_store_append_seconds", Help: "Time of appends to the store.",
@@ -86,7 +88,11 @@
 // a newer one is queued, which means that the holder has changed.
 func (w *Writer) write(ctx context.Context, a Append) error {
 	start, mayHaveExecuted := time.Now(), false
+	sentAt := time.Duration(0) // of the first attempt that may have been executed
 	for failures := 0; ; failures++ {
+		if !mayHaveExecuted {
+			sentAt = w.clock.Steady()
+		}
 		err := w.appendOnce(ctx, a)
 		mayHaveExecuted = mayHaveExecuted || err != nil && !errors.Is(err, api.ErrUnavailable)
 		switch {
@@ -94,7 +100,7 @@
 			if failures > 0 {
 				w.log.Event("store_append_recovered", "epoch", a.Epoch, "sequence", a.Sequence, "after_ms", time.Since(start).Milliseconds())
 			}
-			return w.results.Put(ctx, message.AppendResult{Epoch: a.Epoch, Batch: a.Batch, Took: time.Since(start)})
+			return w.results.Put(ctx, message.AppendResult{Epoch: a.Epoch, Batch: a.Batch, SentAt: sentAt, Took: time.Since(start)})
 		case errors.Is(err, api.ErrFenced), errors.Is(err, api.ErrSequence):
 			w.log.Event("store_append_fenced", "epoch", a.Epoch, "sequence", a.Sequence, "error", err)
 			return w.results.Put(ctx, message.AppendResult{Epoch: a.Epoch, Batch: a.Batch, Fenced: true, Took: time.Since(start)})
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -9,6 +9,7 @@
 	"lacewingfork.example/lacewingfork/decision/cell"
 	"lacewingfork.example/lacewingfork/decision/congestion"
 	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/records/cellrecord"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/callers"
 	"lacewingfork.example/lacewingfork/scheduler/election"
@@ -73,7 +74,7 @@
 // rings of others.
 func connect(p components) {
 	storeTree := p.Tree.Child("store", supervise.DefaultIntensity)
-	writer := store.NewWriter(storeTree, p.Platform.Store, p.Log, p.Holder.AppendResults, p.Registry)
+	writer := store.NewWriter(storeTree, p.Platform.Store, p.Clock, p.Log, p.Holder.AppendResults, p.Registry)
 	servers := store.NewServers(storeTree, p.Platform.Store, p.Platform.Records, p.Log, p.Holder.ServerChanges)
 	workerCalls := workers.New(p.Tree, p.Platform.Workers, p.Platform.Advisor, p.Clock, p.Holder.WorkerEvents, p.Registry)
 
@@ -84,7 +85,8 @@
 
 	p.Election.Elected = p.Holder.Elected
 	p.Election.Holders = []*supervise.Ring[message.Holder]{p.PeerRings.Holders}
-	p.Election.StoreOutage, p.Election.Members = p.PeerRings.StoreOutage, p.PeerRings.Members
+	p.Election.StoreOutage = p.PeerRings.StoreOutage
+	p.Election.Members = []*supervise.Ring[[]cellrecord.Member]{p.PeerRings.Members, p.Holder.Members}
 
 	p.PeerRings.LinkChanges, p.PeerRings.Announcements = p.Election.LinkChanges, p.Election.Announcements
 	p.PeerRings.HolderHeartbeats, p.PeerRings.Handovers = p.Election.HolderHeartbeats, p.Election.Handovers
@@ -98,7 +100,7 @@
 		p.PeerRings.Configurations, p.Peers.Configurations(),
 	}
 	p.Configurations.Start(storeTree, p.Platform.Store)
-	holder.New(p.Holder, cellSettings(p.Settings), p.Clock, p.Log, p.Registry).Start(p.Tree)
+	holder.New(p.Holder, p.Settings.Instance.ID, cellSettings(p.Settings), p.Clock, p.Log, p.Registry).Start(p.Tree)
 	election.New(p.Election, electionSettings(p.Settings), p.Platform.Store, p.Clock, p.Log).Start(p.Tree)
 	p.Peers.Start()
 }
