Ask every instance before a holder goes on without the store

Cause: a holder without the store kept its authority while any one linked instance could not reach the store either. In a partition that instance is on the same side; the other side claimed the cell, and each started again what ran on the other.

Ruled out: late orders, stops taken for ends, ends lost with fenced records (docs/incidents/2026-12-05-two-holders-in-a-partition.md).

--- a/decision/authority/authority.go
+++ b/decision/authority/authority.go
@@ -8,8 +8,10 @@
 //
 //   - the store has acknowledged an append under the holder's epoch, which confirms the
 //     role as of the moment at which the append was sent;
-//   - another instance that follows the holder cannot reach the store. Its report
-//     confirms the role as of the message of the holder that it answers.
+//   - no instance that may claim the cell can reach the store. Each of them has to say
+//     so, as one that is silent may be on the other side of a partition, together with
+//     the store. A report confirms the role as of the message of the holder that it
+//     answers.
 //
 // The time of arrival confirms nothing: an answer may have waited while the process was
 // suspended.
@@ -25,6 +27,9 @@
 	// Timeout is how long a holder keeps its authority without a confirmation. It
 	// must be less than cell.Settings.AuthorityBound.
 	Timeout = 2 * time.Second
+	// PresumedGone is how long an instance has to have been silent while the store
+	// confirmed the role to count as removed. It exceeds a power loss and a restart.
+	PresumedGone = 30 * time.Second
 )
 
 // Authority is the evidence that an instance holds the cell. All times are on its
@@ -100,12 +105,20 @@
 // Held reports whether the holder may give orders.
 func (a *Authority) Held(now time.Duration) bool { return now-a.ConfirmedAt() < Timeout }
 
-// withoutStoreAt returns the latest moment as of which another instance could not reach
-// the store, or 0.
+// withoutStoreAt returns the moment as of which none of the other instances could reach
+// the store, or 0. An only instance gets no confirmation in this way.
 func (a *Authority) withoutStoreAt() time.Duration {
-	at := time.Duration(0)
+	if !a.registered {
+		return 0
+	}
+	at, reports := time.Duration(0), 0
 	for _, other := range a.instances {
-		at = max(at, other.withoutStoreAt)
+		if a.storeAt-other.heardAt > PresumedGone {
+			continue
+		}
+		if reports++; reports == 1 || other.withoutStoreAt < at {
+			at = other.withoutStoreAt
+		}
 	}
 	return at
 }
--- a/scheduler/holder/authority_test.go
+++ b/scheduler/holder/authority_test.go
@@ -10,6 +10,7 @@
 	"lacewingfork.example/lacewingfork/decision/authority"
 	"lacewingfork.example/lacewingfork/decision/cell"
 	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/records/cellrecord"
 	"lacewingfork.example/lacewingfork/scheduler/logs"
 	"lacewingfork.example/lacewingfork/scheduler/message"
 )
@@ -52,3 +53,27 @@
 		})
 	}
 }
+
+// Guards against two holders on the sides of a partition (TWICE, users' record of 5
+// December 2026).
+func TestReportOfOnePeerDoesNotConfirmRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newHolder()
+		d.members = []cellrecord.Member{{Instance: "self"}, {Instance: "near"}, {Instance: "far"}}
+		d.registerMembers()
+		time.Sleep(authority.Timeout)
+		report := func(m message.Heartbeat) {
+			m.Epoch, m.StoreOutage, m.Answered = 7, time.Second, d.clock.Steady()
+			d.handleHeartbeat(m)
+		}
+		report(message.Heartbeat{Instance: "near"})
+		d.handle(cell.Tick{})
+		if d.role.cell.Stats().Authority {
+			t.Error("authority by the report of one of two instances, want none: the other one may have claimed the cell")
+		}
+		report(message.Heartbeat{Instance: "far"})
+		if !d.role.cell.Stats().Authority {
+			t.Error("no authority although no instance can reach the store")
+		}
+	})
+}
