--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -238,7 +238,7 @@
 func (c *Cell) cancel(e CancelRequested) {
 	j, known := c.jobs[e.ID]
 	if !known {
-		c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NoSuchJob}})
+		c.nextBatch.unknownJobs = append(c.nextBatch.unknownJobs, e.Token)
 		return
 	}
 	if j.finalStored {
@@ -263,13 +263,19 @@
 	j.cancelTokens = nil
 }
 
+// answerState answers with the state of a job. That a job does not exist is said at once
+// while the holder has authority, as a later holder may have accepted it only since the
+// last confirmation; otherwise it waits for one.
 func (c *Cell) answerState(e StateRequested) {
 	j, known := c.jobs[e.ID]
-	if !known || !j.stored {
+	switch {
+	case known && j.stored:
+		c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: Accepted, State: j.visibleState()}})
+	case c.authority:
 		c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NoSuchJob}})
-		return
+	default:
+		c.nextBatch.unknownJobs = append(c.nextBatch.unknownJobs, e.Token)
 	}
-	c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: Accepted, State: j.visibleState()}})
 }
 
 func (j *jobState) countRuns() int {
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -88,6 +88,9 @@
 	deletions    []Key
 	cursors      map[*worker]endCursor
 	interference bool
+	// unknownJobs are the requests for jobs that do not exist, which a later holder
+	// may know: the append of the batch shows that there was none.
+	unknownJobs []Token
 }
 
 // endCursor is the number of the highest end applied from one incarnation of a
@@ -108,15 +111,17 @@
 
 func (b *batch) empty() bool {
 	return len(b.jobs) == 0 && len(b.dirty) == 0 && len(b.servers) == 0 &&
-		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference
+		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference && len(b.unknownJobs) == 0
 }
 
 func (c *Cell) markDirty(j *jobState) { c.nextBatch.dirty[j] = true }
 
-// Batch is a set of records that are appended together.
+// Batch is a set of records that are appended together. Confirms means that the append is
+// also needed without records: it shows that no other instance has taken the cell over.
 type Batch struct {
-	Number  uint64
-	Records []Record
+	Number   uint64
+	Records  []Record
+	Confirms bool
 }
 
 // TakeBatch returns the records to append, or ok false if there are none or a
@@ -128,7 +133,7 @@
 	taken := c.nextBatch
 	c.batchNumber++
 	c.inFlight, c.nextBatch = taken, newBatch(c.batchNumber)
-	b.Number = taken.number
+	b.Number, b.Confirms = taken.number, len(taken.unknownJobs) > 0
 	for _, j := range taken.jobs {
 		b.Records = append(b.Records, Record{Key: jobKey(j.job.ID), Job: &JobRecord{Job: j.job, Accepted: j.acceptedWall}})
 	}
@@ -170,6 +175,9 @@
 	for _, j := range b.ended {
 		c.finalStateRecorded(j)
 	}
+	for _, token := range b.unknownJobs {
+		c.emit(Reply{Token: token, Reply: JobReply{Verdict: NoSuchJob}})
+	}
 	for j := range b.dirty {
 		if j.crashBatch == b.number {
 			j.crashBatch = 0
@@ -204,6 +212,7 @@
 	next.servers = append(b.servers, next.servers...)
 	next.deletions = append(b.deletions, next.deletions...)
 	next.interference = next.interference || b.interference
+	next.unknownJobs = append(b.unknownJobs, next.unknownJobs...)
 	for j := range b.dirty {
 		next.dirty[j] = true
 		if j.crashBatch == b.number {
--- a/scheduler/holder/actions.go
+++ b/scheduler/holder/actions.go
@@ -90,6 +90,9 @@
 	d.log.Event(string(n.Event), pairs...)
 }
 
+// heartbeatItems are the records of an append that only confirms the role of holder.
+var heartbeatItems = []api.Item{{Key: cellrecord.HeartbeatKey, Value: []byte("{}")}}
+
 // appendNext appends the next batch if no append is in flight, or a heartbeat
 // record if the interval has passed without an append.
 func (d *Duty) appendNext(ctx context.Context) {
@@ -108,13 +111,17 @@
 			return
 		}
 		items = encoded
-		if len(items) == 0 { // the batch holds only acknowledgements that change no record
+		switch {
+		case len(items) > 0:
+		case batch.Confirms:
+			items = heartbeatItems
+		default: // the batch holds only acknowledgements that change no record
 			d.handle(cell.Committed{Batch: batch.Number})
 			d.executeActions(ctx)
 			return
 		}
 	case d.clock.Steady()-r.appendedAt >= heartbeatInterval || !r.hasAuthority:
-		items = []api.Item{{Key: cellrecord.HeartbeatKey, Value: []byte("{}")}}
+		items = heartbeatItems
 	default:
 		return
 	}
