Restart lost long-running tasks at once after a takeover

Cause: on a service that long-running tasks crowd, those without a run come last until they have waited 5 s. A new holder does not know how long they have waited and began to count anew, so a series of takeovers kept them last.

Ruled out for these tasks: the wait for leases (other tasks of the job start in the same epochs, at its first pass) and the suspicion of crashes (the lost runs were too old to be suspects).

Change: such a task of a restored job that has started counts as overdue at once. The first start of a long-running job is recorded; no end would do it.

Measured: TestLostLongRunningTaskComesFirstAfterTakeover and TestStartOfLongRunningJobIsRecorded fail before the change and pass with it.

--- a/decision/cell/order.go
+++ b/decision/cell/order.go
@@ -74,14 +74,22 @@
 const restartDelay = 5 * time.Second
 
 // overdue reports whether a waiting long-running task has run before, has waited
-// for restartDelay, and may start now.
+// for restartDelay, and may start now. How long a task of a restored job that has
+// started had been without a run is not known: it counts as overdue at once, or
+// takeovers in a series would let it wait anew each time.
 func (c *Cell) overdue(t *task) bool {
-	hasRun := t.attempt > 0 || t.step.occurrence.job.restored
+	j := t.step.occurrence.job
+	if !t.step.spec.LongRunning || t.attempt == 0 && !j.restored || c.now.Steady < t.notBefore {
+		return false
+	}
 	since := c.waitingSince(t)
-	if t.lastRunAt > 0 {
+	switch {
+	case t.lastRunAt > 0:
 		since = t.lastRunAt
+	case j.restored && j.started && t.attempt == 0:
+		return true
 	}
-	return t.step.spec.LongRunning && hasRun && c.now.Steady-since >= restartDelay && c.now.Steady >= t.notBefore
+	return c.now.Steady-since >= restartDelay
 }
 
 // hasOverdue reports whether one of the waiting tasks of a step is overdue.
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -236,6 +236,9 @@
 		w.extraHoldAt = c.now.Steady + measurementWindow + clockMargin // the first measurement that covers only time with this run
 	}
 	j := r.task.step.occurrence.job
+	if r.task.step.spec.LongRunning && !j.started {
+		c.markDirty(j) // no end of such a task may ever do it
+	}
 	j.started = true
 	if j.ended || r.task.done && len(r.task.runs) > 0 {
 		c.stopRun(r, "task_over")
