Record the leases that a holder does not extend

Cause: a new holder assumed the longest lease on each worker that does not answer it, 10.7 s from its claim, and began anew at each takeover.

Change: one record names the workers that the holder does not extend, or extends for 1.5 s at a time, and how long everything on them lasts. It is a promise: a named worker gets no lease beyond it and no start until a record without it is durable. A planned stop records the leases of all workers and then hands the cell over. Only the next holder uses the record. A holder that fences a worker with runs counts on the lease of the earlier one.

--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -130,6 +130,8 @@
 	// StoreHealth reports for how long the store has left an append unanswered;
 	// 0 means that it answers.
 	StoreHealth struct{ Waiting time.Duration }
+	// SteppedDown means that the holder gives no more orders: its role ends.
+	SteppedDown struct{}
 	// AuthorityChanged reports whether the holder may give orders.
 	AuthorityChanged struct{ Held bool }
 	// HolderLoad reports whether the holder decides later than it should, for want of
@@ -157,6 +159,7 @@
 func (Committed) isEvent()        {}
 func (BatchRefused) isEvent()     {}
 func (StoreHealth) isEvent()      {}
+func (SteppedDown) isEvent()      {}
 func (AuthorityChanged) isEvent() {}
 func (HolderLoad) isEvent()       {}
 func (Tick) isEvent()             {}
--- a/decision/cell/hold.go
+++ b/decision/cell/hold.go
@@ -70,7 +70,7 @@
 	}
 	// A call to a worker that does not answer carries no lease: each call may
 	// still reach the worker, so its lease would never count as expired.
-	if len(w.runs) > 0 && w.clock.known && !w.unreachable && !w.answers.missing {
+	if len(w.runs) > 0 && w.clock.known && !w.unreachable && !w.answers.missing && (w.bound == nil || w.bound.renewed > 0) {
 		h.Deadline = c.leaseEnd(w)
 		w.leaseGranted = max(w.leaseGranted, h.Deadline)
 	}
@@ -84,6 +84,9 @@
 	if w.server.Draining {
 		lease = drainLease
 	}
+	if w.bound != nil {
+		lease = min(lease, w.bound.renewed)
+	}
 	return (w.clock.workerTime + c.now.Steady - w.clock.received + lease).Truncate(time.Millisecond)
 }
 
@@ -185,6 +188,9 @@
 	w.updateClock(e.Clock, c.now.Steady)
 	if !w.fenced {
 		w.fenced = true
+		if len(e.Running) > 0 {
+			w.leaseGranted = max(w.leaseGranted, e.Clock+c.settings.Lease+clockMargin) // by the earlier holder
+		}
 		c.queueRecord(w)
 		c.emit(Note{Event: NoteWorkerFenced, Server: w.server.ID, Detail: map[string]any{
 			"running": len(e.Running), "finished": len(e.Finished), "more_ends": e.MoreEnds, "born": e.Incarnation,
@@ -201,6 +207,9 @@
 		c.checkBlocked()
 	}
 	c.adjustSpeeds(w)
+	if _, quiet := c.leaseOf(w); w.bound != nil && !quiet {
+		c.nextBatch.leases = true // without it, so that it can be used
+	}
 	return true
 }
 
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -36,11 +36,12 @@
 	Progress     *ProgressRecord     `json:"progress,omitempty"`
 	Server       *Server             `json:"server,omitempty"`
 	Interference *InterferenceRecord `json:"learnt,omitempty"`
+	Leases       *LeaseRecord        `json:"leases,omitempty"`
 }
 
 // Deletes reports whether the record deletes its key.
 func (r Record) Deletes() bool {
-	return r.Job == nil && r.Progress == nil && r.Server == nil && r.Interference == nil
+	return r.Job == nil && r.Progress == nil && r.Server == nil && r.Interference == nil && r.Leases == nil
 }
 
 // JobRecord is an accepted job.
@@ -88,6 +89,9 @@
 	deletions    []Key
 	cursors      map[*worker]endCursor
 	interference bool
+	leases       bool
+	unbound      []*worker // workers that the lease record of the batch does not name any more
+	lastLeases   bool      // its lease record was taken after the holder had stepped down
 	// unknownJobs are the requests for jobs that do not exist, which a later holder
 	// may know: the append of the batch shows that there was none.
 	unknownJobs []Token
@@ -111,7 +115,7 @@
 
 func (b *batch) empty() bool {
 	return len(b.jobs) == 0 && len(b.dirty) == 0 && len(b.servers) == 0 &&
-		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference && len(b.unknownJobs) == 0
+		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference && !b.leases && len(b.unknownJobs) == 0
 }
 
 func (c *Cell) markDirty(j *jobState) { c.nextBatch.dirty[j] = true }
@@ -156,6 +160,9 @@
 	if taken.interference {
 		b.Records = append(b.Records, Record{Key: interferenceKey, Interference: c.interference.record()})
 	}
+	if taken.leases {
+		b.Records = append(b.Records, Record{Key: leasesKey, Leases: c.leaseRecord(taken)})
+	}
 	for _, key := range taken.deletions {
 		b.Records = append(b.Records, Record{Key: key})
 	}
@@ -186,6 +193,7 @@
 	for _, w := range b.servers {
 		w.stored = true
 	}
+	c.leasesRecorded(b)
 	for _, w := range c.sortedWorkers {
 		cursor, ok := b.cursors[w]
 		if !ok || w.incarnation != cursor.incarnation || cursor.lastEndApplied <= w.lastEndRecorded {
@@ -211,7 +219,7 @@
 	next := c.nextBatch
 	next.servers = append(b.servers, next.servers...)
 	next.deletions = append(b.deletions, next.deletions...)
-	next.interference = next.interference || b.interference
+	next.interference, next.leases = next.interference || b.interference, next.leases || b.leases
 	next.unknownJobs = append(b.unknownJobs, next.unknownJobs...)
 	for j := range b.dirty {
 		next.dirty[j] = true
@@ -260,7 +268,16 @@
 // leases have certainly expired. Each record must have passed Record.Check.
 func (c *Cell) Restore(now Moment, records []Record) {
 	c.now = now
-	earlierHolderUntil := now.Steady + c.settings.AuthorityBound + time.Duration(float64(c.settings.Lease)/(1-clockDrift)) + clockMargin
+	c.restoredAt = now.Steady
+	longestWait := c.settings.AuthorityBound + time.Duration(float64(c.settings.Lease)/(1-clockDrift)) + clockMargin
+	waits := map[fleet.BackendServerID]time.Duration{}
+	for _, r := range records {
+		if r.Leases != nil && r.Leases.Round == c.round-1 {
+			for _, lease := range r.Leases.Workers {
+				waits[lease.Server] = lease.wait(c.settings)
+			}
+		}
+	}
 	progress := map[fleet.JobID]*ProgressRecord{}
 	for _, r := range records {
 		switch {
@@ -272,7 +289,13 @@
 			c.interference.restore(r.Interference)
 		case r.Server != nil:
 			w := c.addWorker(*r.Server)
-			w.stored, w.recordQueued, w.earlierHolderUntil = true, true, earlierHolderUntil
+			w.stored, w.recordQueued, w.earlierHolderUntil = true, true, now.Steady+longestWait
+			if wait, known := waits[r.Server.ID]; known {
+				w.earlierHolderUntil = 0
+				if wait > 0 {
+					w.earlierHolderUntil = now.Steady + min(wait, longestWait)
+				}
+			}
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
--- a/decision/cell/record_check.go
+++ b/decision/cell/record_check.go
@@ -57,8 +57,12 @@
 		checkKey(interferenceKey)
 		r.Interference.check(report)
 	}
+	if r.Leases != nil {
+		checkKey(leasesKey)
+		r.Leases.check(report)
+	}
 	if contents != 1 {
-		report("", fmt.Sprintf("has %d contents", contents), "one of job, progress, server and learnt")
+		report("", fmt.Sprintf("has %d contents", contents), "one of job, progress, server, learnt and leases")
 	}
 	return list.Err()
 }
@@ -117,6 +121,19 @@
 	}
 }
 
+// maxLeaseMs is the longest recorded lease, far above any that a worker grants.
+const maxLeaseMs = int64(time.Hour / time.Millisecond)
+
+func (r *LeaseRecord) check(report func(key, problem, expected string)) {
+	for _, lease := range r.Workers {
+		for key, ms := range map[string]int64{"workers.left_ms": lease.LeftMs, "workers.renewed_ms": lease.RenewedMs} {
+			if ms < 0 || ms > maxLeaseMs {
+				report(key, fmt.Sprintf("is %d", ms), fmt.Sprintf("0 to %d", maxLeaseMs))
+			}
+		}
+	}
+}
+
 // ServerOfKey returns the server whose record has a key.
 func ServerOfKey(key Key) (fleet.BackendServerID, bool) {
 	id, ok := strings.CutPrefix(string(key), serverPrefix)
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -41,6 +41,7 @@
 	// holder does not know may be on the worker or have ended there; 0 if there are
 	// none.
 	earlierHolderUntil time.Duration
+	bound              *leaseBound // by the lease record; nil if that does not name it
 	clock              clockSample
 	leaseGranted       time.Duration // latest lease end sent, on the worker's clock
 	// lateOrderUntil is the time until which the present incarnation may run a
@@ -119,7 +120,7 @@
 
 // usable reports whether a run may be started on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.fenced && w.stored && !w.unreachable && !w.server.Draining
+	return w.listed && w.fenced && w.stored && w.bound == nil && !w.unreachable && !w.server.Draining
 }
 
 func (c *Cell) serverListed(s Server) {
@@ -147,6 +148,9 @@
 func (c *Cell) addWorker(s Server) *worker {
 	w := &worker{server: s, runs: map[runKey]*run{}, dataCentre: c.dataCentreOf(s.DataCentre)}
 	c.workers[s.ID] = w
+	if c.inLeaseRecord[s.ID] {
+		w.bound = &leaseBound{} // it had been removed since
+	}
 	c.forgetRoom() // it holds positions
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, s.ID, func(w *worker, id fleet.BackendServerID) int {
 		return strings.Compare(string(w.server.ID), string(id))
--- a/scheduler/holder/actions.go
+++ b/scheduler/holder/actions.go
@@ -97,7 +97,7 @@
 // record if the interval has passed without an append.
 func (d *Duty) appendNext(ctx context.Context) {
 	r := d.role
-	if r.appendInFlight || d.clock.Steady()-r.appendedAt < minAppendInterval {
+	if r.appendInFlight || d.clock.Steady()-r.appendedAt < minAppendInterval && r.steppedDownAt == 0 {
 		return // retried at the next event or tick
 	}
 	batch, ok := r.cell.TakeBatch()
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -41,6 +41,9 @@
 	// the next append: each call to the store has a cost, and an append takes 4
 	// ms.
 	minAppendInterval = 20 * time.Millisecond
+	// stepDownTimeout bounds the time until the leases are recorded on a planned stop.
+	// The next holder otherwise waits for the longest ones.
+	stepDownTimeout = 300 * time.Millisecond
 	// drainLimit bounds the number of events applied before their actions are
 	// executed.
 	drainLimit = 64
@@ -68,13 +71,15 @@
 	Heartbeats *supervise.Ring[message.Heartbeat]
 	// Members carries the registered instances.
 	Members *supervise.Ring[[]cellrecord.Member]
-	// StepDown ends the role of holder on a planned stop.
+	// StepDown ends the role of holder on a planned stop, and hands the cell over.
 	StepDown *supervise.Ring[struct{}]
 
 	Orders        *supervise.Ring[message.Order]
 	Holds         *supervise.Ring[message.Order]
 	Appends       *supervise.Ring[store.Append]
 	FollowServers *supervise.Ring[bool]
+	// Handovers asks the link table to hand the cell over after a planned stop.
+	Handovers *supervise.Ring[struct{}]
 	// RoleEnded reports to the election duty that the role has ended.
 	RoleEnded *supervise.Ring[fleet.Epoch]
 	// Statuses receive each published status.
@@ -121,8 +126,9 @@
 	unacknowledgedSince time.Duration // start of the first append since the last acknowledgement; 0 if none
 	appendedAt          time.Duration // end of the last append
 	authority           *authority.Authority
-	hasAuthority        bool // as the decisions know it
-	configured          bool // a configuration has been passed to the decisions
+	hasAuthority        bool          // as the decisions know it
+	steppedDownAt       time.Duration // 0 unless the process is stopping
+	configured          bool          // a configuration has been passed to the decisions
 	ticks               int
 	lag                 time.Duration // longest time that an answer waited since the last tick
 	behind              bool
@@ -172,7 +178,7 @@
 		case d.members = <-d.rings.Members.Items():
 			d.registerMembers()
 		case <-d.rings.StepDown.Items():
-			d.endRole("stopping")
+			d.stepDown()
 		case <-ticker.C:
 			d.tick()
 		case <-pass.C:
@@ -317,6 +323,7 @@
 	if result.Batch > 0 {
 		d.handle(cell.Committed{Batch: result.Batch})
 	}
+	d.handOverIfReleased()
 }
 
 // handleServerChange passes a change of the server list to the decisions.
@@ -347,9 +354,12 @@
 	if outage := d.storeOutage(); outage > 0 {
 		d.handle(cell.StoreHealth{Waiting: outage})
 	}
-	d.checkAuthority()
 	d.checkLag()
 	d.handle(cell.Tick{})
+	d.handOverIfReleased()
+	if d.role == nil {
+		return
+	}
 	if r.ticks++; r.ticks%ticksPerStatus == 0 {
 		d.publish()
 	}
--- a/scheduler/stop.go
+++ b/scheduler/stop.go
@@ -10,7 +10,6 @@
 	"lacewingfork.example/lacewingfork/scheduler/holder"
 	"lacewingfork.example/lacewingfork/scheduler/logs"
 	"lacewingfork.example/lacewingfork/scheduler/operations"
-	"lacewingfork.example/lacewingfork/scheduler/peers"
 	"lacewingfork.example/lacewingfork/scheduler/settings"
 	"lacewingfork.example/lacewingfork/supervise"
 )
@@ -32,16 +31,15 @@
 	callers    *callers.Supervisor
 	operations *operations.Supervisor
 	stepDown   *supervise.Ring[struct{}]
-	handover   *supervise.Ring[struct{}]
 	withdraw   *supervise.Ring[struct{}]
 	log        *logs.Log
 }
 
 func newStopper(
-	s settings.Settings, c *callers.Supervisor, o *operations.Supervisor, h *holder.Rings, p *peers.Rings, e *election.Rings, lines *logs.Log,
+	s settings.Settings, c *callers.Supervisor, o *operations.Supervisor, h *holder.Rings, e *election.Rings, lines *logs.Log,
 ) *stopper {
 	return &stopper{
-		grace: s.Bounds.Grace, callers: c, operations: o, stepDown: h.StepDown, handover: p.StartHandover, withdraw: e.Stopping, log: lines,
+		grace: s.Bounds.Grace, callers: c, operations: o, stepDown: h.StepDown, withdraw: e.Stopping, log: lines,
 	}
 }
 
@@ -53,7 +51,6 @@
 	_ = s.operations.Draining.Put(ctx, struct{}{})
 	_ = s.withdraw.Put(ctx, struct{}{})
 	_ = s.stepDown.Put(ctx, struct{}{})
-	_ = s.handover.Put(ctx, struct{}{})
 	s.callers.Drain()
 	ctx, cancel := context.WithTimeout(ctx, s.grace-killMargin)
 	defer cancel()
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -80,7 +80,7 @@
 
 	p.Holder.Orders, p.Holder.Holds = workerCalls.Orders, workerCalls.Holds
 	p.Holder.Appends, p.Holder.FollowServers = writer.Appends, servers.Follow
-	p.Holder.RoleEnded = p.Election.RoleEnded
+	p.Holder.RoleEnded, p.Holder.Handovers = p.Election.RoleEnded, p.PeerRings.StartHandover
 	p.Holder.Statuses = []*supervise.Ring[holder.Status]{p.PeerRings.LinkTableStatus, p.PeerRings.RouterStatus}
 
 	p.Election.Elected = p.Holder.Elected
