--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -103,22 +103,22 @@
 	lateStarts       int // part of unansweredStarts whose answers are late
 	silentCalls      int // stops and holds in flight to workers that leave an order unanswered
 	dataCentres      map[fleet.DataCentre]*dataCentre
-	adviceInFlight   int  // advisor calls without an answer yet
-	authority        bool // the holder may give orders
-	steppedDown      bool // it gives none any more
-	restoredAt       time.Duration
-	// lastLeasesRecorded means that the leases are durable as of the step down.
-	lastLeasesRecorded bool
-	inLeaseRecord      map[fleet.BackendServerID]bool // named by the last one that was taken
-	behind             bool                           // the holder leaves out work that starts and ends nothing
-	serverListRead     bool                           // the whole server list has been read once
-	blocked            bool                           // tasks of restored jobs may still run on workers that are not fenced yet
-	storeWait          time.Duration                  // how long an append has been unanswered
-	holdNumber         uint64                         // of the last hold sent
-	listInterval       time.Duration                  // least time between two lists of a worker
-	starts             uint64                         // starts ordered
-	workerChecks       uint64                         // checks whether a worker can run a task
-	orderChecks        uint64                         // computations of the place of a step in the order
+	adviceInFlight   int           // advisor calls without an answer yet
+	authority        bool          // the holder may give orders
+	behind           bool          // the holder leaves out work that starts and ends nothing
+	serverListRead   bool          // the whole server list has been read once
+	blocked          bool          // tasks of restored jobs may still run on workers that are not fenced yet
+	storeWait        time.Duration // how long an append has been unanswered
+	holdNumber       uint64        // of the last hold sent
+	listInterval     time.Duration // least time between two lists of a worker
+	starts           uint64        // starts ordered
+	workerChecks     uint64        // checks whether a worker can run a task
+	orderChecks      uint64        // computations of the place of a step in the order
+
+	restoredAt         time.Duration
+	steppedDown        bool                           // the holder gives no more orders
+	inLeaseRecord      map[fleet.BackendServerID]bool // named by the last lease record that was taken
+	lastLeasesRecorded bool                           // the lease record of the step down is durable
 
 	batchNumber     uint64 // of nextBatch
 	nextBatch       *batch
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -13,7 +13,6 @@
 
 	"lacewingfork.example/lacewingfork/decision/authority"
 	"lacewingfork.example/lacewingfork/decision/cell"
-	"lacewingfork.example/lacewingfork/decision/job"
 	"lacewingfork.example/lacewingfork/fleet"
 	"lacewingfork.example/lacewingfork/internal/clock"
 	"lacewingfork.example/lacewingfork/records/cellrecord"
@@ -49,16 +48,6 @@
 	drainLimit = 64
 )
 
-// Status is the holder's state as published to the peers supervisor. StoreOutage
-// is how long appends have been unacknowledged; Pending is the number of pending
-// jobs by queue.
-type Status struct {
-	Epoch       fleet.Epoch
-	IsHolder    bool
-	StoreOutage time.Duration
-	Pending     map[job.Queue]int
-}
-
 // Rings are the inputs and outputs of the duty.
 type Rings struct {
 	Requests       *supervise.Ring[message.Request]
@@ -372,33 +361,3 @@
 	}
 	return d.clock.Steady() - d.role.unacknowledgedSince
 }
-
-// publish sends the status to every status ring.
-func (d *Duty) publish() {
-	status := Status{StoreOutage: d.storeOutage()}
-	if d.role != nil {
-		status.Epoch, status.IsHolder, status.Pending = d.role.epoch, true, d.role.cell.Pending()
-	}
-	for _, ring := range d.rings.Statuses {
-		_ = ring.Put(context.Background(), status) // keeps the newest; never fails
-	}
-}
-
-// dump is the state dump of the duty.
-type dump struct {
-	Epoch           fleet.Epoch `json:"epoch,omitempty"`
-	IsHolder        bool        `json:"holds"`
-	StoreOutage     string      `json:"store_silent,omitempty"`
-	PendingRequests int         `json:"waiting_callers"`
-	Cell            *cell.Stats `json:"cell,omitempty"`
-}
-
-func (d *Duty) dump() dump {
-	if d.role == nil {
-		return dump{}
-	}
-	stats := d.role.cell.Stats()
-	return dump{
-		Epoch: d.role.epoch, IsHolder: true, StoreOutage: d.storeOutage().String(), PendingRequests: len(d.role.requests), Cell: &stats,
-	}
-}
