Let the instances of a partition report on after a claim, in the property test

Its instances fell silent at the claim, so the fault could not show.

Change: an instance that cannot reach the store does not learn of the claim and goes on to report. The check is otherwise the same.

--- a/decision/authority/authority_test.go
+++ b/decision/authority/authority_test.go
@@ -104,7 +104,7 @@
 			apply   func(now time.Duration)
 		}
 		var inFlight []message
-		claimed := time.Duration(0)
+		claimed, claimant := time.Duration(0), fleet.InstanceID("")
 		storeServes := func(draw string) bool { return rapid.IntRange(0, 9).Draw(t, draw) < 4 }
 		for now := second; now < 12*second; now += 200 * time.Millisecond {
 			delay := func() time.Duration {
@@ -116,9 +116,12 @@
 			for _, id := range ids {
 				reaches := storeServes("instance reaches the store")
 				if reaches && claimed == 0 && rapid.IntRange(0, 9).Draw(t, "claims") == 0 {
-					claimed = now
+					claimed, claimant = now, id
 				}
-				if rapid.Bool().Draw(t, "linked") && claimed == 0 {
+				// An instance without the store does not learn of the claim and goes on
+				// to report.
+				follows := id != claimant && (claimed == 0 || !reaches)
+				if rapid.Bool().Draw(t, "linked") && follows {
 					inFlight = append(inFlight, message{now + delay(), func(at time.Duration) { a.Heard(at, id, !reaches, now) }})
 				}
 			}
