--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -46,6 +46,11 @@
 	MaxTimeOverTarget time.Duration
 	// Capacity is that of the holder's instance.
 	Capacity congestion.Capacity
+	// TriageByCost, ServingRoom and UnevenDemand switch on decisions for deployments
+	// whose load exceeds their room at times, or is uneven.
+	TriageByCost bool
+	ServingRoom  bool
+	UnevenDemand bool
 }
 
 // DefaultSettings returns the settings for the project's own stand-in platform.
--- a/scheduler/settings/settings.go
+++ b/scheduler/settings/settings.go
@@ -23,6 +23,7 @@
 	Listen   Listen
 	Store    Store
 	Advisor  Advisor
+	Platform Platform
 	Bounds   Bounds
 	Process  Process
 }
@@ -51,6 +52,19 @@
 // queues.
 type Advisor struct{ Address string }
 
+// Platform says which parts of the platform's rules are in force.
+type Platform struct{ Contracts string }
+
+// ContractPlaces is the contract of deployments whose demand or servers are uneven, or
+// whose data centres may be evacuated.
+const ContractPlaces = "places"
+
+// Contracts returns the parts of the platform's rules that are in force.
+func (s Settings) Contracts() []string { return strings.Split(s.Platform.Contracts, ",") }
+
+// HasContract reports whether a part of the platform's rules is in force.
+func (s Settings) HasContract(name string) bool { return slices.Contains(s.Contracts(), name) }
+
 // Bounds are the limits that the platform sets. The descriptions of the settings
 // give their meaning.
 type Bounds struct {
@@ -152,6 +166,12 @@
 			Range: "empty or IP:port", Valid: validAddressOrEmpty, Field: func(s *Settings) any { return &s.Advisor.Address },
 		},
 	}},
+	{Name: "platform", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "contracts", Description: "parts of the platform's rules that are in force, separated by commas", Default: "",
+			Range: "names separated by commas", Valid: func(string) bool { return true }, Field: func(s *Settings) any { return &s.Platform.Contracts },
+		},
+	}},
 	{Name: "bounds", Keys: []tomlfile.Key[Settings]{
 		{
 			Name: "lease_max", Description: "longest lease that a worker grants",
