--- a/decision/cell/hold.go
+++ b/decision/cell/hold.go
@@ -73,6 +73,7 @@
 	if len(w.runs) > 0 && w.clock.known && !w.unreachable && !w.answers.missing && (w.bound == nil || w.bound.renewed > 0) {
 		h.Deadline = c.leaseEnd(w)
 		w.leaseGranted = max(w.leaseGranted, h.Deadline)
+		w.leaseCalls.sent(c.now.Steady, h.Deadline, extra)
 	}
 	c.emit(h)
 	return c.holdNumber
@@ -97,6 +98,7 @@
 		return
 	}
 	extra := e.Number == w.extraHoldInFlight && e.Number != 0
+	own := e.OK && e.Incarnation == w.incarnation
 	switch e.Number {
 	case w.holdInFlight:
 		w.holdInFlight = 0
@@ -105,6 +107,7 @@
 	default:
 		return // an answer to a hold of an earlier holder duty
 	}
+	w.leaseCalls.ended(extra, own)
 	switch {
 	case e.Fenced:
 		c.emit(Superseded{Server: e.Server})
@@ -144,6 +147,7 @@
 		c.emit(Note{Event: NoteWorkerUnreachable, Server: w.server.ID, Detail: map[string]any{
 			"runs": len(w.runs), "heard_ms_ago": (c.now.Steady - w.lastAnswerAt).Milliseconds(),
 			"lease_left_ms": (w.leaseExpiry() - c.now.Steady).Milliseconds(), "other_life": otherIncarnation,
+			"late_call_left_ms": max(0, w.lateOrderUntil-c.now.Steady).Milliseconds(), "lease_call_ms_ago": w.leaseCalls.sinceMs(c.now.Steady),
 		}})
 	}
 	if extra {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -79,6 +79,7 @@
 	lastEndForgotten  int64         // number of the highest end that the worker has forgotten
 	holdAck           int64         // acknowledged by the hold in flight
 	extraHoldAck      int64         // acknowledged by the extra hold in flight
+	leaseCalls        leaseCalls
 	health            health
 	answers           answers
 	dataCentre        *dataCentre
@@ -181,7 +182,7 @@
 // newIncarnation resets the state after a restart of a worker. Its confirmed runs
 // have ended, but starts without an answer may still reach the new incarnation.
 func (c *Cell) newIncarnation(w *worker, incarnation int64) {
-	c.emit(Note{Event: NoteWorkerRestarted, Server: w.server.ID, Detail: map[string]any{"born": incarnation, "before": w.incarnation, "runs": len(w.runs)}})
+	c.noteRestart(w, incarnation)
 	c.serverCrashed(w)
 	w.incarnation, w.fenced, w.replacedAt = incarnation, false, c.now.Steady
 	w.clock, w.leaseGranted = clockSample{}, 0
