--- a/decision/cell/ends.go
+++ b/decision/cell/ends.go
@@ -43,6 +43,7 @@
 	t, w := r.task, r.worker
 	c.removeRun(r)
 	if r.state == runUncertain && (end == job.EndLeaseExpired || end == job.EndLost) {
+		c.startSettledUnanswered(r)
 		c.requeue(t)
 		return
 	}
--- a/decision/cell/former_incarnation.go
+++ b/decision/cell/former_incarnation.go
@@ -1,6 +1,15 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// A worker that starts again under its identifier knows nothing of before, and its clock
+// starts anew. A call to its former incarnation that had no answer may still be carried
+// out by the present one: the deadline of a lease, on the former clock, is then cut at the
+// longest lease, and a start is not refused by a stop that only the former incarnation
+// has seen.
 
 // leaseCalls are the holds with a lease that have no answer of the present incarnation of
 // a worker. Such a hold may be carried out seconds later, also by the next incarnation.
@@ -52,3 +61,83 @@
 		"lease_call_ms_ago": w.leaseCalls.sinceMs(c.now.Steady), "lease_call_deadline_ms": w.leaseCalls.deadline.Milliseconds(),
 	}})
 }
+
+// longestLease returns the time, on the holder's clock, that the longest lease may take.
+func (c *Cell) longestLease() time.Duration {
+	return time.Duration(float64(c.settings.MaxLease) / (1 - clockDrift))
+}
+
+// latestLeaseEnd returns the end of the longest lease that a call sent at the given time
+// can grant.
+func (c *Cell) latestLeaseEnd(sent time.Duration) time.Duration {
+	return sent + maxOrderDelay + c.longestLease()
+}
+
+// longestWait returns how long a new holder waits for a worker that no lease record names.
+func (c *Cell) longestWait() time.Duration {
+	return c.settings.AuthorityBound + time.Duration(float64(c.settings.Lease)/(1-clockDrift)) + clockMargin
+}
+
+// expectLateLease raises lateOrderUntil by the holds to former incarnations of a worker
+// that may still be carried out.
+func (c *Cell) expectLateLease(w *worker) {
+	if sent := w.leaseCalls.newest(); sent > 0 {
+		w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(sent))
+	}
+	if authority := c.restoredAt + c.settings.AuthorityBound; c.round > 1 && c.now.Steady < authority+maxOrderDelay {
+		w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(authority)) // by calls of an earlier holder
+	}
+}
+
+// awaitLeaseRecord keeps a worker from use until a durable record tells a later holder
+// how long its lease may last, if that is longer than a holder assumes.
+func (c *Cell) awaitLeaseRecord(w *worker) {
+	if w.lateOrderUntil-c.now.Steady > c.longestWait() {
+		w.awaitsLeaseRecord, c.nextBatch.leases = true, true
+	}
+}
+
+// settledStart is a start without an answer that the incarnation of its time has not
+// carried out, and refuses since.
+type settledStart struct {
+	task      *task
+	attempt   int
+	orderedAt time.Duration
+}
+
+// startSettledUnanswered keeps a start without an answer that is settled, until it can
+// no longer be carried out.
+func (c *Cell) startSettledUnanswered(r *run) {
+	w := r.worker
+	w.dropSettledStarts(c.now.Steady)
+	if r.state == runUncertain && c.now.Steady < r.orderedAt+maxOrderDelay {
+		w.settledStarts = append(w.settledStarts, settledStart{task: r.task, attempt: r.key.attempt, orderedAt: r.orderedAt})
+	}
+}
+
+func (w *worker) dropSettledStarts(now time.Duration) {
+	w.settledStarts = slices.DeleteFunc(w.settledStarts, func(s settledStart) bool { return now >= s.orderedAt+maxOrderDelay })
+}
+
+// stopSettledStarts tracks the settled starts that a new incarnation may carry out as
+// uncertain runs and stops them there. A task that waits does not start elsewhere
+// before that.
+func (c *Cell) stopSettledStarts(w *worker) {
+	w.dropSettledStarts(c.now.Steady)
+	for _, settled := range w.settledStarts {
+		t, key := settled.task, runKey{settled.task.ref(), settled.attempt}
+		if w.runs[key] != nil || c.jobs[key.task.Job] != t.step.occurrence.job {
+			continue
+		}
+		if t.step.spec.Gang { // its members are ordered together; a listed one is stopped
+			c.emit(Stop{Server: w.server.ID, Address: w.server.Address, Task: key.task, Attempt: key.attempt})
+			continue
+		}
+		r := c.addRun(t, w, settled.attempt, runUncertain)
+		r.orderedAt, r.reason = settled.orderedAt, "start_unanswered"
+		t.step.waiting = slices.DeleteFunc(t.step.waiting, func(i int) bool { return i == t.index })
+		w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(settled.orderedAt))
+		c.sendStop(r)
+	}
+	w.settledStarts = nil
+}
--- a/decision/cell/hold.go
+++ b/decision/cell/hold.go
@@ -13,8 +13,9 @@
 	if w.leaseGranted == 0 || !w.clock.known {
 		return w.lateOrderUntil
 	}
+	// The samples of the clock may be of another incarnation than the lease.
 	left := float64(w.leaseGranted-w.clock.workerTime) / (1 - clockDrift)
-	return max(w.lateOrderUntil, w.clock.received+time.Duration(left)+clockMargin)
+	return max(w.lateOrderUntil, min(w.leaseLimit, w.clock.received+time.Duration(left)+clockMargin))
 }
 
 // holdIfDue sends the next hold of a worker, or an extra one, if due.
@@ -72,7 +73,7 @@
 	// still reach the worker, so its lease would never count as expired.
 	if len(w.runs) > 0 && w.clock.known && !w.unreachable && !w.answers.missing && (w.bound == nil || w.bound.renewed > 0) {
 		h.Deadline = c.leaseEnd(w)
-		w.leaseGranted = max(w.leaseGranted, h.Deadline)
+		w.leaseGranted, w.leaseLimit = max(w.leaseGranted, h.Deadline), c.latestLeaseEnd(c.now.Steady)
 		w.leaseCalls.sent(c.now.Steady, h.Deadline, extra)
 	}
 	c.emit(h)
@@ -187,6 +188,10 @@
 		w.unreachable = false
 		c.needsScheduling = true
 	}
+	if w.incarnation == 0 && w.recordedIncarnation != 0 && e.Incarnation > w.recordedIncarnation {
+		c.expectLateLease(w) // it has restarted without the earlier holder's knowledge
+		c.awaitLeaseRecord(w)
+	}
 	c.heard(w)
 	w.missedCalls, w.incarnation, w.lastAnswerAt = 0, e.Incarnation, c.now.Steady
 	w.updateClock(e.Clock, c.now.Steady)
@@ -194,6 +199,7 @@
 		w.fenced = true
 		if len(e.Running) > 0 {
 			w.leaseGranted = max(w.leaseGranted, e.Clock+c.settings.Lease+clockMargin) // by the earlier holder
+			w.leaseLimit = c.latestLeaseEnd(c.now.Steady)
 		}
 		c.queueRecord(w)
 		c.emit(Note{Event: NoteWorkerFenced, Server: w.server.ID, Detail: map[string]any{
--- a/decision/cell/lease_record.go
+++ b/decision/cell/lease_record.go
@@ -46,6 +46,7 @@
 // leaseBound is what the lease record says of a worker.
 type leaseBound struct {
 	renewed time.Duration // longest lease that may be granted; 0 if none may
+	full    bool          // that is the ordinary one
 	wait    time.Duration // of a holder that takes over
 }
 
@@ -68,6 +69,8 @@
 	case c.steppedDown, w.unreachable && now-w.unreachableSince >= quietAfter, !w.fenced && now-c.restoredAt >= quietAfter:
 	case w.fenced && w.server.Draining && !w.unreachable:
 		renewed = drainLease
+	case w.fenced && !w.unreachable && w.lateOrderUntil-now > c.longestWait():
+		renewed = c.settings.Lease
 	default:
 		return WorkerLease{}, false
 	}
@@ -83,6 +86,7 @@
 func (c *Cell) recordLeasesIfDue() {
 	for _, w := range c.sortedWorkers {
 		lease, ok := c.leaseOf(w)
+		w.awaitsLeaseRecord = w.awaitsLeaseRecord && w.lateOrderUntil-c.now.Steady > c.longestWait()
 		switch {
 		case !ok && w.bound == nil:
 		case !ok || w.bound == nil, lease.RenewedMs != w.bound.renewed.Milliseconds(),
@@ -107,7 +111,9 @@
 			}
 			continue
 		}
-		w.bound = &leaseBound{renewed: time.Duration(lease.RenewedMs) * time.Millisecond, wait: lease.wait(c.settings)}
+		renewed := time.Duration(lease.RenewedMs) * time.Millisecond
+		w.bound = &leaseBound{renewed: renewed, full: renewed >= c.settings.Lease, wait: lease.wait(c.settings)}
+		b.bound = append(b.bound, w)
 		record.Workers, c.inLeaseRecord[w.server.ID] = append(record.Workers, lease), true
 	}
 	return record
@@ -117,6 +123,9 @@
 // its lease record does not name may be used again.
 func (c *Cell) leasesRecorded(b *batch) {
 	c.lastLeasesRecorded = c.lastLeasesRecorded || b.lastLeases
+	for _, w := range b.bound {
+		w.awaitsLeaseRecord = false
+	}
 	for _, w := range b.unbound {
 		if w.bound = nil; c.workers[w.server.ID] == w {
 			w.nextHoldAt = c.now.Steady
--- a/decision/cell/reconcile.go
+++ b/decision/cell/reconcile.go
@@ -43,7 +43,7 @@
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, c.now.Steady
 	}
-	r.measurement, r.listedAt = row.Measurement, c.now.Steady
+	r.measurement, r.listedAt, r.listed = row.Measurement, c.now.Steady, true
 	c.clearIfOutlived(r)
 	if r.task.step.spec.LongRunning && r.percent >= fullSpeed && r.orderedAt >= r.worker.health.quarantinedUntil &&
 		c.now.Steady-r.confirmedAt >= healthyAfter {
@@ -63,7 +63,8 @@
 		c.runEnded(r, job.EndLost, "")
 	case (r.state == runUncertain || r.state == runStopping) && r.stopAcked && sent > r.stopAckedAt:
 		// The stop was acknowledged before the list was requested, so the run has
-		// ended or never started, and the worker refuses a late start.
+		// ended or never started, and this incarnation refuses a late start.
+		c.startSettledUnanswered(r)
 		c.removeRun(r)
 		c.requeue(r.task)
 	}
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -91,6 +91,7 @@
 	interference bool
 	leases       bool
 	unbound      []*worker // workers that the lease record of the batch does not name any more
+	bound        []*worker // workers that it names
 	lastLeases   bool      // its lease record was taken after the holder had stepped down
 	// unknownJobs are the requests for jobs that do not exist, which a later holder
 	// may know: the append of the batch shows that there was none.
@@ -155,6 +156,7 @@
 	}
 	for _, w := range taken.servers {
 		server := w.server
+		server.Incarnation = max(server.Incarnation, w.incarnation)
 		b.Records = append(b.Records, Record{Key: serverKey(server.ID), Server: &server})
 	}
 	if taken.interference {
@@ -269,7 +271,7 @@
 func (c *Cell) Restore(now Moment, records []Record) {
 	c.now = now
 	c.restoredAt = now.Steady
-	longestWait := c.settings.AuthorityBound + time.Duration(float64(c.settings.Lease)/(1-clockDrift)) + clockMargin
+	longestWait, longestBound := c.longestWait(), c.settings.AuthorityBound+c.latestLeaseEnd(clockMargin)
 	waits := map[fleet.BackendServerID]time.Duration{}
 	for _, r := range records {
 		if r.Leases != nil && r.Leases.Round == c.round-1 {
@@ -290,10 +292,11 @@
 		case r.Server != nil:
 			w := c.addWorker(*r.Server)
 			w.stored, w.recordQueued, w.earlierHolderUntil = true, true, now.Steady+longestWait
+			w.recordedIncarnation = r.Server.Incarnation
 			if wait, known := waits[r.Server.ID]; known {
 				w.earlierHolderUntil = 0
 				if wait > 0 {
-					w.earlierHolderUntil = now.Steady + min(wait, longestWait)
+					w.earlierHolderUntil = now.Steady + min(wait, longestBound)
 				}
 			}
 		}
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -30,6 +30,7 @@
 	confirmedAt        time.Duration
 	percent            int
 	listedAt           time.Duration // when its worker last listed or confirmed it
+	listed             bool          // the present incarnation of its worker has listed it
 	progressAt         time.Duration // when percent last changed
 	measurement        int
 	speed              int // acknowledged speed, in percent
@@ -146,7 +147,7 @@
 	j := t.step.occurrence.job
 	ticket, _ := c.ticketFor(t.step, w) // choose has checked that it is valid
 	deadline := c.leaseEnd(w)
-	w.leaseGranted = max(w.leaseGranted, deadline)
+	w.leaseGranted, w.leaseLimit = max(w.leaseGranted, deadline), c.latestLeaseEnd(c.now.Steady)
 	c.emit(Start{
 		Server: w.server.ID, Address: w.server.Address, Task: r.key.task, Attempt: attempt, Spec: j.job.Spec,
 		Deadline: deadline, Checkpoint: t.checkpoint, Ticket: ticket, Timeout: r.path.Timeout(),
@@ -172,7 +173,9 @@
 			"attempt": e.Attempt, "outcome": startOutcomeNames[e.Outcome], "took_ms": (c.now.Steady - e.Sent).Milliseconds(),
 		}})
 	}
-	w.updateClock(e.Clock, c.now.Steady)
+	if r.orderedAt > w.replacedAt {
+		w.updateClock(e.Clock, c.now.Steady) // otherwise the clock may be that of the former incarnation
+	}
 	switch e.Outcome {
 	case StartUnknown, StartNotConnected:
 		if w.dataCentre.unresponsiveSince > 0 {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -23,6 +23,9 @@
 	// holder will read it; recordQueued, that it is in a batch or durable.
 	stored       bool
 	recordQueued bool
+	// recordedIncarnation is the one that the record of an earlier holder names; 0 if
+	// there is none.
+	recordedIncarnation int64
 	// incarnation is the one that answered last; 0 until the first answer.
 	incarnation int64
 	// replacedAt is when the holder learnt that it replaced another one; 0 if it has
@@ -44,15 +47,21 @@
 	bound              *leaseBound // by the lease record; nil if that does not name it
 	clock              clockSample
 	leaseGranted       time.Duration // latest lease end sent, on the worker's clock
+	// leaseLimit is the end of the longest lease that any call sent so far can grant.
+	leaseLimit time.Duration
 	// lateOrderUntil is the time until which the present incarnation may run a
-	// task by an order to an earlier one; 0 if it cannot.
+	// task by an order to an earlier one, or hold a lease by one; 0 if it cannot.
 	lateOrderUntil time.Duration
-	used           fleet.Resources
-	bestEffortCPU  int64
-	bestEffortMiB  int64 // part of used
-	longRunningCPU int64 // part of used
-	runs           map[runKey]*run
-	runsInOrder    []*run // the same runs, in the order in which they were added
+	// awaitsLeaseRecord means that lateOrderUntil is later than a new holder assumes, and
+	// that no durable record says so.
+	awaitsLeaseRecord bool
+	settledStarts     []settledStart
+	used              fleet.Resources
+	bestEffortCPU     int64
+	bestEffortMiB     int64 // part of used
+	longRunningCPU    int64 // part of used
+	runs              map[runKey]*run
+	runsInOrder       []*run // the same runs, in the order in which they were added
 	// serving and bestEffort are the confirmed runs of each kind; runListsStale
 	// means that they have to be computed again.
 	serving       []*run
@@ -121,7 +130,7 @@
 
 // usable reports whether a run may be started on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.fenced && w.stored && w.bound == nil && !w.unreachable && !w.server.Draining
+	return w.listed && w.fenced && w.stored && (w.bound == nil || w.bound.full) && !w.awaitsLeaseRecord && !w.unreachable && !w.server.Draining
 }
 
 func (c *Cell) serverListed(s Server) {
@@ -179,8 +188,9 @@
 	}
 }
 
-// newIncarnation resets the state after a restart of a worker. Its confirmed runs
-// have ended, but starts without an answer may still reach the new incarnation.
+// newIncarnation resets the state after a restart of a worker. The runs that it has
+// listed have ended. Calls without an answer may still reach the new incarnation, and a
+// run that only the answer to its start has confirmed may be on either.
 func (c *Cell) newIncarnation(w *worker, incarnation int64) {
 	c.noteRestart(w, incarnation)
 	c.serverCrashed(w)
@@ -189,16 +199,26 @@
 	w.lastEndApplied, w.lastEndRecorded, w.lastEndForgotten, w.listClock, w.moreEnds = 0, 0, 0, 0, false
 	w.holdAck, w.extraHoldAck = 0, 0
 	w.nextHoldAt = 0
+	w.server.Incarnation = incarnation
+	if w.stored {
+		c.nextBatch.servers = append(c.nextBatch.servers, w) // a later holder tells by it that calls may be late
+	}
+	c.expectLateLease(w)
 	for _, r := range slices.Clone(w.runsInOrder) {
-		if r.state == runOrdered || r.state == runUncertain {
+		switch {
+		case r.state == runOrdered, r.state == runUncertain, r.state == runStopping && !r.listed:
 			c.setState(r, runUncertain)
 			r.stopAcked = false
-			w.lateOrderUntil = max(w.lateOrderUntil, r.orderedAt+maxOrderDelay+time.Duration(float64(c.settings.MaxLease)/(1-clockDrift)))
+			w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(r.orderedAt))
 			c.sendStop(r)
-			continue
+		case !r.listed: // a list of the new incarnation shows whether it has it
+			w.lateOrderUntil = max(w.lateOrderUntil, r.confirmedAt+c.longestLease())
+		default:
+			c.runEnded(r, job.EndLost, "")
 		}
-		c.runEnded(r, job.EndLost, "")
 	}
+	c.stopSettledStarts(w)
+	c.awaitLeaseRecord(w)
 }
 
 // removeUnlisted removes workers that are not listed, do not answer and run
