--- /dev/null
+++ b/decision/cell/model_restart_test.go
@@ -0,0 +1,54 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
+)
+
+// restartedAndCutOff draws scenarios in which half of the workers crash, are back under
+// their identifiers 0.6 s later and are cut off 2 s after that, while calls to the former
+// incarnation are carried out late.
+func restartedAndCutOff(faults modelFaults) func(seed uint64) *model {
+	return scenario{
+		faults:   faults,
+		duration: 75 * time.Second, submitUntil: 40 * time.Second, minFaults: 0, maxFaults: 1,
+		job: func(m *model, id fleet.JobID) job.Job {
+			j := randomJob(m, id)
+			if m.random.Float64() < 0.3 {
+				j.Steps = []job.Step{{Count: 1 + m.random.IntN(3), Need: fleet.Resources{MilliCPU: 400, MemoryMiB: 200}, LongRunning: true}}
+			}
+			return j
+		},
+		fault: (*model).randomFault,
+		begin: func(m *model) {
+			for _, at := range []time.Duration{5 * time.Second, 22 * time.Second} {
+				m.after(at, func() {
+					for _, w := range m.workers[:len(m.workers)/2] {
+						w.crash(600 * time.Millisecond)
+						m.after(2600*time.Millisecond, func() { w.disconnected = true })
+						m.after(11600*time.Millisecond, func() { w.disconnected = false })
+					}
+				})
+			}
+		},
+	}.run
+}
+
+// modelRestartSeeds is the number of scenarios of TestModelRestartedAndCutOff.
+const modelRestartSeeds = 60
+
+// Guards against a second run of a task while a call to a former incarnation of its
+// worker extends the lease of the present one (TWICE, issue 39).
+func TestModelRestartedAndCutOff(t *testing.T) {
+	checkSeeds(t, modelRestartSeeds, restartedAndCutOff(modelFaults{delayedCalls: 0.02, delayedHolds: 0.1}))
+}
+
+// Guards against second runs by any late call that the next incarnation obeys: a start
+// that was settled with the former one, and an acknowledgement that makes it forget ends
+// which the holder has not seen (TWICE; issue 35).
+func TestModelNextIncarnationObeysAllLateCalls(t *testing.T) {
+	checkSeeds(t, modelRestartSeeds, restartedAndCutOff(modelFaults{delayedCalls: 0.02, delayedHolds: 0.1, anyIncarnation: true}))
+}
--- a/decision/cell/model_test.go
+++ b/decision/cell/model_test.go
@@ -36,11 +36,15 @@
 
 // modelFaults are the probabilities of faults that affect single calls and jobs.
 type modelFaults struct {
-	delayedCalls  float64 // share of start and stop calls that time out and are executed seconds later
-	lostResponses float64 // share of calls whose response is lost
-	alwaysFails   float64 // share of jobs that always fail
-	crashingTasks float64 // share of jobs with a task, or a step, that crashes the workers that start it
-	listedEnds    int     // ends that a worker lists at a time; 0 if it lists all
+	delayedCalls float64 // share of start and stop calls that time out and are executed seconds later
+	delayedHolds float64 // likewise, of holds; the next incarnation obeys their leases
+	// anyIncarnation makes the next incarnation obey the other delayed calls as well, and
+	// the acknowledgements of delayed holds.
+	anyIncarnation bool
+	lostResponses  float64 // share of calls whose response is lost
+	alwaysFails    float64 // share of jobs that always fail
+	crashingTasks  float64 // share of jobs with a task, or a step, that crashes the workers that start it
+	listedEnds     int     // ends that a worker lists at a time; 0 if it lists all
 }
 
 // modelJob is a job as seen by its submitter.
@@ -99,6 +103,7 @@
 	hasAuthority          bool
 	ticks                 int
 	tokens                map[Token]fleet.JobID
+	lastDeadline          time.Duration // of the newest hold
 }
 
 // timer is a function that runs at a virtual time.
@@ -280,6 +285,7 @@
 	m := h.m
 	switch a := a.(type) {
 	case Hold:
+		h.lastDeadline = a.Deadline
 		m.callWorker(h, a.Server, func(w *modelWorker) Event { return w.hold(h.epoch, a) }, HoldAnswered{Server: a.Server, Number: a.Number, Sent: m.now})
 	case Start:
 		ordered := m.now
@@ -319,12 +325,21 @@
 		timeOut()
 		return
 	}
-	if !isHold && m.random.Float64() < m.faults.delayedCalls {
+	delayed, lateLease := m.faults.delayedCalls, time.Duration(0)
+	if isHold {
+		lateLease = h.lastDeadline
+		delayed = m.faults.delayedHolds
+	}
+	if delayed > 0 && m.random.Float64() < delayed {
 		timeOut()
 		incarnation := w.incarnation
 		m.after(2*time.Second+time.Duration(m.random.Int64N(int64(8*time.Second))), func() {
-			if w.up && w.incarnation == incarnation {
+			switch {
+			case !w.up:
+			case w.incarnation == incarnation || m.faults.anyIncarnation:
 				execute(w)
+			case lateLease > 0:
+				w.extendLease(lateLease)
 			}
 		})
 		return
