--- a/decision/cell/former_incarnation.go
+++ b/decision/cell/former_incarnation.go
@@ -84,7 +84,7 @@
 	if sent := w.leaseCalls.newest(); sent > 0 {
 		w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(sent))
 	}
-	if authority := c.restoredAt + c.settings.AuthorityBound; c.round > 1 && c.now.Steady < authority+maxOrderDelay {
+	if authority := c.restoredAt + c.settings.AuthorityBound; c.round > 1 && c.now.Steady < c.latestLeaseEnd(authority) {
 		w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(authority)) // by calls of an earlier holder
 	}
 }
@@ -110,7 +110,7 @@
 func (c *Cell) startSettledUnanswered(r *run) {
 	w := r.worker
 	w.dropSettledStarts(c.now.Steady)
-	if r.state == runUncertain && c.now.Steady < r.orderedAt+maxOrderDelay {
+	if r.confirmedAt == 0 && !r.listed && c.now.Steady < r.orderedAt+maxOrderDelay {
 		w.settledStarts = append(w.settledStarts, settledStart{task: r.task, attempt: r.key.attempt, orderedAt: r.orderedAt})
 	}
 }
@@ -129,10 +129,6 @@
 		if w.runs[key] != nil || c.jobs[key.task.Job] != t.step.occurrence.job {
 			continue
 		}
-		if t.step.spec.Gang { // its members are ordered together; a listed one is stopped
-			c.emit(Stop{Server: w.server.ID, Address: w.server.Address, Task: key.task, Attempt: key.attempt})
-			continue
-		}
 		r := c.addRun(t, w, settled.attempt, runUncertain)
 		r.orderedAt, r.reason = settled.orderedAt, "start_unanswered"
 		t.step.waiting = slices.DeleteFunc(t.step.waiting, func(i int) bool { return i == t.index })
@@ -141,3 +137,11 @@
 	}
 	w.settledStarts = nil
 }
+
+// expectsLateCalls reports whether calls to former incarnations of a worker may still be
+// carried out or have an effect.
+func (c *Cell) expectsLateCalls(w *worker) bool {
+	w.dropSettledStarts(c.now.Steady)
+	sent := w.leaseCalls.newest()
+	return len(w.settledStarts) > 0 || c.now.Steady < w.lateOrderUntil || sent > 0 && c.now.Steady < c.latestLeaseEnd(sent)
+}
--- a/decision/cell/lease_record.go
+++ b/decision/cell/lease_record.go
@@ -113,7 +113,7 @@
 		}
 		renewed := time.Duration(lease.RenewedMs) * time.Millisecond
 		w.bound = &leaseBound{renewed: renewed, full: renewed >= c.settings.Lease, wait: lease.wait(c.settings)}
-		b.bound = append(b.bound, w)
+		b.bound, b.late[w] = append(b.bound, w), w.lateOrderUntil
 		record.Workers, c.inLeaseRecord[w.server.ID] = append(record.Workers, lease), true
 	}
 	return record
@@ -124,7 +124,7 @@
 func (c *Cell) leasesRecorded(b *batch) {
 	c.lastLeasesRecorded = c.lastLeasesRecorded || b.lastLeases
 	for _, w := range b.bound {
-		w.awaitsLeaseRecord = false
+		w.awaitsLeaseRecord = w.awaitsLeaseRecord && w.lateOrderUntil != b.late[w]
 	}
 	for _, w := range b.unbound {
 		if w.bound = nil; c.workers[w.server.ID] == w {
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -90,9 +90,10 @@
 	cursors      map[*worker]endCursor
 	interference bool
 	leases       bool
-	unbound      []*worker // workers that the lease record of the batch does not name any more
-	bound        []*worker // workers that it names
-	lastLeases   bool      // its lease record was taken after the holder had stepped down
+	unbound      []*worker                 // workers that the lease record of the batch does not name any more
+	bound        []*worker                 // workers that it names
+	late         map[*worker]time.Duration // their lateOrderUntil
+	lastLeases   bool                      // its lease record was taken after the holder had stepped down
 	// unknownJobs are the requests for jobs that do not exist, which a later holder
 	// may know: the append of the batch shows that there was none.
 	unknownJobs []Token
@@ -106,7 +107,7 @@
 }
 
 func newBatch(number uint64) *batch {
-	return &batch{number: number, dirty: map[*jobState]bool{}, cursors: map[*worker]endCursor{}}
+	return &batch{number: number, dirty: map[*jobState]bool{}, cursors: map[*worker]endCursor{}, late: map[*worker]time.Duration{}}
 }
 
 // addCursor adds the number of the highest end applied from a worker.
@@ -299,6 +300,7 @@
 					w.earlierHolderUntil = now.Steady + min(wait, longestBound)
 				}
 			}
+			w.lateOrderUntil = w.earlierHolderUntil
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -200,7 +200,7 @@
 	w.holdAck, w.extraHoldAck = 0, 0
 	w.nextHoldAt = 0
 	w.server.Incarnation = incarnation
-	if w.stored {
+	if w.stored && !slices.Contains(c.nextBatch.servers, w) {
 		c.nextBatch.servers = append(c.nextBatch.servers, w) // a later holder tells by it that calls may be late
 	}
 	c.expectLateLease(w)
@@ -227,7 +227,7 @@
 func (c *Cell) removeUnlisted() {
 	c.forgetRoom() // it holds positions
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(w *worker) bool {
-		if w.listed || len(w.runs) > 0 || w.hasOrphans() || w.missedCalls == 0 || w.earlierHolderUntil > 0 {
+		if w.listed || len(w.runs) > 0 || w.hasOrphans() || w.missedCalls == 0 || w.earlierHolderUntil > 0 || c.expectsLateCalls(w) {
 			return false
 		}
 		if w.recordQueued && !w.stored {
