Wait for the rack of a task's data where a run there ends earlier than a remote one

With UnevenDemand. A task whose data is in a full rack ran elsewhere at once, where it takes RemoteFactor times as long and occupies as much more processor time; in a rack that many jobs want, hundreds of tasks did, although runs there ended within a fraction of a second.

Now the cell plans such a rack: the expected ends of its runs, from the estimates and the progress that lists show. A task waits if the room that is left to it is due within (RemoteFactor-1) times its estimate, less a quarter; beside free capacity at most 2 s. Tasks without data there prefer other racks.

A best-effort task that could only run remotely waited as if it interfered: at a remote factor of 3 the distance alone costs more than an interference. With UnevenDemand the distance has no part in that decision.

TestPassEqualsReference compares the passes with the full scan in both positions of the switch.

lacewingfork_uneven_total and the log event uneven_demand count the decisions.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -96,6 +96,9 @@
 	open              map[openKey][]int // likewise, positions of the workers that are not closed
 	ratedBuffer       ratedWorkers      // reused by the searches of a pass
 	interferenceWaits map[fleet.Service]interferenceWait
+	racks             racks
+	uneven            unevenCounts // since the last note
+	unevenNotedAt     time.Duration
 	nextPass          time.Duration // no scheduling pass before
 
 	interference           *interferenceModel
@@ -285,6 +288,7 @@
 		c.interferenceRecordedAt, c.interference.changed = c.now.Steady, false
 		c.nextBatch.interference = true
 	}
+	c.noteUneven()
 	for _, j := range c.jobs {
 		c.openDueOccurrences(j)
 		c.removeFinished(j)
@@ -311,13 +315,14 @@
 	Reachable    int  `json:"reachable_workers"`
 	Runs         int  `json:"runs"`
 	WaitingTasks int  `json:"waiting_tasks"`
+	AwaitingRack int  `json:"awaiting_rack,omitempty"` // part of WaitingTasks
 	Blocked      bool `json:"blocked"`
 	Authority    bool `json:"authority"`
 }
 
 // Stats returns the counts of the cell.
 func (c *Cell) Stats() Stats {
-	s := Stats{Jobs: len(c.jobs), Workers: len(c.sortedWorkers), Blocked: c.blocked, Authority: c.authority}
+	s := Stats{Jobs: len(c.jobs), Workers: len(c.sortedWorkers), AwaitingRack: c.racks.waiting, Blocked: c.blocked, Authority: c.authority}
 	for _, w := range c.sortedWorkers {
 		s.Runs += len(w.runs)
 		if w.usable() {
--- a/decision/cell/equivalence_test.go
+++ b/decision/cell/equivalence_test.go
@@ -20,9 +20,15 @@
 // Guards against a shortcut of the scheduling pass that changes which tasks start, on
 // which workers or in which order.
 func TestPassEqualsReference(t *testing.T) {
+	for _, uneven := range []bool{false, true} {
+		t.Run(fmt.Sprintf("uneven=%t", uneven), func(t *testing.T) { checkEquivalence(t, uneven) })
+	}
+}
+
+func checkEquivalence(t *testing.T, uneven bool) {
 	var all histories
 	for seed := range uint64(equivalenceSeeds) {
-		h := newHistory(t, seed)
+		h := newHistory(t, seed, uneven)
 		for h.now < 16*time.Second && !t.Failed() {
 			h.step()
 		}
@@ -32,14 +38,14 @@
 		all.add(h)
 	}
 	t.Logf("%+v", all)
-	if all.Starts < 200*equivalenceSeeds || all.Refused == 0 || all.Failed == 0 || all.Preempted == 0 || all.Gangs == 0 || all.Advised == 0 || all.SkippedSearches == 0 {
+	if all.Starts < 200*equivalenceSeeds || all.Refused == 0 || all.Failed == 0 || all.Preempted == 0 || all.Gangs == 0 || all.Advised == 0 || all.SkippedSearches == 0 || uneven && all.AwaitedRack == 0 {
 		t.Errorf("the histories lack cases: %+v", all)
 	}
 }
 
 // histories counts the cases that occurred.
 type histories struct {
-	Starts, Refused, Failed, Preempted, Gangs, Advised int
+	Starts, Refused, Failed, Preempted, Gangs, Advised, AwaitedRack int
 	// SkippedSearches is the number of worker checks of the reference that the
 	// cell did not make.
 	SkippedSearches uint64
@@ -52,6 +58,7 @@
 	all.Preempted += h.Preempted
 	all.Gangs += h.Gangs
 	all.Advised += h.Advised
+	all.AwaitedRack += h.AwaitedRack
 	all.SkippedSearches += h.reference.workerChecks - h.cell.workerChecks
 }
 
@@ -69,11 +76,12 @@
 	jobs      []fleet.JobID
 }
 
-func newHistory(t *testing.T, seed uint64) *history {
+func newHistory(t *testing.T, seed uint64, uneven bool) *history {
 	h := &history{
 		fixture: newFixture(t, 1), reference: New(DefaultSettings(), 1), random: rand.New(rand.NewPCG(seed, 23)), runs: map[fleet.BackendServerID]map[runKey]time.Duration{},
 		stopped: map[runKey]bool{}, finished: map[fleet.BackendServerID][]FinishedRow{}, ends: map[fleet.BackendServerID]int64{},
 	}
+	h.cell.settings.UnevenDemand, h.reference.settings.UnevenDemand = uneven, uneven
 	h.reference.Restore(h.moment(), nil)
 	h.apply(QueuesChanged{Queues: []QueueSettings{
 		{Name: "first", Service: "s", MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
@@ -143,6 +151,7 @@
 	h.apply(Tick{})
 	h.answerOrders()
 	h.answerAllHolds()
+	h.AwaitedRack += h.cell.racks.waiting
 	for _, n := range takeActions[Note](h.fixture) {
 		if n.Event == NoteStopOrdered && n.Detail["reason"] == "makes_room" {
 			h.Preempted++
@@ -168,6 +177,9 @@
 		if pick(0.2) {
 			s.MaxPerServer = 1
 		}
+		if h.cell.settings.UnevenDemand && pick(0.4) {
+			s.DataRack = fmt.Sprintf("r%d", h.random.IntN(3))
+		}
 		if s.LongRunning && pick(0.2) {
 			s.LatencyTarget = 100 * time.Millisecond
 		} else if !s.LongRunning {
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -87,6 +87,9 @@
 	disruptedAt time.Duration
 	preempted   bool // it has not run since the last preemption
 	suspicion   suspicion
+	// awaitsRack means that it waits for the rack of its data since the last pass, and
+	// hasAwaitedRack that it has done so before.
+	awaitsRack, hasAwaitedRack bool
 }
 
 func (t *task) ref() job.TaskRef {
--- a/decision/cell/reconcile.go
+++ b/decision/cell/reconcile.go
@@ -40,6 +40,7 @@
 	if r.state == runOrdered {
 		c.confirm(r)
 	}
+	c.observePace(r, row.Percent)
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, c.now.Steady
 	}
--- a/decision/cell/reference_test.go
+++ b/decision/cell/reference_test.go
@@ -21,6 +21,7 @@
 	})
 	c.crowdingMeasured = false
 	c.countLateStarts()
+	c.racks.beginPass(c.now.Steady)
 	slices.SortStableFunc(c.ready, c.referenceOrder)
 	for _, s := range c.ready {
 		if c.startsExhausted() {
@@ -54,8 +55,11 @@
 		if c.failIfAttemptsExhausted(t) || c.startsExhausted() {
 			return
 		}
+		if c.awaitsRack(t) {
+			continue
+		}
 		w, cost := c.choose(t)
-		if w != nil && s.spec.BestEffort && cost >= costInterferes && c.now.Steady-c.waitingSince(t) < c.maxInterferenceWait(w.server.Service) {
+		if w != nil && s.spec.BestEffort && c.interferes(w, t, cost) && c.now.Steady-c.waitingSince(t) < c.maxInterferenceWait(w.server.Service) {
 			return
 		}
 		if w == nil {
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -31,6 +31,8 @@
 	percent            int
 	listedAt           time.Duration // when its worker last listed or confirmed it
 	progressAt         time.Duration // when percent last changed
+	fresh              bool          // started without a checkpoint
+	pace               pace
 	measurement        int
 	speed              int // acknowledged speed, in percent
 	desiredSpeed       int
@@ -141,8 +143,13 @@
 func (c *Cell) startRun(t *task, w *worker) {
 	attempt := max(t.attempt, (c.round-1)*attemptsPerRound) + 1
 	r := c.addRun(t, w, attempt, runOrdered)
+	r.fresh = t.checkpoint == ""
 	c.starts++
 	c.startTrials(r)
+	c.racks.started(c, r)
+	if c.settings.UnevenDemand && t.step.spec.DataRack != "" && t.step.spec.DataRack != w.server.Rack() {
+		c.uneven.RemoteStarts++
+	}
 	j := t.step.occurrence.job
 	ticket, _ := c.ticketFor(t.step, w) // choose has checked that it is valid
 	deadline := c.leaseEnd(w)
@@ -228,6 +235,9 @@
 	c.setState(r, runConfirmed)
 	r.confirmedAt, r.listedAt, r.progressAt = c.now.Steady, c.now.Steady, c.now.Steady
 	r.task.preempted = false
+	if r.fresh {
+		c.observePace(r, 0)
+	}
 	r.worker.runsChanged(r)
 	if r.bestEffort {
 		r.worker.recordShares(c.now.Steady)
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -24,6 +24,7 @@
 	c.crowdingMeasured = false
 	c.countLateStarts()
 	c.forgetRoom()
+	c.racks.beginPass(c.now.Steady)
 	for _, s := range c.ready {
 		s.order = c.orderOf(s)
 	}
@@ -74,8 +75,11 @@
 		if mayAvoidInterference && len(t.avoid) == 0 && c.interferesEverywhere(s) {
 			return // as below, without rating the workers
 		}
+		if c.awaitsRack(t) {
+			continue // one of those behind it may expect too long a wait
+		}
 		w, cost := c.findCandidate(&found, t)
-		if w != nil && mayAvoidInterference && cost >= costInterferes {
+		if w != nil && mayAvoidInterference && c.interferes(w, t, cost) {
 			c.searchFailed(c.interferenceFreeKeyOf(s))
 			return // the interference would cost more than the delay
 		}
--- /dev/null
+++ b/decision/cell/uneven.go
@@ -0,0 +1,27 @@
+package cell
+
+import "time"
+
+// unevenNoteInterval is the least time between two notes on uneven demand. Each of its
+// decisions may be made many times a second.
+const unevenNoteInterval = 5 * time.Second
+
+// unevenCounts counts the decisions on uneven demand and unlike servers.
+type unevenCounts struct {
+	RackWaits    int // tasks that began to wait for the rack of their data
+	RemoteStarts int // starts outside the rack of the data
+}
+
+// UnevenDecisions are the keys of NoteUnevenDemand that count decisions.
+var UnevenDecisions = []string{"rack_waits", "remote_starts"}
+
+// noteUneven logs the decisions on uneven demand since the last note.
+func (c *Cell) noteUneven() {
+	if c.uneven == (unevenCounts{}) || c.now.Steady-c.unevenNotedAt < unevenNoteInterval {
+		return
+	}
+	c.emit(Note{Event: NoteUnevenDemand, Detail: map[string]any{
+		"rack_waits": c.uneven.RackWaits, "remote_starts": c.uneven.RemoteStarts, "awaiting_rack": c.racks.waiting,
+	}})
+	c.uneven, c.unevenNotedAt = unevenCounts{}, c.now.Steady
+}
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -41,6 +41,7 @@
 	waitAdvice       = "advice"            // no valid ticket of the advisor
 	waitInterference = "interference"      // it would disturb serving tasks
 	waitGang         = "gang"              // there is room for some of its tasks only
+	waitRack         = "rack"              // the rack of its data is expected to have room soon
 )
 
 // firstWaitReport is how long a step waits until its wait is logged. Each
@@ -119,6 +120,8 @@
 		return waitCrashRecord
 	case c.now.Steady < t.notBefore:
 		return waitRetry
+	case t.awaitsRack:
+		return waitRack
 	case workers[obstacleNone] == 0:
 		most := obstacleUnusable
 		for o := most; o < obstacleCount; o++ {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -138,6 +138,7 @@
 		c.emit(Note{Event: NoteWorkerListed, Server: s.ID, Detail: map[string]any{"draining": true}})
 	}
 	w.server, w.listed, w.dataCentre = s, true, c.dataCentreOf(s.DataCentre)
+	c.racks.members = nil
 	if s.Draining {
 		c.moveOffDraining(w)
 	}
@@ -205,6 +206,7 @@
 // of removed workers would delay it.
 func (c *Cell) removeUnlisted() {
 	c.forgetRoom() // it holds positions
+	c.racks.members = nil
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(w *worker) bool {
 		if w.listed || len(w.runs) > 0 || w.hasOrphans() || w.missedCalls == 0 || w.earlierHolderUntil > 0 {
 			return false
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -15,6 +15,7 @@
 	taskWaitSeconds prometheus.Histogram
 	jobSeconds      prometheus.Histogram
 	taskWaits       *prometheus.CounterVec
+	uneven          *prometheus.CounterVec
 	takeovers       prometheus.Counter
 	unreadResponses prometheus.Counter
 	lag             prometheus.Gauge
@@ -38,6 +39,9 @@
 		taskWaits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingfork_task_waits_total", Help: "Logged waits of tasks for a start, by reason.",
 		}, []string{"reason"}),
+		uneven: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingfork_uneven_total", Help: "Decisions on uneven demand and unlike servers, by decision.",
+		}, []string{"decision"}),
 		jobSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lacewingfork_job_seconds", Help: "Time from a job's arrival to its final state.", Buckets: seconds,
 		}),
@@ -51,7 +55,7 @@
 	m.lag = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "lacewingfork_holder_lag_seconds", Help: "Longest time that an answer of a worker has waited for the holder since its last tick.",
 	})
-	registry.MustRegister(m.lag, m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.jobSeconds, m.takeovers, m.unreadResponses)
+	registry.MustRegister(m.lag, m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.uneven, m.jobSeconds, m.takeovers, m.unreadResponses)
 	return m
 }
 
@@ -79,6 +83,12 @@
 		if reason, ok := n.Detail["reason"].(string); ok {
 			m.taskWaits.WithLabelValues(reason).Inc()
 		}
+	case cell.NoteUnevenDemand:
+		for _, decision := range cell.UnevenDecisions {
+			if count, ok := n.Detail[decision].(int); ok {
+				m.uneven.WithLabelValues(decision).Add(float64(count))
+			}
+		}
 	case cell.NoteJobEnded:
 		observe(m.jobSeconds, n, "after_ms", 1e3)
 	}
