Start a second copy of a speculative task whose run outlasts a new one

With UnevenDemand. The cell adopted the copies of speculative tasks but never started one, and predicted ends by the callers' estimates alone, which are off by up to half. With 3 runs in 100 that take seven times as long, one job of ten tasks in four waited for one of them.

Each kind of run (queue, image) now has a sketch of decision/estimate with the ratio of run time to estimate; the expected rest of a run follows from its pace in the lists, else from the runs that took longer than it has. A copy starts when that rest exceeds 1.3 times the median of a new run (twice above 0.6 of the processors, where the copy spares as much as it takes), only while no task waits for room, for at most 5 % of the finite runs, and no longer for a kind whose copies do not win. Ruled out: migration, which loses work, and copies from the start, which double the load. The planned racks use the same expected ends.

An earlier attempt of a speculative task that is done counts after a takeover that has adopted the copy only; else the task could start again.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -97,6 +97,8 @@
 	ratedBuffer       ratedWorkers      // reused by the searches of a pass
 	interferenceWaits map[fleet.Service]interferenceWait
 	racks             racks
+	runTimes          map[runKind]*runTimes
+	copiesSearchedAt  time.Duration
 	uneven            unevenCounts // since the last note
 	unevenNotedAt     time.Duration
 	nextPass          time.Duration // no scheduling pass before
@@ -288,6 +290,7 @@
 		c.interferenceRecordedAt, c.interference.changed = c.now.Steady, false
 		c.nextBatch.interference = true
 	}
+	c.startCopies()
 	c.noteUneven()
 	for _, j := range c.jobs {
 		c.openDueOccurrences(j)
--- a/decision/cell/ends.go
+++ b/decision/cell/ends.go
@@ -29,7 +29,7 @@
 // earlier holder started it, or this holder removed it when its lease expired.
 func (c *Cell) unknownRunEnded(w *worker, row FinishedRow) {
 	t := c.lookup(row.Task)
-	if t == nil || !validAttempt(row.Attempt) || t.done || row.Attempt < t.attempt && row.End != job.EndFailed {
+	if t == nil || !validAttempt(row.Attempt) || t.done || row.Attempt < t.attempt && !c.countsEarlier(t, row.End) {
 		return
 	}
 	t.attempt = max(t.attempt, row.Attempt)
@@ -38,6 +38,13 @@
 	c.applyEnd(t, w, row.Attempt, row.End, row.Checkpoint)
 }
 
+// countsEarlier reports whether the end of an attempt counts after a later one has been
+// observed. That of a speculative task may be done while its copy runs: were it left out,
+// the task could start again after it is done.
+func (c *Cell) countsEarlier(t *task, end job.End) bool {
+	return end == job.EndFailed || end == job.EndDone && t.step.spec.Speculative && c.settings.UnevenDemand
+}
+
 // runEnded removes a run and applies its end to the task.
 func (c *Cell) runEnded(r *run, end job.End, checkpoint string) {
 	t, w := r.task, r.worker
@@ -49,6 +56,10 @@
 	if outlived(end) {
 		t.clearSuspicion()
 	}
+	if end == job.EndDone {
+		c.observeRunTime(r)
+		c.copyEnded(r)
+	}
 	before := w.health.quarantinedUntil
 	w.health.ended(c.now.Steady, r, end)
 	c.logHealth(w, before, string(end))
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -90,6 +90,7 @@
 	// awaitsRack means that it waits for the rack of its data since the last pass, and
 	// hasAwaitedRack that it has done so before.
 	awaitsRack, hasAwaitedRack bool
+	copies                     int // second runs started
 }
 
 func (t *task) ref() job.TaskRef {
--- a/decision/cell/predict.go
+++ b/decision/cell/predict.go
@@ -21,9 +21,9 @@
 // longer it has taken, the longer it is expected to take.
 const overdueGrowth = 0.5
 
-// expectedRunTime returns how long a run of a task is expected to take on a worker, if
-// it starts afresh.
-func (c *Cell) expectedRunTime(w *worker, t *task) time.Duration {
+// declaredRunTime returns how long a run of a task takes on a worker by the caller's
+// estimate.
+func (c *Cell) declaredRunTime(w *worker, t *task) time.Duration {
 	s := t.step.spec
 	if s.DataRack != "" && w.server.Rack() != s.DataRack {
 		return time.Duration(c.settings.RemoteFactor * float64(s.Estimate))
@@ -31,8 +31,19 @@
 	return s.Estimate
 }
 
+// expectedRunTime returns how long a run of a task is expected to take on a worker, if
+// it starts afresh: the median of its kind.
+func (c *Cell) expectedRunTime(w *worker, t *task) time.Duration {
+	base := c.declaredRunTime(w, t)
+	if ratios := c.ratiosOf(t.step); ratios != nil {
+		return scaled(base, ratios, 0.5)
+	}
+	return base
+}
+
 // expectedRemaining returns how long a run is expected to go on, and false for a run
-// that does not end by itself or may not have started.
+// that does not end by itself or may not have started. Its own progress says most, then
+// the run times of its kind, then the caller's estimate.
 func (c *Cell) expectedRemaining(r *run) (time.Duration, bool) {
 	if r.task.step.spec.LongRunning || r.state == runUncertain {
 		return 0, false
@@ -41,10 +52,13 @@
 		return 0, true
 	}
 	elapsed := c.now.Steady - max(r.orderedAt, r.confirmedAt)
-	remaining := c.expectedRunTime(r.worker, r.task) - elapsed
+	base := c.declaredRunTime(r.worker, r.task)
+	remaining := base - elapsed
 	if made := r.percent - r.pace.percent; r.pace.known && made >= minPaceShare && r.progressAt > r.pace.at {
 		perPercent := (r.progressAt - r.pace.at) / time.Duration(made)
 		remaining = perPercent*time.Duration(fullSpeed-r.percent) - (c.now.Steady - r.progressAt)
+	} else if ratios := c.ratiosOf(r.task.step); ratios != nil && base > 0 {
+		remaining = expectedRest(base, elapsed, ratios)
 	}
 	if remaining <= 0 {
 		return max(time.Duration(overdueGrowth*float64(elapsed)), clockMargin), true
--- a/decision/cell/racks.go
+++ b/decision/cell/racks.go
@@ -86,7 +86,7 @@
 	if at < 0 || !c.worthWaiting(t, wait) {
 		return false
 	}
-	plan[at].claim(countedNeed(s), wait+s.Estimate)
+	plan[at].claim(countedNeed(s), wait+c.expectedRunTime(plan[at].worker, t))
 	c.racks.waiting++
 	if !t.hasAwaitedRack {
 		t.hasAwaitedRack = true
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -32,6 +32,7 @@
 	listedAt           time.Duration // when its worker last listed or confirmed it
 	progressAt         time.Duration // when percent last changed
 	fresh              bool          // started without a checkpoint
+	copy               bool          // a second run of its task
 	pace               pace
 	measurement        int
 	speed              int // acknowledged speed, in percent
@@ -143,7 +144,7 @@
 func (c *Cell) startRun(t *task, w *worker) {
 	attempt := max(t.attempt, (c.round-1)*attemptsPerRound) + 1
 	r := c.addRun(t, w, attempt, runOrdered)
-	r.fresh = t.checkpoint == ""
+	r.fresh, r.copy = t.checkpoint == "", len(t.runs) > 1
 	c.starts++
 	c.startTrials(r)
 	c.racks.started(c, r)
@@ -158,10 +159,15 @@
 		Server: w.server.ID, Address: w.server.Address, Task: r.key.task, Attempt: attempt, Spec: j.job.Spec,
 		Deadline: deadline, Checkpoint: t.checkpoint, Ticket: ticket, Timeout: r.path.Timeout(),
 	})
-	c.emit(Note{Event: NoteStartOrdered, Job: j.job.ID, Task: r.key.task.String(), Server: w.server.ID, Detail: map[string]any{
+	detail := map[string]any{
 		"attempt": attempt, "waited_ms": (c.now.Steady - max(j.acceptedAt, t.requeuedAt)).Milliseconds(), "free_milli_cpu": w.server.Capacity.MilliCPU - w.used.MilliCPU,
 		"list_age_ms": (c.now.Steady - w.lastAnswerAt).Milliseconds(),
-	}})
+	}
+	if r.copy {
+		delete(detail, "waited_ms") // the task did not wait for it
+		detail["copy"] = true
+	}
+	c.emit(Note{Event: NoteStartOrdered, Job: j.job.ID, Task: r.key.task.String(), Server: w.server.ID, Detail: detail})
 }
 
 func (c *Cell) startAnswered(e StartAnswered) {
--- a/decision/cell/uneven_sim_test.go
+++ b/decision/cell/uneven_sim_test.go
@@ -24,6 +24,8 @@
 	steps         func(random *rand.Rand) []job.Step
 	// taskTime returns the time of a task at full speed, in the rack of its data.
 	taskTime func(step *job.Step, random *rand.Rand) time.Duration
+	// tailByTask means that all runs of a task take the same time.
+	tailByTask bool
 	// slowdown is the factor by which a server prolongs a run that starts at a time.
 	slowdown func(s Server, now time.Duration, runs int) float64
 	// during is called at each tick.
@@ -40,8 +42,10 @@
 	heldAt  map[uint64]time.Duration
 	jobs    map[fleet.JobID]*unevenJob
 	lost    map[fleet.BackendServerID]bool // answer no call
+	done    map[job.TaskRef]bool
 	result  unevenResult
 	began   time.Duration
+	seed    uint64
 }
 
 // unevenWorker is a worker that lists each end until it is acknowledged.
@@ -117,9 +121,9 @@
 		settings.RemoteFactor = load.remoteFactor
 	}
 	s := &unevenService{
-		fixture: &fixture{t: t, cell: New(settings, 1), now: time.Second, records: map[Key]Record{}}, load: load,
+		fixture: &fixture{t: t, cell: New(settings, 1), now: time.Second, records: map[Key]Record{}}, load: load, seed: seed,
 		random: rand.New(rand.NewPCG(seed, 41)), workers: map[fleet.BackendServerID]*unevenWorker{}, heldAt: map[uint64]time.Duration{},
-		jobs: map[fleet.JobID]*unevenJob{}, lost: map[fleet.BackendServerID]bool{},
+		jobs: map[fleet.JobID]*unevenJob{}, lost: map[fleet.BackendServerID]bool{}, done: map[job.TaskRef]bool{},
 	}
 	s.handle(QueuesChanged{Queues: []QueueSettings{load.queue}})
 	for _, server := range load.servers {
@@ -167,6 +171,7 @@
 			s.handle(StartAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, Outcome: StartNotConnected, Sent: s.now})
 			continue
 		}
+		s.checkStart(start)
 		w := s.workers[start.Server]
 		step := s.cell.lookup(start.Task).step.spec
 		took := s.taskTime(start.Task, start.Attempt, step)
@@ -195,10 +200,32 @@
 	}
 }
 
+// checkStart checks that a task starts only while it may.
+func (s *unevenService) checkStart(start Start) {
+	runs := 0
+	for _, w := range s.workers {
+		for _, r := range w.runs {
+			if r.key.task == start.Task && !s.lost[w.server.ID] {
+				runs++
+			}
+		}
+	}
+	step := s.cell.lookup(start.Task).step.spec
+	if runs > 0 && !step.Speculative || runs > 1 {
+		s.t.Errorf("%v: %v starts beside %d other runs", s.now, start.Task, runs)
+	}
+	if s.done[start.Task] {
+		s.t.Errorf("%v: %v starts after it is done", s.now, start.Task)
+	}
+}
+
 // taskTime returns the time of an attempt of a task, which is the same in each play.
 func (s *unevenService) taskTime(ref job.TaskRef, attempt int, step *job.Step) time.Duration {
+	if s.load.tailByTask {
+		attempt = 0
+	}
 	hash := fnv.New64a()
-	fmt.Fprintf(hash, "%v/%d", ref, attempt)
+	fmt.Fprintf(hash, "%d/%v/%d", s.seed, ref, attempt)
 	return s.load.taskTime(step, rand.New(rand.NewPCG(hash.Sum64(), 43)))
 }
 
@@ -212,6 +239,8 @@
 			end := job.EndDone
 			if r.stopped {
 				end = job.EndStopped
+			} else {
+				s.done[r.key.task] = true
 			}
 			w.ends++
 			w.finished = append(w.finished, FinishedRow{Number: w.ends, Task: r.key.task, Attempt: r.key.attempt, End: end})
@@ -252,8 +281,8 @@
 		})
 	}
 	for _, n := range takeActions[Note](s.fixture) {
-		if n.Event == NoteStartOrdered {
-			s.result.LongestWait = max(s.result.LongestWait, time.Duration(n.Detail["waited_ms"].(int64))*time.Millisecond)
+		if waited, ok := n.Detail["waited_ms"].(int64); n.Event == NoteStartOrdered && ok {
+			s.result.LongestWait = max(s.result.LongestWait, time.Duration(waited)*time.Millisecond)
 		}
 		if j := s.jobs[n.Job]; n.Event == NoteJobEnded && j != nil && n.Detail["state"] == job.Complete {
 			j.after = max(1, time.Duration(n.Detail["after_ms"].(int64))*time.Millisecond)
