Start the tasks of a queue only in its allowed regions

allowed-regions of a route was not read. It is now an obstacle of every placement (wrong_region), wherever a queue has it; no switch. The regions of the data centres come from the platform's zones through the setting platform.zones, since an instance knew its own region only.

A region in which no data centre is matches nothing and is reported once for each holder. A value that is no list, or an entry that is no name, allows nothing and is logged as configuration_finding; the other routes take effect. Ruled out: refusing the whole configuration, which loses the other routes, and leaving the odd entry out, which allows more than was written. A part of platform.zones that names no region is left out.

The room that a pass remembers is kept for each set of allowed regions.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -46,6 +46,8 @@
 	MaxTimeOverTarget time.Duration
 	// Capacity is that of the holder's instance.
 	Capacity congestion.Capacity
+	// Regions are the regions of the data centres.
+	Regions map[fleet.DataCentre]fleet.Region
 	// TriageByCost, ServingRoom and UnevenDemand switch on decisions for deployments
 	// whose load exceeds their room at times, or is uneven.
 	TriageByCost bool
@@ -88,6 +90,7 @@
 	workers       map[fleet.BackendServerID]*worker
 	sortedWorkers []*worker // by identifier, so that decisions do not depend on map order
 	ready         []*stepState
+	regions       regions
 	// longRunningExcess is the processor use of long-running tasks less that of
 	// all others, by service.
 	longRunningExcess map[fleet.Service]int64
--- a/decision/cell/equivalence_test.go
+++ b/decision/cell/equivalence_test.go
@@ -38,14 +38,14 @@
 		all.add(h)
 	}
 	t.Logf("%+v", all)
-	if all.Starts < 200*equivalenceSeeds || all.Refused == 0 || all.Failed == 0 || all.Preempted == 0 || all.Gangs == 0 || all.Advised == 0 || all.SkippedSearches == 0 || uneven && all.AwaitedRack == 0 {
+	if all.Starts < 200*equivalenceSeeds || all.Refused == 0 || all.Failed == 0 || all.Preempted == 0 || all.Gangs == 0 || all.Advised == 0 || all.SkippedSearches == 0 || uneven && (all.AwaitedRack == 0 || all.InRegion == 0) {
 		t.Errorf("the histories lack cases: %+v", all)
 	}
 }
 
 // histories counts the cases that occurred.
 type histories struct {
-	Starts, Refused, Failed, Preempted, Gangs, Advised, AwaitedRack int
+	Starts, Refused, Failed, Preempted, Gangs, Advised, AwaitedRack, InRegion int
 	// SkippedSearches is the number of worker checks of the reference that the
 	// cell did not make.
 	SkippedSearches uint64
@@ -59,6 +59,7 @@
 	all.Gangs += h.Gangs
 	all.Advised += h.Advised
 	all.AwaitedRack += h.AwaitedRack
+	all.InRegion += h.InRegion
 	all.SkippedSearches += h.reference.workerChecks - h.cell.workerChecks
 }
 
@@ -83,17 +84,26 @@
 	}
 	h.cell.settings.UnevenDemand, h.reference.settings.UnevenDemand = uneven, uneven
 	h.reference.Restore(h.moment(), nil)
-	h.apply(QueuesChanged{Queues: []QueueSettings{
+	h.cell.settings.Regions = map[fleet.DataCentre]fleet.Region{"d0": "north", "d1": "south"}
+	h.reference.settings.Regions = h.cell.settings.Regions
+	queues := []QueueSettings{
 		{Name: "first", Service: "s", MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
 		{Name: "long", Service: "s", SlackFactor: 2, TargetLatency: time.Second},
 		{Name: "last", Service: "s", Priority: 1, SlackFactor: 2, TargetLatency: time.Second},
 		{Name: "advised", Service: "s", SlackFactor: 2, TargetLatency: time.Second, Advisor: AdvisorSettings{BaseTime: time.Millisecond, TicketValidity: 2 * time.Second}},
 		{Name: "other", Service: "u", SlackFactor: 2, TargetLatency: time.Second},
-	}})
+	}
+	if uneven {
+		queues = append(queues, QueueSettings{Name: "near", Service: "s", SlackFactor: 2, TargetLatency: time.Second, AllowedRegions: []fleet.Region{"north", "west"}})
+	}
+	h.apply(QueuesChanged{Queues: queues})
 	for i := range 16 {
 		s := testServer(fleet.BackendServerID(fmt.Sprintf("server-%02d", i)))
 		s.Labels = []string{string(rune('a' + h.random.IntN(2))), fmt.Sprintf("r%d", h.random.IntN(3))}
 		s.Capacity = fleet.Resources{MilliCPU: 8000 + h.random.Int64N(24000), MemoryMiB: 8000 + h.random.Int64N(56000)}
+		if uneven {
+			s.DataCentre = fleet.DataCentre(fmt.Sprintf("d%d", i%3))
+		}
 		if i%8 == 7 {
 			s.Service = "u"
 		}
@@ -164,6 +174,9 @@
 func (h *history) submitRandom() {
 	pick := func(p float64) bool { return h.random.Float64() < p }
 	queues := []job.Queue{"first", "long", "long", "last", "advised", "other"}
+	if h.cell.settings.UnevenDemand {
+		queues = append(queues, "near")
+	}
 	j := job.Job{ID: fleet.JobID(fmt.Sprintf("%016x", h.random.Uint64())), Queue: queues[h.random.IntN(len(queues))]}
 	for range 1 + h.random.IntN(2) {
 		s := job.Step{
@@ -208,9 +221,13 @@
 			h.runs[s.Server][runKey{s.Task, s.Attempt}] = h.now + time.Duration(h.random.ExpFloat64()*float64(3*time.Second))
 		}
 		h.apply(StartAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, Outcome: outcome, Sent: h.now})
-		if t := h.cell.lookup(s.Task); t != nil && t.step.spec.Gang {
+		t := h.cell.lookup(s.Task)
+		if t != nil && t.step.spec.Gang {
 			h.Gangs++
 		}
+		if t != nil && t.step.occurrence.job.job.Queue == "near" {
+			h.InRegion++
+		}
 	}
 	for _, s := range takeActions[Stop](h.fixture) {
 		key := runKey{s.Task, s.Attempt}
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -31,6 +31,9 @@
 	// SlackFactor times the estimated time of its longest chain of steps.
 	SlackFactor   float64
 	TargetLatency time.Duration
+	// AllowedRegions are the regions in which its tasks may start; none means all. No
+	// data centre is in a region without a name.
+	AllowedRegions []fleet.Region
 	// Advisor configures the advisor that decides which workers may run a step
 	// of the queue.
 	Advisor AdvisorSettings
@@ -342,4 +345,5 @@
 	NoteTaskSuspected      NoteEvent = "task_suspected"
 	NoteTaskGivenUp        NoteEvent = "task_given_up"
 	NoteUnevenDemand       NoteEvent = "uneven_demand"
+	NoteRegionUnknown      NoteEvent = "region_unknown"
 )
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -353,6 +353,7 @@
 	for name, q := range c.queues {
 		c.retiredQueues[name] = q
 	}
+	c.setRegions(queues)
 	c.queues = make(map[job.Queue]QueueSettings, len(queues))
 	for _, q := range queues {
 		c.queues[q.Name] = q
--- a/decision/cell/racks.go
+++ b/decision/cell/racks.go
@@ -173,7 +173,7 @@
 	s := t.step.spec
 	for i := range plan {
 		w := plan[i].worker
-		if s.Label != "" && !slices.Contains(w.server.Labels, s.Label) || slices.Contains(t.avoid, w.server.ID) || c.besideSuspect(w, t) ||
+		if !c.regionAllows(w, t.step.occurrence.job) || s.Label != "" && !slices.Contains(w.server.Labels, s.Label) || slices.Contains(t.avoid, w.server.ID) || c.besideSuspect(w, t) ||
 			s.MaxPerServer > 0 && w.runsOfStep(t.step) >= s.MaxPerServer {
 			continue
 		}
--- a/decision/cell/room.go
+++ b/decision/cell/room.go
@@ -13,6 +13,7 @@
 	label      string
 	bestEffort bool
 	gang       bool
+	regions    *regionSet
 	// interferenceFree limits the processor need to that which disturbs no serving
 	// task, for a best-effort image.
 	interferenceFree bool
@@ -120,7 +121,8 @@
 }
 
 func (c *Cell) roomKeyOf(s *stepState) roomKey {
-	return roomKey{c.queueOf(s.occurrence.job).Service, s.spec.Label, s.spec.BestEffort, s.spec.Gang, false, 0}
+	j := s.occurrence.job
+	return roomKey{service: c.queueOf(j).Service, label: s.spec.Label, bestEffort: s.spec.BestEffort, gang: s.spec.Gang, regions: c.regionsOf(j)}
 }
 
 // measureRoom measures the capacity left on the workers of a key.
@@ -129,7 +131,7 @@
 	for _, i := range c.openWorkers(key.service, key.bestEffort) {
 		w := c.sortedWorkers[i]
 		if !key.gang && !w.dataCentre.path.Allows() ||
-			key.label != "" && !slices.Contains(w.server.Labels, key.label) {
+			!key.regions.allows(w) || key.label != "" && !slices.Contains(w.server.Labels, key.label) {
 			continue
 		}
 		free := w.free()
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -209,6 +209,8 @@
 		return obstacleLabel
 	case s.MaxPerServer > 0 && w.runsOfStep(t.step) >= s.MaxPerServer:
 		return obstacleMaxPerServer
+	case !c.regionAllows(w, t.step.occurrence.job):
+		return obstacleRegion
 	case !s.Gang && !w.dataCentre.path.Allows():
 		return obstaclePath // the members of a gang are ordered together, or not at all
 	default:
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -22,14 +22,15 @@
 	obstacleAccelerators
 	obstacleLabel
 	obstacleMaxPerServer
-	obstaclePath // the path to its data centre carries no further start now
+	obstacleRegion // its data centre is not in a region of the queue
+	obstaclePath   // the path to its data centre carries no further start now
 	obstacleCount
 )
 
 // obstacleNames are the names of the obstacles in the log. A worker without an
 // obstacle has room for the task.
 var obstacleNames = [obstacleCount]string{
-	"with_room", "unusable", "no_answer", "set_aside", "suspect", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit", "path_full",
+	"with_room", "unusable", "no_answer", "set_aside", "suspect", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit", "wrong_region", "path_full",
 }
 
 // Reasons in the log for the wait of a step that are not obstacles of workers.
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -82,6 +82,7 @@
 	health            health
 	answers           answers
 	dataCentre        *dataCentre
+	region            fleet.Region // empty if the region of its data centre is not known
 	throttling        throttling
 	suspectRuns       int          // runs of tasks that may crash it
 	lastCrash         *crash       // nil if none was observed
@@ -137,7 +138,7 @@
 	if s.Draining && !w.server.Draining {
 		c.emit(Note{Event: NoteWorkerListed, Server: s.ID, Detail: map[string]any{"draining": true}})
 	}
-	w.server, w.listed, w.dataCentre = s, true, c.dataCentreOf(s.DataCentre)
+	w.server, w.listed, w.dataCentre, w.region = s, true, c.dataCentreOf(s.DataCentre), c.settings.Regions[s.DataCentre]
 	c.racks.members = nil
 	if s.Draining {
 		c.moveOffDraining(w)
@@ -147,7 +148,7 @@
 }
 
 func (c *Cell) addWorker(s Server) *worker {
-	w := &worker{server: s, runs: map[runKey]*run{}, dataCentre: c.dataCentreOf(s.DataCentre)}
+	w := &worker{server: s, runs: map[runKey]*run{}, dataCentre: c.dataCentreOf(s.DataCentre), region: c.settings.Regions[s.DataCentre]}
 	c.workers[s.ID] = w
 	if c.inLeaseRecord[s.ID] {
 		w.bound = &leaseBound{} // it had been removed since
--- a/scheduler/api/api.go
+++ b/scheduler/api/api.go
@@ -103,6 +103,8 @@
 	Version int64
 	Routes  []Route
 	Limits  Limits
+	// Findings name the parts that could not be read and were left out.
+	Findings []string
 	// Document is the encoded publication, kept to pass it on to peers.
 	Document []byte
 	// Offset is that of its record in OperatorTopic.
--- a/scheduler/settings/settings.go
+++ b/scheduler/settings/settings.go
@@ -53,7 +53,10 @@
 type Advisor struct{ Address string }
 
 // Platform says which parts of the platform's rules are in force.
-type Platform struct{ Contracts string }
+type Platform struct {
+	Contracts string
+	Zones     string
+}
 
 // ContractPlaces is the contract of deployments whose demand or servers are uneven, or
 // whose data centres may be evacuated.
@@ -65,6 +68,20 @@
 // HasContract reports whether a part of the platform's rules is in force.
 func (s Settings) HasContract(name string) bool { return slices.Contains(s.Contracts(), name) }
 
+// Regions returns the regions of the data centres. Parts of the setting that name none
+// are left out: such a data centre is in no region that a queue may name.
+func (s Settings) Regions() map[fleet.DataCentre]fleet.Region {
+	regions := map[fleet.DataCentre]fleet.Region{}
+	for part := range strings.SplitSeq(s.Platform.Zones, ",") {
+		dataCentre, region, _ := strings.Cut(part, "=")
+		dataCentre, region = strings.TrimSpace(dataCentre), strings.TrimSpace(region)
+		if dataCentre != "" && region != "" {
+			regions[fleet.DataCentre(dataCentre)] = fleet.Region(region)
+		}
+	}
+	return regions
+}
+
 // Bounds are the limits that the platform sets. The descriptions of the settings
 // give their meaning.
 type Bounds struct {
@@ -171,6 +188,10 @@
 			Name: "contracts", Description: "parts of the platform's rules that are in force, separated by commas", Default: "",
 			Range: "names separated by commas", Valid: func(string) bool { return true }, Field: func(s *Settings) any { return &s.Platform.Contracts },
 		},
+		{
+			Name: "zones", Description: "regions of the data centres; the tasks of a queue with allowed regions start only in data centres that it names", Default: "",
+			Range: "DATA_CENTRE=REGION separated by commas", Valid: func(string) bool { return true }, Field: func(s *Settings) any { return &s.Platform.Zones },
+		},
 	}},
 	{Name: "bounds", Keys: []tomlfile.Key[Settings]{
 		{
--- a/scheduler/settings/settings_test.go
+++ b/scheduler/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"maps"
 	"os"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"lacewingfork.example/lacewingfork/findings"
 	"lacewingfork.example/lacewingfork/findings/tomlfile"
+	"lacewingfork.example/lacewingfork/fleet"
 )
 
 const complete = `[instance]
@@ -84,3 +86,19 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against an odd part of the setting that hides the regions of other data centres.
+func TestRegions(t *testing.T) {
+	for zones, want := range map[string]map[fleet.DataCentre]fleet.Region{
+		"":                                     {},
+		"accra-cutroom=accra":                  {"accra-cutroom": "accra"},
+		"accra-cutroom=accra,lome-dye=lome":    {"accra-cutroom": "accra", "lome-dye": "lome"},
+		" accra-cutroom = accra , ,lome-dye= ": {"accra-cutroom": "accra"},
+		"=,==,a,b=north=west":                  {"b": "north=west"},
+	} {
+		s := Settings{Platform: Platform{Zones: zones}}
+		if got := s.Regions(); !maps.Equal(got, want) {
+			t.Errorf("%q: got %v, want %v", zones, got, want)
+		}
+	}
+}
--- a/scheduler/store/configuration.go
+++ b/scheduler/store/configuration.go
@@ -115,6 +115,9 @@
 	}
 }
 
+// maxFindings bounds the logged findings on a publication.
+const maxFindings = 16
+
 // apply puts a publication into force if it is newer than the one in force, and
 // reports whether it did.
 func (c *Configurations) apply(ctx context.Context, publication message.Publication, source string) bool {
@@ -129,6 +132,9 @@
 	decoded.Offset = publication.Offset
 	c.inForce = &decoded
 	c.log.Event("configuration_in_force", "version", decoded.Version, "routes", len(decoded.Routes), "source", source)
+	for _, finding := range decoded.Findings[:min(len(decoded.Findings), maxFindings)] {
+		c.log.Event("configuration_finding", "version", decoded.Version, "error", finding)
+	}
 	for _, ring := range c.Subscribers {
 		_ = ring.Put(ctx, c.inForce) // keeps the newest; never fails
 	}
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -117,6 +117,7 @@
 	s.Capacity = congestion.Capacity{BytesPerSecond: all.Instance.LinkMbps * bytesPerMbit, Processor: all.Instance.Processor}
 	s.MaxLease, s.Lease = b.LeaseMax, min(workerLease, b.LeaseMax)
 	s.StatusRetention, s.MaxTimeOverTarget, s.RemoteFactor = b.StatusKept, b.Impact, b.RemoteFactor
+	s.Regions = all.Regions()
 	uneven := all.HasContract(settings.ContractPlaces)
 	s.TriageByCost, s.ServingRoom, s.UnevenDemand = uneven, uneven, uneven
 	return s
