Give cold servers a share of the load that grows with time

With UnevenDemand. cold-remaining-ms of a server's entry, and cold-start-s and cold-per-s of a service, were not read, so a server that had just started got as much as a warm one.

The use of a cold server beyond its share, which grows evenly from 0 to 1 over its time, is a cost of the placement: above the differences between warm servers with room, below interference and a remote run.

A negative number or another type counts as 0 and gives a finding (server_entry_finding, configuration_finding); the server and the routes stay.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -91,6 +91,7 @@
 	sortedWorkers []*worker // by identifier, so that decisions do not depend on map order
 	ready         []*stepState
 	regions       regions
+	cold          map[fleet.Service]ColdSettings // of services that have any
 	// longRunningExcess is the processor use of long-running tasks less that of
 	// all others, by service.
 	longRunningExcess map[fleet.Service]int64
--- a/decision/cell/equivalence_test.go
+++ b/decision/cell/equivalence_test.go
@@ -103,6 +103,7 @@
 		s.Capacity = fleet.Resources{MilliCPU: 8000 + h.random.Int64N(24000), MemoryMiB: 8000 + h.random.Int64N(56000)}
 		if uneven {
 			s.DataCentre = fleet.DataCentre(fmt.Sprintf("d%d", i%3))
+			s.ColdRemaining = time.Duration(i%4) * 4 * time.Second
 		}
 		if i%8 == 7 {
 			s.Service = "u"
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -34,6 +34,8 @@
 	// AllowedRegions are the regions in which its tasks may start; none means all. No
 	// data centre is in a region without a name.
 	AllowedRegions []fleet.Region
+	// Cold are the settings of the queue's service for servers that have just started.
+	Cold ColdSettings
 	// Advisor configures the advisor that decides which workers may run a step
 	// of the queue.
 	Advisor AdvisorSettings
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -354,6 +354,7 @@
 		c.retiredQueues[name] = q
 	}
 	c.setRegions(queues)
+	c.setCold(queues)
 	c.queues = make(map[job.Queue]QueueSettings, len(queues))
 	for _, q := range queues {
 		c.queues[q.Name] = q
--- a/decision/cell/racks.go
+++ b/decision/cell/racks.go
@@ -274,11 +274,12 @@
 }
 
 // interferes reports whether the cost of the best worker for a best-effort task shows
-// that the task would disturb serving tasks. With UnevenDemand, the distance to its
-// data has no part in it: that alone would exceed the cost of an interference.
+// that the task would disturb serving tasks. With UnevenDemand, the distance to its data
+// and the coldness of the server have no part in it: the first alone would exceed the
+// cost of an interference.
 func (c *Cell) interferes(w *worker, t *task, cost float64) bool {
 	if c.settings.UnevenDemand {
-		cost -= c.rackCost(w, t)
+		cost -= c.rackCost(w, t) + c.coldCost(w, t)
 	}
 	return cost >= costInterferes
 }
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -148,6 +148,10 @@
 	c.starts++
 	c.startTrials(r)
 	c.racks.started(c, r)
+	if w.cold.until > c.now.Steady {
+		w.cold.lastStart = c.now.Steady
+		c.uneven.ColdStarts++
+	}
 	if c.settings.UnevenDemand && t.step.spec.DataRack != "" && t.step.spec.DataRack != w.server.Rack() {
 		c.uneven.RemoteStarts++
 	}
--- a/decision/cell/server.go
+++ b/decision/cell/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"strings"
+	"time"
 	"unicode"
 	"unicode/utf8"
 
@@ -23,6 +24,9 @@
 	// Incarnation identifies one lifetime of the worker process; it grows with
 	// each restart under the same identifier. 0 means unknown.
 	Incarnation int64 `json:"born,omitempty"`
+	// ColdRemaining is how long it stays cold after the entry was written; 0 if it is not
+	// cold. It is not recorded: a new holder reads the list.
+	ColdRemaining time.Duration `json:"-"`
 }
 
 // rackLabel is the index of the rack among the labels; the first label is the
--- a/decision/cell/uneven.go
+++ b/decision/cell/uneven.go
@@ -10,12 +10,13 @@
 type unevenCounts struct {
 	RackWaits    int // tasks that began to wait for the rack of their data
 	RemoteStarts int // starts outside the rack of the data
+	ColdStarts   int // starts on cold servers
 	Copies       int // second runs of speculative tasks that were started
 	CopyWins     int // those that were done first
 }
 
 // UnevenDecisions are the keys of NoteUnevenDemand that count decisions.
-var UnevenDecisions = []string{"rack_waits", "remote_starts", "copies", "copy_wins"}
+var UnevenDecisions = []string{"rack_waits", "remote_starts", "cold_starts", "copies", "copy_wins"}
 
 // noteUneven logs the decisions on uneven demand since the last note.
 func (c *Cell) noteUneven() {
@@ -23,7 +24,7 @@
 		return
 	}
 	c.emit(Note{Event: NoteUnevenDemand, Detail: map[string]any{
-		"rack_waits": c.uneven.RackWaits, "remote_starts": c.uneven.RemoteStarts, "copies": c.uneven.Copies, "copy_wins": c.uneven.CopyWins,
+		"rack_waits": c.uneven.RackWaits, "remote_starts": c.uneven.RemoteStarts, "cold_starts": c.uneven.ColdStarts, "copies": c.uneven.Copies, "copy_wins": c.uneven.CopyWins,
 		"awaiting_rack": c.racks.waiting,
 	}})
 	c.uneven, c.unevenNotedAt = unevenCounts{}, c.now.Steady
--- a/decision/cell/uneven_sim_test.go
+++ b/decision/cell/uneven_sim_test.go
@@ -309,6 +309,30 @@
 	s.handle(ServerListRead{})
 }
 
+// restart starts a worker again, with no runs, and lists it as cold. Ends that have not
+// been acknowledged are lost with it, so these tasks may run again.
+func (s *unevenService) restart(id fleet.BackendServerID, cold time.Duration) {
+	w := s.workers[id]
+	for _, r := range w.runs {
+		s.result.CoreSeconds += r.cores * (s.now - r.began).Seconds()
+	}
+	for _, row := range w.finished {
+		delete(s.done, row.Task)
+	}
+	w.server.Incarnation++
+	w.server.ColdRemaining = cold
+	w.runs, w.finished, w.ends = nil, nil, 0
+	s.held = append(s.held, takeActions[Hold](s.fixture)...)
+	broken := slices.Clone(s.held)
+	s.held = slices.DeleteFunc(s.held, func(h Hold) bool { return h.Server == id })
+	s.handle(ServerListed{Server: w.server})
+	for _, h := range broken {
+		if h.Server == id {
+			s.handle(HoldAnswered{Server: id, Number: h.Number, Sent: s.now, Broke: true})
+		}
+	}
+}
+
 // unevenServers returns servers of 16 cores in racks, with the given factors of size
 // in turn.
 func unevenServers(racks, perRack int, sizes ...float64) []Server {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -82,6 +82,7 @@
 	health            health
 	answers           answers
 	dataCentre        *dataCentre
+	cold              coldness
 	region            fleet.Region // empty if the region of its data centre is not known
 	throttling        throttling
 	suspectRuns       int          // runs of tasks that may crash it
@@ -138,6 +139,7 @@
 	if s.Draining && !w.server.Draining {
 		c.emit(Note{Event: NoteWorkerListed, Server: s.ID, Detail: map[string]any{"draining": true}})
 	}
+	c.listCold(w, s)
 	w.server, w.listed, w.dataCentre, w.region = s, true, c.dataCentreOf(s.DataCentre), c.settings.Regions[s.DataCentre]
 	c.racks.members = nil
 	if s.Draining {
@@ -190,6 +192,7 @@
 	w.lastEndApplied, w.lastEndRecorded, w.lastEndForgotten, w.listClock, w.moreEnds = 0, 0, 0, 0, false
 	w.holdAck, w.extraHoldAck = 0, 0
 	w.nextHoldAt = 0
+	c.startedCold(w)
 	for _, r := range slices.Clone(w.runsInOrder) {
 		if r.state == runOrdered || r.state == runUncertain {
 			c.setState(r, runUncertain)
--- a/scheduler/api/api.go
+++ b/scheduler/api/api.go
@@ -130,7 +130,8 @@
 // RecordDecoder decodes the records that others write into the store.
 type RecordDecoder interface {
 	// Server decodes an entry of the server list. ok is false when the entry
-	// names no server that passes cell.Server.Check; reason says why.
+	// names no server that passes cell.Server.Check; reason says why. With ok it
+	// names a part of the entry that could not be read and was left out.
 	Server(item Item) (server cell.Server, ok bool, reason string)
 	// IsConfiguration reports whether a record of the operators is a
 	// publication.
--- a/scheduler/store/servers.go
+++ b/scheduler/store/servers.go
@@ -142,6 +142,9 @@
 			}
 		}
 		if ok {
+			if reason != "" {
+				s.log.Event("server_entry_finding", "server", id, "offset", item.Offset, "error", reason)
+			}
 			listed[id] = true
 			change.Servers = append(change.Servers, server)
 			continue
