--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -46,6 +46,8 @@
 	MaxTimeOverTarget time.Duration
 	// Capacity is that of the holder's instance.
 	Capacity congestion.Capacity
+	// Regions are the regions of the data centres.
+	Regions map[fleet.DataCentre]fleet.Region
 	// TriageByCost, ServingRoom and UnevenDemand switch on decisions for deployments
 	// whose load exceeds their room at times, or is uneven.
 	TriageByCost bool
@@ -88,6 +90,8 @@
 	workers       map[fleet.BackendServerID]*worker
 	sortedWorkers []*worker // by identifier, so that decisions do not depend on map order
 	ready         []*stepState
+	regions       regions
+	cold          map[fleet.Service]ColdSettings // of services that have any
 	// longRunningExcess is the processor use of long-running tasks less that of
 	// all others, by service.
 	longRunningExcess map[fleet.Service]int64
@@ -96,6 +100,11 @@
 	open              map[openKey][]int // likewise, positions of the workers that are not closed
 	ratedBuffer       ratedWorkers      // reused by the searches of a pass
 	interferenceWaits map[fleet.Service]interferenceWait
+	racks             racks
+	runTimes          map[runKind]*runTimes
+	copiesSearchedAt  time.Duration
+	uneven            unevenCounts // since the last note
+	unevenNotedAt     time.Duration
 	nextPass          time.Duration // no scheduling pass before
 	triage            triageState
 
@@ -286,6 +295,8 @@
 		c.interferenceRecordedAt, c.interference.changed = c.now.Steady, false
 		c.nextBatch.interference = true
 	}
+	c.startCopies()
+	c.noteUneven()
 	for _, j := range c.jobs {
 		c.openDueOccurrences(j)
 		c.removeFinished(j)
@@ -312,13 +323,14 @@
 	Reachable    int  `json:"reachable_workers"`
 	Runs         int  `json:"runs"`
 	WaitingTasks int  `json:"waiting_tasks"`
+	AwaitingRack int  `json:"awaiting_rack,omitempty"` // part of WaitingTasks
 	Blocked      bool `json:"blocked"`
 	Authority    bool `json:"authority"`
 }
 
 // Stats returns the counts of the cell.
 func (c *Cell) Stats() Stats {
-	s := Stats{Jobs: len(c.jobs), Workers: len(c.sortedWorkers), Blocked: c.blocked, Authority: c.authority}
+	s := Stats{Jobs: len(c.jobs), Workers: len(c.sortedWorkers), AwaitingRack: c.racks.waiting, Blocked: c.blocked, Authority: c.authority}
 	for _, w := range c.sortedWorkers {
 		s.Runs += len(w.runs)
 		if w.usable() {
--- a/decision/cell/equivalence_test.go
+++ b/decision/cell/equivalence_test.go
@@ -20,19 +20,21 @@
 // Guards against a shortcut of the scheduling pass that changes which tasks start, on
 // which workers or in which order.
 func TestPassEqualsReference(t *testing.T) {
-	playHistories(t, equivalenceSeeds, false)
+	for _, uneven := range []bool{false, true} {
+		t.Run(fmt.Sprintf("uneven=%t", uneven), func(t *testing.T) { playHistories(t, equivalenceSeeds, false, uneven) })
+	}
 }
 
 // Guards against the same with triage by cost, and against an amount of work left that
 // differs from the tasks that are left.
 func TestPassByCostEqualsReference(t *testing.T) {
-	playHistories(t, equivalenceSeeds/2, true)
+	playHistories(t, equivalenceSeeds/2, true, false)
 }
 
-func playHistories(t *testing.T, seeds int, byCost bool) {
+func playHistories(t *testing.T, seeds int, byCost, uneven bool) {
 	var all histories
 	for seed := range uint64(seeds) {
-		h := newHistory(t, seed, byCost)
+		h := newHistory(t, seed, byCost, uneven)
 		for h.now < 16*time.Second && !t.Failed() {
 			h.step()
 		}
@@ -42,14 +44,14 @@
 		all.add(h)
 	}
 	t.Logf("%+v", all)
-	if all.Starts < 200*seeds || all.Refused == 0 || all.Failed == 0 || all.Preempted == 0 || all.Gangs == 0 || all.Advised == 0 || all.SkippedSearches == 0 {
+	if all.Starts < 200*seeds || all.Refused == 0 || all.Failed == 0 || all.Preempted == 0 || all.Gangs == 0 || all.Advised == 0 || all.SkippedSearches == 0 || uneven && (all.AwaitedRack == 0 || all.InRegion == 0) {
 		t.Errorf("the histories lack cases: %+v", all)
 	}
 }
 
 // histories counts the cases that occurred.
 type histories struct {
-	Starts, Refused, Failed, Preempted, Gangs, Advised int
+	Starts, Refused, Failed, Preempted, Gangs, Advised, AwaitedRack, InRegion int
 	// SkippedSearches is the number of worker checks of the reference that the
 	// cell did not make.
 	SkippedSearches uint64
@@ -62,6 +64,8 @@
 	all.Preempted += h.Preempted
 	all.Gangs += h.Gangs
 	all.Advised += h.Advised
+	all.AwaitedRack += h.AwaitedRack
+	all.InRegion += h.InRegion
 	all.SkippedSearches += h.reference.workerChecks - h.cell.workerChecks
 }
 
@@ -79,24 +83,35 @@
 	jobs      []fleet.JobID
 }
 
-func newHistory(t *testing.T, seed uint64, byCost bool) *history {
+func newHistory(t *testing.T, seed uint64, byCost, uneven bool) *history {
 	h := &history{
 		fixture: newFixture(t, 1), reference: New(DefaultSettings(), 1), random: rand.New(rand.NewPCG(seed, 23)), runs: map[fleet.BackendServerID]map[runKey]time.Duration{},
 		stopped: map[runKey]bool{}, finished: map[fleet.BackendServerID][]FinishedRow{}, ends: map[fleet.BackendServerID]int64{},
 	}
 	h.cell.settings.TriageByCost, h.reference.settings.TriageByCost = byCost, byCost
+	h.cell.settings.UnevenDemand, h.reference.settings.UnevenDemand = uneven, uneven
 	h.reference.Restore(h.moment(), nil)
-	h.apply(QueuesChanged{Queues: []QueueSettings{
+	h.cell.settings.Regions = map[fleet.DataCentre]fleet.Region{"d0": "north", "d1": "south"}
+	h.reference.settings.Regions = h.cell.settings.Regions
+	queues := []QueueSettings{
 		{Name: "first", Service: "s", MaxAttempts: 2, SlackFactor: 2, TargetLatency: time.Second},
 		{Name: "long", Service: "s", SlackFactor: 2, TargetLatency: time.Second},
 		{Name: "last", Service: "s", Priority: 1, SlackFactor: 2, TargetLatency: time.Second},
 		{Name: "advised", Service: "s", SlackFactor: 2, TargetLatency: time.Second, Advisor: AdvisorSettings{BaseTime: time.Millisecond, TicketValidity: 2 * time.Second}},
 		{Name: "other", Service: "u", SlackFactor: 2, TargetLatency: time.Second},
-	}})
+	}
+	if uneven {
+		queues = append(queues, QueueSettings{Name: "near", Service: "s", SlackFactor: 2, TargetLatency: time.Second, AllowedRegions: []fleet.Region{"north", "west"}})
+	}
+	h.apply(QueuesChanged{Queues: queues})
 	for i := range 16 {
 		s := testServer(fleet.BackendServerID(fmt.Sprintf("server-%02d", i)))
 		s.Labels = []string{string(rune('a' + h.random.IntN(2))), fmt.Sprintf("r%d", h.random.IntN(3))}
 		s.Capacity = fleet.Resources{MilliCPU: 8000 + h.random.Int64N(24000), MemoryMiB: 8000 + h.random.Int64N(56000)}
+		if uneven {
+			s.DataCentre = fleet.DataCentre(fmt.Sprintf("d%d", i%3))
+			s.ColdRemaining = time.Duration(i%4) * 4 * time.Second
+		}
 		if i%8 == 7 {
 			s.Service = "u"
 		}
@@ -155,6 +170,7 @@
 	h.answerOrders()
 	h.answerAllHolds()
 	h.checkWorkDone()
+	h.AwaitedRack += h.cell.racks.waiting
 	for _, n := range takeActions[Note](h.fixture) {
 		if n.Event == NoteStopOrdered && n.Detail["reason"] == "makes_room" {
 			h.Preempted++
@@ -167,6 +183,9 @@
 func (h *history) submitRandom() {
 	pick := func(p float64) bool { return h.random.Float64() < p }
 	queues := []job.Queue{"first", "long", "long", "last", "advised", "other"}
+	if h.cell.settings.UnevenDemand {
+		queues = append(queues, "near")
+	}
 	j := job.Job{ID: fleet.JobID(fmt.Sprintf("%016x", h.random.Uint64())), Queue: queues[h.random.IntN(len(queues))]}
 	for range 1 + h.random.IntN(2) {
 		s := job.Step{
@@ -180,6 +199,9 @@
 		if pick(0.2) {
 			s.MaxPerServer = 1
 		}
+		if h.cell.settings.UnevenDemand && pick(0.4) {
+			s.DataRack = fmt.Sprintf("r%d", h.random.IntN(3))
+		}
 		if s.LongRunning && pick(0.2) {
 			s.LatencyTarget = 100 * time.Millisecond
 		} else if !s.LongRunning {
@@ -208,9 +230,13 @@
 			h.runs[s.Server][runKey{s.Task, s.Attempt}] = h.now + time.Duration(h.random.ExpFloat64()*float64(3*time.Second))
 		}
 		h.apply(StartAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, Outcome: outcome, Sent: h.now})
-		if t := h.cell.lookup(s.Task); t != nil && t.step.spec.Gang {
+		t := h.cell.lookup(s.Task)
+		if t != nil && t.step.spec.Gang {
 			h.Gangs++
 		}
+		if t != nil && t.step.occurrence.job.job.Queue == "near" {
+			h.InRegion++
+		}
 	}
 	for _, s := range takeActions[Stop](h.fixture) {
 		key := runKey{s.Task, s.Attempt}
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -31,6 +31,11 @@
 	// SlackFactor times the estimated time of its longest chain of steps.
 	SlackFactor   float64
 	TargetLatency time.Duration
+	// AllowedRegions are the regions in which its tasks may start; none means all. No
+	// data centre is in a region without a name.
+	AllowedRegions []fleet.Region
+	// Cold are the settings of the queue's service for servers that have just started.
+	Cold ColdSettings
 	// Advisor configures the advisor that decides which workers may run a step
 	// of the queue.
 	Advisor AdvisorSettings
@@ -341,4 +346,6 @@
 	NoteTaskWaits          NoteEvent = "task_waits"
 	NoteTaskSuspected      NoteEvent = "task_suspected"
 	NoteTaskGivenUp        NoteEvent = "task_given_up"
+	NoteUnevenDemand       NoteEvent = "uneven_demand"
+	NoteRegionUnknown      NoteEvent = "region_unknown"
 )
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -92,6 +92,10 @@
 	disruptedAt time.Duration
 	preempted   bool // it has not run since the last preemption
 	suspicion   suspicion
+	// awaitsRack means that it waits for the rack of its data since the last pass, and
+	// hasAwaitedRack that it has done so before.
+	awaitsRack, hasAwaitedRack bool
+	copies                     int // second runs started
 }
 
 func (t *task) ref() job.TaskRef {
@@ -354,6 +358,8 @@
 	for name, q := range c.queues {
 		c.retiredQueues[name] = q
 	}
+	c.setRegions(queues)
+	c.setCold(queues)
 	c.queues = make(map[job.Queue]QueueSettings, len(queues))
 	for _, q := range queues {
 		c.queues[q.Name] = q
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -32,6 +32,9 @@
 	listedAt           time.Duration // when its worker last listed or confirmed it
 	listed             bool          // the present incarnation of its worker has listed it
 	progressAt         time.Duration // when percent last changed
+	fresh              bool          // started without a checkpoint
+	copy               bool          // a second run of its task
+	pace               pace
 	measurement        int
 	speed              int // acknowledged speed, in percent
 	desiredSpeed       int
@@ -142,8 +145,17 @@
 func (c *Cell) startRun(t *task, w *worker) {
 	attempt := max(t.attempt, (c.round-1)*attemptsPerRound) + 1
 	r := c.addRun(t, w, attempt, runOrdered)
+	r.fresh, r.copy = t.checkpoint == "", len(t.runs) > 1
 	c.starts++
 	c.startTrials(r)
+	c.racks.started(c, r)
+	if w.cold.until > c.now.Steady {
+		w.cold.lastStart = c.now.Steady
+		c.uneven.ColdStarts++
+	}
+	if c.settings.UnevenDemand && t.step.spec.DataRack != "" && t.step.spec.DataRack != w.server.Rack() {
+		c.uneven.RemoteStarts++
+	}
 	j := t.step.occurrence.job
 	ticket, _ := c.ticketFor(t.step, w) // choose has checked that it is valid
 	deadline := c.leaseEnd(w)
@@ -152,10 +164,15 @@
 		Server: w.server.ID, Address: w.server.Address, Task: r.key.task, Attempt: attempt, Spec: j.job.Spec,
 		Deadline: deadline, Checkpoint: t.checkpoint, Ticket: ticket, Timeout: r.path.Timeout(),
 	})
-	c.emit(Note{Event: NoteStartOrdered, Job: j.job.ID, Task: r.key.task.String(), Server: w.server.ID, Detail: map[string]any{
+	detail := map[string]any{
 		"attempt": attempt, "waited_ms": (c.now.Steady - max(j.acceptedAt, t.requeuedAt)).Milliseconds(), "free_milli_cpu": w.server.Capacity.MilliCPU - w.used.MilliCPU,
 		"list_age_ms": (c.now.Steady - w.lastAnswerAt).Milliseconds(),
-	}})
+	}
+	if r.copy {
+		delete(detail, "waited_ms") // the task did not wait for it
+		detail["copy"] = true
+	}
+	c.emit(Note{Event: NoteStartOrdered, Job: j.job.ID, Task: r.key.task.String(), Server: w.server.ID, Detail: detail})
 }
 
 func (c *Cell) startAnswered(e StartAnswered) {
@@ -231,6 +248,9 @@
 	c.setState(r, runConfirmed)
 	r.confirmedAt, r.listedAt, r.progressAt = c.now.Steady, c.now.Steady, c.now.Steady
 	r.task.preempted = false
+	if r.fresh {
+		c.observePace(r, 0)
+	}
 	r.worker.runsChanged(r)
 	if r.bestEffort {
 		r.worker.recordShares(c.now.Steady)
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -24,6 +24,7 @@
 	c.crowdingMeasured = false
 	c.countLateStarts()
 	c.forgetRoom()
+	c.racks.beginPass(c.now.Steady)
 	c.orderSteps()
 	for _, s := range c.ready {
 		if c.startsExhausted() {
@@ -71,8 +72,11 @@
 		if mayAvoidInterference && len(t.avoid) == 0 && c.interferesEverywhere(s) {
 			return // as below, without rating the workers
 		}
+		if c.awaitsRack(t) {
+			continue // one of those behind it may expect too long a wait
+		}
 		w, cost := c.findCandidate(&found, t)
-		if w != nil && mayAvoidInterference && cost >= costInterferes {
+		if w != nil && mayAvoidInterference && c.interferes(w, t, cost) {
 			c.searchFailed(c.interferenceFreeKeyOf(s))
 			return // the interference would cost more than the delay
 		}
@@ -202,6 +206,8 @@
 		return obstacleLabel
 	case s.MaxPerServer > 0 && w.runsOfStep(t.step) >= s.MaxPerServer:
 		return obstacleMaxPerServer
+	case !c.regionAllows(w, t.step.occurrence.job):
+		return obstacleRegion
 	case !s.Gang && !w.dataCentre.path.Allows():
 		return obstaclePath // the members of a gang are ordered together, or not at all
 	default:
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -23,14 +23,15 @@
 	obstacleAccelerators
 	obstacleLabel
 	obstacleMaxPerServer
-	obstaclePath // the path to its data centre carries no further start now
+	obstacleRegion // its data centre is not in a region of the queue
+	obstaclePath   // the path to its data centre carries no further start now
 	obstacleCount
 )
 
 // obstacleNames are the names of the obstacles in the log. A worker without an
 // obstacle has room for the task.
 var obstacleNames = [obstacleCount]string{
-	"with_room", "unusable", "no_answer", "set_aside", "suspect", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit", "path_full",
+	"with_room", "unusable", "no_answer", "set_aside", "suspect", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit", "wrong_region", "path_full",
 }
 
 // Reasons in the log for the wait of a step that are not obstacles of workers.
@@ -42,6 +43,7 @@
 	waitAdvice       = "advice"            // no valid ticket of the advisor
 	waitInterference = "interference"      // it would disturb serving tasks
 	waitGang         = "gang"              // there is room for some of its tasks only
+	waitRack         = "rack"              // the rack of its data is expected to have room soon
 )
 
 // firstWaitReport is how long a step waits until its wait is logged. Each
@@ -120,6 +122,8 @@
 		return waitCrashRecord
 	case c.now.Steady < t.notBefore:
 		return waitRetry
+	case t.awaitsRack:
+		return waitRack
 	case workers[obstacleNone] == 0:
 		most := obstacleUnusable
 		for o := most; o < obstacleCount; o++ {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -92,6 +92,8 @@
 	health            health
 	answers           answers
 	dataCentre        *dataCentre
+	cold              coldness
+	region            fleet.Region // empty if the region of its data centre is not known
 	throttling        throttling
 	suspectRuns       int          // runs of tasks that may crash it
 	lastCrash         *crash       // nil if none was observed
@@ -147,7 +149,9 @@
 	if s.Draining && !w.server.Draining {
 		c.emit(Note{Event: NoteWorkerListed, Server: s.ID, Detail: map[string]any{"draining": true}})
 	}
-	w.server, w.listed, w.dataCentre = s, true, c.dataCentreOf(s.DataCentre)
+	c.listCold(w, s)
+	w.server, w.listed, w.dataCentre, w.region = s, true, c.dataCentreOf(s.DataCentre), c.settings.Regions[s.DataCentre]
+	c.racks.members = nil
 	if s.Draining {
 		c.moveOffDraining(w)
 	}
@@ -156,7 +160,7 @@
 }
 
 func (c *Cell) addWorker(s Server) *worker {
-	w := &worker{server: s, runs: map[runKey]*run{}, dataCentre: c.dataCentreOf(s.DataCentre)}
+	w := &worker{server: s, runs: map[runKey]*run{}, dataCentre: c.dataCentreOf(s.DataCentre), region: c.settings.Regions[s.DataCentre]}
 	c.workers[s.ID] = w
 	if c.inLeaseRecord[s.ID] {
 		w.bound = &leaseBound{} // it had been removed since
@@ -204,6 +208,7 @@
 		c.nextBatch.servers = append(c.nextBatch.servers, w) // a later holder tells by it that calls may be late
 	}
 	c.expectLateLease(w)
+	c.startedCold(w)
 	for _, r := range slices.Clone(w.runsInOrder) {
 		switch {
 		case r.state == runOrdered, r.state == runUncertain, r.state == runStopping && !r.listed:
@@ -226,6 +231,7 @@
 // of removed workers would delay it.
 func (c *Cell) removeUnlisted() {
 	c.forgetRoom() // it holds positions
+	c.racks.members = nil
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(w *worker) bool {
 		if w.listed || len(w.runs) > 0 || w.hasOrphans() || w.missedCalls == 0 || w.earlierHolderUntil > 0 || c.expectsLateCalls(w) {
 			return false
