Evacuate data centres: no start there, bounded moves of what runs there

Cause: operators have to empty a data centre while the cell goes on. The cell knew only drained servers, whose long-running tasks it stops at once without a place to go to.

The change: the event EvacuationsChanged carries the requested set. A worker in an evacuated data centre is closed to every kind of start. Room at the next place is reserved before the stop. All others run out. The set that is in force is a record of the cell. With MaxEvacuationAge no start is ordered by a set that was read longer ago, after a takeover and after a holder has stood still alike; while the store does not answer reads, the set applied last counts. Cold servers of a reopened data centre take a share that grows until they are warm. The log shows what waits because of an evacuation and what still runs there.

Ruled out: to treat the servers as draining, as their leases would become short and their tasks would be stopped before there is room elsewhere; a wait of a fixed time after a takeover, which does not cover a frozen holder.

--- a/decision/cell/answers.go
+++ b/decision/cell/answers.go
@@ -106,6 +106,8 @@
 	// unresponsiveSince is when the data centre became unresponsive; 0 if it is not.
 	unresponsiveSince time.Duration
 	unresponsiveAt    time.Duration // when it was last unresponsive
+	evacuated         bool          // it gets no start
+	reopenedAt        time.Duration // when its last evacuation was withdrawn; 0 if none was
 }
 
 // countLateStarts counts the starts whose answer is late, and finds the data centres
@@ -160,7 +162,7 @@
 // dataCentreOf returns the record of a data centre.
 func (c *Cell) dataCentreOf(name fleet.DataCentre) *dataCentre {
 	if c.dataCentres[name] == nil {
-		c.dataCentres[name] = &dataCentre{path: congestion.NewWindow()}
+		c.dataCentres[name] = &dataCentre{path: congestion.NewWindow(), evacuated: c.evacuations.dataCentres[name]}
 	}
 	return c.dataCentres[name]
 }
--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -44,6 +44,9 @@
 	RemoteFactor float64
 	// MaxTimeOverTarget is how long a task may exceed its latency target.
 	MaxTimeOverTarget time.Duration
+	// MaxEvacuationAge bounds the age of the evacuation requests by which starts are
+	// ordered; 0 is no bound.
+	MaxEvacuationAge time.Duration
 	// Capacity is that of the holder's instance.
 	Capacity congestion.Capacity
 	// TriageByCost, ServingRoom and UnevenDemand switch on decisions for deployments
@@ -108,6 +111,7 @@
 	lateStarts       int // part of unansweredStarts whose answers are late
 	silentCalls      int // stops and holds in flight to workers that leave an order unanswered
 	dataCentres      map[fleet.DataCentre]*dataCentre
+	evacuations      evacuations
 	adviceInFlight   int           // advisor calls without an answer yet
 	authority        bool          // the holder may give orders
 	behind           bool          // the holder leaves out work that starts and ends nothing
@@ -142,6 +146,9 @@
 		interferenceWaits: map[fleet.Service]interferenceWait{}, open: map[openKey][]int{},
 		dataCentres: map[fleet.DataCentre]*dataCentre{},
 	}
+	c.evacuations = evacuations{
+		dataCentres: map[fleet.DataCentre]bool{}, unknown: map[fleet.DataCentre]bool{}, reports: map[fleet.DataCentre]evacuationReport{},
+	}
 	c.nextBatch, c.interference = newBatch(1), newInterferenceModel()
 	c.batchNumber = 1
 	return c
@@ -168,6 +175,7 @@
 		c.serverUnlisted(e.ID)
 	case ServerListRead:
 		c.serverListRead = true
+		c.checkEvacuatedNames()
 		c.needsScheduling = true
 	case HoldAnswered:
 		c.holdAnswered(e)
@@ -193,6 +201,8 @@
 		c.needsScheduling = true
 	case SteppedDown:
 		c.stepDown()
+	case EvacuationsChanged:
+		c.evacuationsChanged(e)
 	case HolderLoad:
 		c.behind = e.Behind
 	case Tick:
@@ -278,6 +288,7 @@
 	c.countLateStarts()
 	c.removeUnlisted()
 	c.checkBlocked()
+	c.migrate()
 	if !c.behind {
 		c.consolidate()
 	}
@@ -313,6 +324,8 @@
 	WaitingTasks int  `json:"waiting_tasks"`
 	Blocked      bool `json:"blocked"`
 	Authority    bool `json:"authority"`
+	// Evacuations holds the evacuated data centres and what still runs there.
+	Evacuations []EvacuationStats `json:"evacuations,omitempty"`
 }
 
 // Stats returns the counts of the cell.
@@ -327,5 +340,6 @@
 	for _, step := range c.ready {
 		s.WaitingTasks += len(step.waiting)
 	}
+	s.Evacuations = c.evacuationStats()
 	return s
 }
--- a/decision/cell/consolidate.go
+++ b/decision/cell/consolidate.go
@@ -69,7 +69,7 @@
 func (c *Cell) serverToVacate() *worker {
 	var best *worker
 	for _, w := range c.sortedWorkers {
-		if w.throttling.serving == 0 || w.throttling.serving > maxTasksToVacate || !w.usable() {
+		if w.throttling.serving == 0 || w.throttling.serving > maxTasksToVacate || !w.usable() || w.dataCentre.evacuated {
 			continue
 		}
 		if best != nil && w.throttling.serving >= best.throttling.serving {
--- a/decision/cell/gang.go
+++ b/decision/cell/gang.go
@@ -19,7 +19,10 @@
 		}
 		attempt = max(attempt, t.attempt)
 	}
-	placed := c.placeGang(s)
+	placed := c.takeReserved(s)
+	if placed == nil {
+		placed = c.placeGang(s)
+	}
 	if placed == nil {
 		return
 	}
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -66,6 +66,7 @@
 	nextWaitReport  time.Duration
 	waitReportSince time.Duration
 	nextPreemption  time.Duration // no search for a task to preempt for it before
+	nextMigration   time.Duration // no search for a place of a task to be moved before
 }
 
 // task is one task of a step.
@@ -87,6 +88,7 @@
 	disruptedAt time.Duration
 	preempted   bool // it has not run since the last preemption
 	suspicion   suspicion
+	reservation *reservation // its next place while it is moved off an evacuated data centre; nil if none
 }
 
 func (t *task) ref() job.TaskRef {
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -37,11 +37,12 @@
 	Server       *Server             `json:"server,omitempty"`
 	Interference *InterferenceRecord `json:"learnt,omitempty"`
 	Leases       *LeaseRecord        `json:"leases,omitempty"`
+	Evacuations  *EvacuationRecord   `json:"evacuations,omitempty"`
 }
 
 // Deletes reports whether the record deletes its key.
 func (r Record) Deletes() bool {
-	return r.Job == nil && r.Progress == nil && r.Server == nil && r.Interference == nil && r.Leases == nil
+	return r.Job == nil && r.Progress == nil && r.Server == nil && r.Interference == nil && r.Leases == nil && r.Evacuations == nil
 }
 
 // JobRecord is an accepted job.
@@ -90,6 +91,7 @@
 	cursors      map[*worker]endCursor
 	interference bool
 	leases       bool
+	evacuations  bool
 	unbound      []*worker // workers that the lease record of the batch does not name any more
 	lastLeases   bool      // its lease record was taken after the holder had stepped down
 	// unknownJobs are the requests for jobs that do not exist, which a later holder
@@ -115,7 +117,7 @@
 
 func (b *batch) empty() bool {
 	return len(b.jobs) == 0 && len(b.dirty) == 0 && len(b.servers) == 0 &&
-		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference && !b.leases && len(b.unknownJobs) == 0
+		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference && !b.leases && !b.evacuations && len(b.unknownJobs) == 0
 }
 
 func (c *Cell) markDirty(j *jobState) { c.nextBatch.dirty[j] = true }
@@ -163,6 +165,9 @@
 	if taken.leases {
 		b.Records = append(b.Records, Record{Key: leasesKey, Leases: c.leaseRecord(taken)})
 	}
+	if taken.evacuations {
+		b.Records = append(b.Records, Record{Key: evacuationsKey, Evacuations: c.evacuationRecord()})
+	}
 	for _, key := range taken.deletions {
 		b.Records = append(b.Records, Record{Key: key})
 	}
@@ -220,6 +225,7 @@
 	next.servers = append(b.servers, next.servers...)
 	next.deletions = append(b.deletions, next.deletions...)
 	next.interference, next.leases = next.interference || b.interference, next.leases || b.leases
+	next.evacuations = next.evacuations || b.evacuations
 	next.unknownJobs = append(b.unknownJobs, next.unknownJobs...)
 	for j := range b.dirty {
 		next.dirty[j] = true
@@ -285,6 +291,8 @@
 			c.restoreJob(r.Job)
 		case r.Progress != nil:
 			progress[fleet.JobID(r.Key[len(progressPrefix):])] = r.Progress
+		case r.Evacuations != nil:
+			c.restoreEvacuations(r.Evacuations)
 		case r.Interference != nil:
 			c.interference.restore(r.Interference)
 		case r.Server != nil:
--- a/decision/cell/record_check.go
+++ b/decision/cell/record_check.go
@@ -61,8 +61,12 @@
 		checkKey(leasesKey)
 		r.Leases.check(report)
 	}
+	if r.Evacuations != nil {
+		checkKey(evacuationsKey)
+		r.Evacuations.check(report)
+	}
 	if contents != 1 {
-		report("", fmt.Sprintf("has %d contents", contents), "one of job, progress, server, learnt and leases")
+		report("", fmt.Sprintf("has %d contents", contents), "one of job, progress, server, learnt, leases and evacuations")
 	}
 	return list.Err()
 }
--- a/decision/cell/room.go
+++ b/decision/cell/room.go
@@ -147,7 +147,7 @@
 
 // free returns the capacity left on the worker.
 func (w *worker) free() fleet.Resources {
-	return w.server.Capacity.Sub(w.used).Sub(w.orphanResources)
+	return w.server.Capacity.Sub(w.used).Sub(w.orphanResources).Sub(w.reserved)
 }
 
 // countedNeed returns the resources that a task of a step needs to have left on its
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -11,7 +11,7 @@
 // compareSteps. A step without a suitable worker does not delay the steps after
 // it.
 func (c *Cell) schedule() {
-	if !c.authority || !c.serverListRead || len(c.ready) == 0 {
+	if !c.authority || !c.serverListRead || !c.evacuationsCurrent() || len(c.ready) == 0 {
 		return
 	}
 	c.ready = slices.DeleteFunc(c.ready, func(s *stepState) bool {
@@ -53,6 +53,7 @@
 // tasks are identical, so none is tried after one without a worker. The attempts of
 // finite tasks are checked nevertheless if that one avoids servers.
 func (c *Cell) startTasks(s *stepState) {
+	c.startReserved(s)
 	if s.spec.LongRunning && c.exceedsRoom(s) {
 		return
 	}
@@ -153,7 +154,7 @@
 func (c *Cell) measureInterferenceWait(service fleet.Service) time.Duration {
 	var used, capacity int64
 	for _, w := range c.sortedWorkers {
-		if w.server.Service == service && w.usable() {
+		if w.server.Service == service && w.usable() && !w.dataCentre.evacuated {
 			used += w.used.MilliCPU
 			capacity += w.server.Capacity.MilliCPU
 		}
@@ -218,6 +219,8 @@
 	switch {
 	case !w.usable():
 		return obstacleUnusable
+	case w.dataCentre.evacuated:
+		return obstacleEvacuated
 	case !c.answersStarts(w):
 		return obstacleNoAnswer
 	case !w.health.acceptsTask(c.now.Steady, w):
@@ -226,6 +229,8 @@
 		return obstacleMissedTarget // of a serving task there
 	case w.unknownOrphan:
 		return obstacleOrphan
+	case c.coldShareUsed(w):
+		return obstacleCold
 	default:
 		return obstacleNone
 	}
@@ -239,6 +244,11 @@
 			count++
 		}
 	}
+	for _, reserved := range w.reservations {
+		if reserved.task.step == s {
+			count++
+		}
+	}
 	return count
 }
 
--- a/decision/cell/server.go
+++ b/decision/cell/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"strings"
+	"time"
 	"unicode"
 	"unicode/utf8"
 
@@ -20,6 +21,8 @@
 	Labels     []string              `json:"labels,omitempty"`
 	Capacity   fleet.Resources       `json:"capacity"`
 	Draining   bool                  `json:"draining,omitempty"`
+	// ColdRemaining is how long the server was still cold when its entry was written.
+	ColdRemaining time.Duration `json:"cold,omitempty"`
 	// Incarnation identifies one lifetime of the worker process; it grows with
 	// each restart under the same identifier. 0 means unknown.
 	Incarnation int64 `json:"born,omitempty"`
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -12,11 +12,13 @@
 const (
 	obstacleNone         obstacle = iota
 	obstacleUnusable              // not listed, not fenced, unreachable or draining
+	obstacleEvacuated             // its data centre is evacuated
 	obstacleNoAnswer              // it has not answered an order
 	obstacleQuarantine            // it has failed tasks, or one is being tried there
 	obstacleSuspect               // it and a task there may both crash their server
 	obstacleMissedTarget          // a serving task there misses its target
 	obstacleOrphan                // a run of unknown need is being stopped there
+	obstacleCold                  // its data centre was reopened, and it is not warm enough for more
 	obstacleProcessor
 	obstacleMemory
 	obstacleAccelerators
@@ -29,18 +31,19 @@
 // obstacleNames are the names of the obstacles in the log. A worker without an
 // obstacle has room for the task.
 var obstacleNames = [obstacleCount]string{
-	"with_room", "unusable", "no_answer", "set_aside", "suspect", "over_target", "unknown_run", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit", "path_full",
+	"with_room", "unusable", "evacuated", "no_answer", "set_aside", "suspect", "over_target", "unknown_run", "cold", "no_processor", "no_memory", "no_accelerator", "wrong_label", "step_limit", "path_full",
 }
 
 // Reasons in the log for the wait of a step that are not obstacles of workers.
 const (
-	waitTakeover     = "takeover"          // a run of an earlier holder may still exist
-	waitCrashRecord  = "crash_record"      // a crash under a task of the job is being recorded
-	waitRetry        = "retry_delay"       // the last start was not accepted, or the task was preempted
-	waitStarts       = "unanswered_starts" // maxUnansweredCalls
-	waitAdvice       = "advice"            // no valid ticket of the advisor
-	waitInterference = "interference"      // it would disturb serving tasks
-	waitGang         = "gang"              // there is room for some of its tasks only
+	waitTakeover     = "takeover"           // a run of an earlier holder may still exist
+	waitEvacuations  = "evacuations_unread" // the requests have not been read lately
+	waitCrashRecord  = "crash_record"       // a crash under a task of the job is being recorded
+	waitRetry        = "retry_delay"        // the last start was not accepted, or the task was preempted
+	waitStarts       = "unanswered_starts"  // maxUnansweredCalls
+	waitAdvice       = "advice"             // no valid ticket of the advisor
+	waitInterference = "interference"       // it would disturb serving tasks
+	waitGang         = "gang"               // there is room for some of its tasks only
 )
 
 // firstWaitReport is how long a step waits until its wait is logged. Each
@@ -88,8 +91,8 @@
 		if w.server.Service != service {
 			continue
 		}
-		workers[c.obstacleTo(w, t)]++
-		if w.usable() {
+		workers[c.reportedObstacle(w, t)]++
+		if w.usable() && !w.dataCentre.evacuated {
 			u.add(w)
 		}
 	}
@@ -113,12 +116,16 @@
 func (c *Cell) waitReason(t *task, workers [obstacleCount]int) string {
 	s := t.step
 	switch {
+	case !c.evacuationsCurrent():
+		return waitEvacuations
 	case c.blocked && s.occurrence.job.restored:
 		return waitTakeover
 	case c.crashUnrecorded(s.occurrence.job):
 		return waitCrashRecord
 	case c.now.Steady < t.notBefore:
 		return waitRetry
+	case workers[obstacleNone] == 0 && workers[obstacleEvacuated] > 0:
+		return obstacleNames[obstacleEvacuated] // there would be room otherwise
 	case workers[obstacleNone] == 0:
 		most := obstacleUnusable
 		for o := most; o < obstacleCount; o++ {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -82,6 +82,9 @@
 	health            health
 	answers           answers
 	dataCentre        *dataCentre
+	reserved          fleet.Resources // of reservations, for tasks that are being moved
+	reservations      []*reservation
+	coldUntil         time.Duration // it is cold until then, as its entry says
 	throttling        throttling
 	suspectRuns       int          // runs of tasks that may crash it
 	lastCrash         *crash       // nil if none was observed
@@ -138,6 +141,7 @@
 		c.emit(Note{Event: NoteWorkerListed, Server: s.ID, Detail: map[string]any{"draining": true}})
 	}
 	w.server, w.listed, w.dataCentre = s, true, c.dataCentreOf(s.DataCentre)
+	w.coldUntil = c.now.Steady + min(s.ColdRemaining, maxCold)
 	if s.Draining {
 		c.moveOffDraining(w)
 	}
