Bring the operators' evacuation requests from the store to the holder

Cause: the requests are records of the operators' topic, of which a linked instance reads only the end. An instance that takes over has never read them.

The change: a duty "evacuations" reads the newest request of each data centre while the instance holds the cell, at once and then every 500 ms, beginning after the key of the configuration, so that a read has a few hundred bytes. What the tail of the topic reads meanwhile it applies at once. A record wins over any with a lower offset. Two failed reads in a row count as a store that does not answer. The holder orders no start by a set that was read more than 3 s ago. Keys that name no data centre and withdrawals without a request are logged.

Ruled out: the tail alone (it skips to the offset of a publication that the former holder passed on, over requests before it), and a second long read of the topic (each publication would cross the link twice).

--- a/scheduler/api/api.go
+++ b/scheduler/api/api.go
@@ -23,6 +23,9 @@
 const (
 	// OperatorTopic holds the publications of the operators.
 	OperatorTopic Topic = "operator"
+	// EvacuationTopic holds the operators' requests to evacuate data centres. It is a
+	// part of OperatorTopic, has the same offsets, and is only for Store.Newest.
+	EvacuationTopic Topic = "evacuations"
 	// ServerTopic holds one entry for each backend server.
 	ServerTopic Topic = "servers"
 )
@@ -133,6 +136,10 @@
 	// IsConfiguration reports whether a record of the operators is a
 	// publication.
 	IsConfiguration(item Item) bool
+	// Evacuation decodes the key of a request to evacuate a data centre, or of its
+	// withdrawal, which has no value. ok is false for any other record; reason says why
+	// if it can only be meant as a request.
+	Evacuation(item Item) (dataCentre fleet.DataCentre, ok bool, reason string)
 	// Configuration decodes a publication.
 	Configuration(document []byte) (Configuration, error)
 }
--- a/scheduler/holder/holder.go
+++ b/scheduler/holder/holder.go
@@ -55,7 +55,9 @@
 	AppendResults  *supervise.Ring[message.AppendResult]
 	ServerChanges  *supervise.Ring[message.ServerChange]
 	Configurations *message.ConfigurationRing
-	Elected        *supervise.Ring[message.Elected]
+	// Evacuations carries the operators' requests to evacuate data centres.
+	Evacuations *supervise.Ring[message.Evacuations]
+	Elected     *supervise.Ring[message.Elected]
 	// Heartbeats carries the heartbeats of instances linked to this one.
 	Heartbeats *supervise.Ring[message.Heartbeat]
 	// Members carries the registered instances.
@@ -67,6 +69,8 @@
 	Holds         *supervise.Ring[message.Order]
 	Appends       *supervise.Ring[store.Append]
 	FollowServers *supervise.Ring[bool]
+	// FollowEvacuations switches the reads of these requests on and off.
+	FollowEvacuations *supervise.Ring[bool]
 	// Handovers asks the link table to hand the cell over after a planned stop.
 	Handovers *supervise.Ring[struct{}]
 	// RoleEnded reports to the election duty that the role has ended.
@@ -83,10 +87,13 @@
 		AppendResults:  supervise.NewRing[message.AppendResult]("holder.commits", 2, supervise.Wait),
 		ServerChanges:  supervise.NewRing[message.ServerChange]("holder.servers", changeCapacity, supervise.Wait),
 		Configurations: message.NewConfigurationRing("holder.configurations"),
+		Evacuations:    supervise.NewStateRing[message.Evacuations]("holder.evacuations"),
 		Elected:        supervise.NewRing[message.Elected]("holder.elected", 1, supervise.DropOldest),
 		Heartbeats:     supervise.NewRing[message.Heartbeat]("holder.beats", 256, supervise.DropOldest),
 		Members:        supervise.NewStateRing[[]cellrecord.Member]("holder.members"),
 		StepDown:       supervise.NewRing[struct{}]("holder.step-down", 1, supervise.DropOldest),
+
+		FollowEvacuations: supervise.NewRing[bool]("evacuations.wanted", 1, supervise.DropOldest),
 	}
 }
 
@@ -134,7 +141,7 @@
 	r := d.rings
 	root.Child("holder", supervise.DefaultIntensity).Start(supervise.Duty{
 		Name:  "cell",
-		Rings: []supervise.AnyRing{r.Requests, r.WorkerEvents, r.AppendResults, r.ServerChanges, r.Configurations, r.Elected, r.Heartbeats, r.Members, r.StepDown},
+		Rings: []supervise.AnyRing{r.Requests, r.WorkerEvents, r.AppendResults, r.ServerChanges, r.Configurations, r.Evacuations, r.Elected, r.Heartbeats, r.Members, r.StepDown},
 		Run:   d.run,
 	})
 }
@@ -160,6 +167,8 @@
 			d.handleServerChange(change)
 		case d.configuration = <-d.rings.Configurations.Items():
 			d.configure()
+		case evacuations := <-d.rings.Evacuations.Items():
+			d.handleEvacuations(evacuations)
 		case elected := <-d.rings.Elected.Items():
 			d.beginRole(elected)
 		case heartbeat := <-d.rings.Heartbeats.Items():
@@ -213,6 +222,7 @@
 	d.role.cell.Restore(now, elected.Records)
 	d.configure()
 	_ = d.rings.FollowServers.Put(context.Background(), true) // keeps the newest; never fails
+	_ = d.rings.FollowEvacuations.Put(context.Background(), true)
 	d.metrics.takeovers.Inc()
 	d.log.Event("holder_began", "epoch", elected.Epoch, "round", elected.Round, "records", len(elected.Records))
 	d.publish()
@@ -230,6 +240,7 @@
 		d.reply(request, message.Response{ID: request.ID, NotHolder: true})
 	}
 	_ = d.rings.FollowServers.Put(context.Background(), false)
+	_ = d.rings.FollowEvacuations.Put(context.Background(), false)
 	_ = d.rings.RoleEnded.Put(context.Background(), r.epoch)
 	d.log.Event("holder_ended", "epoch", r.epoch, "reason", reason, "waiting_callers", len(r.requests))
 	d.publish()
--- a/scheduler/message/message.go
+++ b/scheduler/message/message.go
@@ -129,6 +129,15 @@
 	Removed []fleet.BackendServerID
 }
 
+// Evacuations are the data centres whose evacuation operators request, as a read of the
+// store showed them that began at ReadAt on the steady clock. Unavailable means instead
+// that the store did not answer this read and the one before.
+type Evacuations struct {
+	DataCentres []fleet.DataCentre
+	ReadAt      time.Duration
+	Unavailable bool
+}
+
 // Publication is an encoded publication of the operators and the offset of its
 // record in the store. Version is 0 if only the document tells it.
 type Publication struct {
--- a/scheduler/store/configuration.go
+++ b/scheduler/store/configuration.go
@@ -25,6 +25,8 @@
 	// Progress how far this instance has.
 	PeerProgress *supervise.Ring[message.ConfigurationProgress]
 	Progress     *supervise.Ring[message.ConfigurationProgress]
+	// OtherRecords receives the operators' records that are no publications.
+	OtherRecords *supervise.Ring[[]api.Item]
 	// Followed carries whether a linked instance passes publications on.
 	Followed *supervise.Ring[bool]
 	// read carries publications that the tail has read from the store.
@@ -49,14 +51,22 @@
 // Start adds the duty and its tail below tree.
 func (c *Configurations) Start(tree *supervise.Tree, store api.Store) {
 	forward := func(ctx context.Context, items []api.Item) error {
+		var others []api.Item
 		for _, item := range items {
-			if !c.records.IsConfiguration(item) || len(item.Value) == 0 {
+			if !c.records.IsConfiguration(item) {
+				others = append(others, item)
+				continue
+			}
+			if len(item.Value) == 0 {
 				continue
 			}
 			if err := c.read.Put(ctx, message.Publication{Document: item.Value, Offset: item.Offset}); err != nil {
 				return err
 			}
 		}
+		if c.OtherRecords != nil && len(others) > 0 {
+			_ = c.OtherRecords.Put(ctx, others) // drops the oldest; never fails
+		}
 		return nil
 	}
 	tree.Start(supervise.Duty{
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -76,6 +76,7 @@
 	storeTree := p.Tree.Child("store", supervise.DefaultIntensity)
 	writer := store.NewWriter(storeTree, p.Platform.Store, p.Clock, p.Log, p.Holder.AppendResults, p.Registry)
 	servers := store.NewServers(storeTree, p.Platform.Store, p.Platform.Records, p.Log, p.Holder.ServerChanges)
+	evacuations := store.NewEvacuations(storeTree, p.Platform.Store, p.Platform.Records, p.Clock, p.Log, p.Holder.FollowEvacuations, p.Holder.Evacuations)
 	workerCalls := workers.New(p.Tree, p.Platform.Workers, p.Platform.Advisor, p.Clock, p.Holder.WorkerEvents, p.Registry)
 
 	p.Holder.Orders, p.Holder.Holds = workerCalls.Orders, workerCalls.Holds
@@ -99,12 +100,18 @@
 		p.Callers.Configurations, p.Operations.Configurations, p.Holder.Configurations,
 		p.PeerRings.Configurations, p.Peers.Configurations(),
 	}
+	p.Configurations.OtherRecords = evacuations.Records
 	p.Configurations.Start(storeTree, p.Platform.Store)
 	holder.New(p.Holder, p.Settings.Instance.ID, cellSettings(p.Settings), p.Clock, p.Log, p.Registry).Start(p.Tree)
 	election.New(p.Election, electionSettings(p.Settings), p.Platform.Store, p.Clock, p.Log).Start(p.Tree)
 	p.Peers.Start()
 }
 
+// maxEvacuationAge is the age of the evacuation requests from which no start is ordered.
+// The platform allows 5 s from a request to the last start; a start that waits for its
+// call, and the call, take up to 1.5 s of it.
+const maxEvacuationAge = 3 * time.Second
+
 // workerLease is how long a worker runs its tasks without a hold from a holder.
 // It exceeds a takeover, which takes two to three seconds. The work of a failed
 // worker is rescheduled only after the lease has expired.
@@ -116,6 +123,7 @@
 	b, s := all.Bounds, cell.DefaultSettings()
 	s.Capacity = congestion.Capacity{BytesPerSecond: all.Instance.LinkMbps * bytesPerMbit, Processor: all.Instance.Processor}
 	s.MaxLease, s.Lease = b.LeaseMax, min(workerLease, b.LeaseMax)
+	s.MaxEvacuationAge = maxEvacuationAge
 	s.StatusRetention, s.MaxTimeOverTarget, s.RemoteFactor = b.StatusKept, b.Impact, b.RemoteFactor
 	uneven := all.HasContract(settings.ContractPlaces)
 	s.TriageByCost, s.ServingRoom, s.UnevenDemand = uneven, uneven, uneven
