Claim places for long-running tasks in a crowded cell; evacuation metrics

Cause: beside a crowd of short tasks elsewhere, each start took the room that a run had returned, and the long-running tasks of an evacuated data centre never moved.

The metrics show the evacuated data centres, what still runs there by reason, and the moves.

Ruled out: to move before the waiting tasks start in each pass. That gives a task the room of one run only, and the new test passes without it.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -340,6 +340,6 @@
 	for _, step := range c.ready {
 		s.WaitingTasks += len(step.waiting)
 	}
-	s.Evacuations = c.evacuationStats()
+	s.Evacuations = c.Evacuations()
 	return s
 }
--- a/decision/cell/evacuation_report.go
+++ b/decision/cell/evacuation_report.go
@@ -18,8 +18,11 @@
 	Reasons     map[string]int   `json:"reasons,omitempty"`
 }
 
-// evacuationStats returns the evacuated data centres, by name.
-func (c *Cell) evacuationStats() []EvacuationStats {
+// Evacuations returns the evacuated data centres, by name.
+func (c *Cell) Evacuations() []EvacuationStats {
+	if len(c.evacuations.dataCentres) == 0 {
+		return nil
+	}
 	names := slices.Sorted(maps.Keys(c.evacuations.dataCentres))
 	stats := make([]EvacuationStats, len(names))
 	for i, name := range names {
@@ -70,7 +73,7 @@
 	if !due {
 		return
 	}
-	for _, s := range c.evacuationStats() {
+	for _, s := range c.Evacuations() {
 		report := e.reports[s.DataCentre]
 		if c.now.Steady < report.at {
 			continue
--- a/decision/cell/evacuation_test.go
+++ b/decision/cell/evacuation_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -139,6 +140,31 @@
 	}
 }
 
+// Guards against a migration that never finds room because short tasks take whatever
+// others return.
+func TestMigrationFindsRoomBesideCrowd(t *testing.T) {
+	for _, need := range []int64{4000, 8000} { // a short task needs 4,000
+		s := newSites(t, 1, map[fleet.DataCentre]int{"east": 1})
+		s.play(time.Second)
+		s.submit(testJob, withStep(longRunningStep(2), func(s *job.Step) { s.Need.MilliCPU = need }))
+		s.play(time.Second)
+		for i := range 2 {
+			s.list("west", i)
+		}
+		crowd := func(d time.Duration) {
+			for end := s.now + d; s.now < end; s.play(250 * time.Millisecond) {
+				s.submit(fleet.JobID(fmt.Sprintf("%016x", 1<<20+int64(s.now))), small(4)) // twice the capacity
+			}
+		}
+		crowd(2 * time.Second)
+		s.requested = []fleet.DataCentre{"east"}
+		crowd(10 * time.Second)
+		if left := s.running("east"); left != 0 {
+			t.Errorf("need %d: got %d long-running tasks in the evacuated data centre after 10 s, want none", need, left)
+		}
+	}
+}
+
 // Guards against a withdrawal that does not end the migration, or that leaves tasks
 // without a run.
 func TestWithdrawalDuringMigration(t *testing.T) {
--- a/decision/cell/migration.go
+++ b/decision/cell/migration.go
@@ -38,6 +38,8 @@
 	worker *worker
 	need   fleet.Resources
 	madeAt time.Duration
+	// claimed means that the worker has no room yet and the run of the task goes on.
+	claimed bool
 }
 
 func (c *Cell) reserve(t *task, w *worker) {
@@ -60,12 +62,18 @@
 func (c *Cell) releaseUnused() {
 	for _, r := range slices.Clone(c.evacuations.reservations) {
 		if r.task.done || r.task.step.occurrence.job.ended || !r.worker.usable() || r.worker.dataCentre.evacuated ||
-			c.now.Steady-r.madeAt >= reservationTimeout {
+			c.now.Steady-r.madeAt >= reservationTimeout || r.claimed && !c.stillMoves(r.task) {
+			r.task.step.nextMigration = c.now.Steady + migrationRetry
 			c.release(r)
 		}
 	}
 }
 
+// stillMoves reports whether a task runs in an evacuated data centre.
+func (c *Cell) stillMoves(t *task) bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker.dataCentre.evacuated })
+}
+
 // startReserved starts the waiting tasks of a step for which room is reserved.
 func (c *Cell) startReserved(s *stepState) {
 	if len(c.evacuations.reservations) == 0 {
@@ -115,6 +123,7 @@
 	if len(e.dataCentres) == 0 || !c.authority || c.blocked || !c.serverListRead || !c.evacuationsCurrent() {
 		return
 	}
+	c.useClaims()
 	c.reportEvacuations()
 	if c.now.Steady-e.migratedAt < migrationInterval || len(e.reservations) >= c.maxMigrations() {
 		return
@@ -155,16 +164,19 @@
 	staysUnreachable         // its worker does not answer
 	staysEnding              // it ends by itself before a move would pay
 	staysBound               // its step allows no further unavailable task
+	staysClaim               // its next place becomes free soon
 	staysRoom                // there was no room for it elsewhere lately
 	stayingCount
 )
 
-var stayingNames = [stayingCount]string{"to_move", "moving", "unreachable", "ending", "unavailable_bound", "no_room"}
+var stayingNames = [stayingCount]string{"to_move", "moving", "unreachable", "ending", "unavailable_bound", "place_claimed", "no_room"}
 
 // stays returns why a run in an evacuated data centre is not moved now.
 func (c *Cell) stays(r *run) staying {
 	t, s := r.task, r.task.step
 	switch {
+	case t.reservation != nil && t.reservation.claimed:
+		return staysClaim
 	case r.state != runConfirmed || t.reservation != nil:
 		return staysMoving
 	case r.worker.unreachable:
@@ -205,7 +217,7 @@
 	if !s.spec.Gang {
 		target := c.migrationTarget(r.task)
 		if target == nil {
-			return false
+			return c.claim(r.task)
 		}
 		c.reserve(r.task, target)
 		c.stopForMigration(r)
@@ -233,11 +245,11 @@
 
 func (c *Cell) stopForMigration(r *run) {
 	r.task.disruptedAt = c.now.Steady
-	c.stopRun(r, reasonEvacuation)
+	c.stopRun(r, ReasonEvacuation)
 }
 
-// reasonEvacuation is the reason in the log for a stop by a move.
-const reasonEvacuation = "evacuation"
+// ReasonEvacuation is the reason in the log for a stop by a move.
+const ReasonEvacuation = "evacuation"
 
 // migrationTarget returns the worker with the lowest cost for a task that is to be
 // moved, or nil. The advisor of the queue, if any, is asked once the task waits.
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -24,7 +24,6 @@
 	c.crowdingMeasured = false
 	c.countLateStarts()
 	c.forgetRoom()
-	c.migrate() // before the waiting tasks take the room that runs have returned
 	for _, s := range c.ready {
 		s.order = c.orderOf(s)
 	}
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -18,6 +18,7 @@
 	takeovers       prometheus.Counter
 	unreadResponses prometheus.Counter
 	lag             prometheus.Gauge
+	evacuations     *evacuationMetrics
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -48,6 +49,7 @@
 			Name: "lacewingfork_answers_unread_total", Help: "Responses dropped because the caller no longer waited.",
 		}),
 	}
+	m.evacuations = newEvacuationMetrics(registry)
 	m.lag = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "lacewingfork_holder_lag_seconds", Help: "Longest time that an answer of a worker has waited for the holder since its last tick.",
 	})
@@ -75,6 +77,10 @@
 		observe(m.acceptSeconds, n, "to_store_us", 1e6)
 	case cell.NoteStartOrdered:
 		observe(m.taskWaitSeconds, n, "waited_ms", 1e3)
+	case cell.NoteStopOrdered:
+		if n.Detail["reason"] == cell.ReasonEvacuation {
+			m.evacuations.moves.Inc()
+		}
 	case cell.NoteTaskWaits:
 		if reason, ok := n.Detail["reason"].(string); ok {
 			m.taskWaits.WithLabelValues(reason).Inc()
--- a/scheduler/holder/status.go
+++ b/scheduler/holder/status.go
@@ -22,9 +22,12 @@
 // publish sends the status to every status ring.
 func (d *Duty) publish() {
 	status := Status{StoreOutage: d.storeOutage()}
+	var evacuations []cell.EvacuationStats
 	if d.role != nil {
+		evacuations = d.role.cell.Evacuations()
 		status.Epoch, status.IsHolder, status.Pending = d.role.epoch, true, d.role.cell.Pending()
 	}
+	d.metrics.evacuations.show(evacuations)
 	for _, ring := range d.rings.Statuses {
 		_ = ring.Put(context.Background(), status) // keeps the newest; never fails
 	}
