Soak: evacuate and reopen zones under faults

Cause: takeovers, freezes and lost calls during an evacuation were tested in virtual time only.

The change: TestSoakEvacuations gives the servers two zones, evacuates and reopens them beside kills, planned stops, freezes and faults of the workers, and reports a start later than 5 s after a request (EVACUATED).

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -55,17 +55,19 @@
 
 // checker verifies the scheduling guarantees from what workers and clients observe.
 type checker struct {
-	mu         sync.Mutex // all workers and clients report concurrently
-	jobs       map[string]*submission
-	tasks      map[string]*task
-	usedCPU    map[string]int64      // milli-CPU in use by server
-	capacities map[string][]capacity // by server, in the order of the changes
-	violations []string
-	counts     map[string]int
+	mu          sync.Mutex // all workers and clients report concurrently
+	jobs        map[string]*submission
+	tasks       map[string]*task
+	usedCPU     map[string]int64      // milli-CPU in use by server
+	capacities  map[string][]capacity // by server, in the order of the changes
+	violations  []string
+	counts      map[string]int
+	zones       map[string]string // by server
+	evacuations []*evacuation
 }
 
 func newChecker() *checker {
-	return &checker{jobs: map[string]*submission{}, tasks: map[string]*task{}, usedCPU: map[string]int64{}, capacities: map[string][]capacity{}, counts: map[string]int{}}
+	return &checker{jobs: map[string]*submission{}, tasks: map[string]*task{}, usedCPU: map[string]int64{}, capacities: map[string][]capacity{}, counts: map[string]int{}, zones: map[string]string{}}
 }
 
 // reportf records a violation. The caller holds c.mu. The message begins with the code
@@ -79,6 +81,7 @@
 //	         maxStartsAfterCrashes starts after crashBudget servers crashed under it
 //	UNASKED  only submitted tasks start, and none of a cancelled job
 //	REFUSED  no task of a rejected job starts
+//	EVACUATED no task starts in a zone that has been evacuated for evacuationBound
 //	LOST     an accepted job reaches its expected state
 func (c *checker) reportf(format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
@@ -201,6 +204,7 @@
 		c.reportf("LIMIT: starting %s raises the milli-CPU in use on %s to %d of %d", e.Task, e.Server, c.usedCPU[e.Server], room)
 	}
 	c.checkCrashBudget(e, t, s)
+	c.checkEvacuations(e)
 }
 
 // checkRejected reports starts of jobs whose submission attempts were all rejected.
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -77,6 +77,10 @@
 				go func() { d.store.Put(wire.TopicServers, id, worker.Entry(p.address())) }() // Entry calls the duty that observes
 			}
 		})
+		if w.zones {
+			worker.Zone = zoneOf(n)
+			d.checker.withLock(func() { d.checker.zones[id] = worker.Zone })
+		}
 		p = newProxy(t, serve(t, worker))
 		d.workers, d.serverProxies = append(d.workers, worker), append(d.serverProxies, p)
 		d.store.Put(wire.TopicServers, id, worker.Entry(p.address()))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -136,6 +136,8 @@
 	atEnd  func(d *deployment) // nil, or called once the faults have ended
 	// partitioned gives each instance paths of its own, which partition cuts.
 	partitioned bool
+	// zones gives the servers zones in turn.
+	zones bool
 }
 
 // everyFault is the workload of TestSoak.
