Read the requests anew after a loss of authority; remember reopenings

Cause: the steady clock leaves out the suspension of a machine, so that the age of a read looked small after one, and a takeover during the reopening of cold servers gave them their full share at once.

The change: a holder that loses its authority orders no start until a read that began later, or two that failed.

Measured: the new cases of TestNoStartWithoutCurrentRequests and TestReopenedColdServersTakeGrowingShare fail without the change.

--- a/decision/cell/answers.go
+++ b/decision/cell/answers.go
@@ -162,7 +162,7 @@
 // dataCentreOf returns the record of a data centre.
 func (c *Cell) dataCentreOf(name fleet.DataCentre) *dataCentre {
 	if c.dataCentres[name] == nil {
-		c.dataCentres[name] = &dataCentre{path: congestion.NewWindow(), evacuated: c.evacuations.dataCentres[name]}
+		c.dataCentres[name] = &dataCentre{path: congestion.NewWindow(), evacuated: c.evacuations.dataCentres[name], reopenedAt: c.evacuations.reopenedAt[name]}
 	}
 	return c.dataCentres[name]
 }
--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -147,7 +147,7 @@
 		dataCentres: map[fleet.DataCentre]*dataCentre{},
 	}
 	c.evacuations = evacuations{
-		dataCentres: map[fleet.DataCentre]bool{}, unknown: map[fleet.DataCentre]bool{}, reports: map[fleet.DataCentre]evacuationReport{},
+		dataCentres: map[fleet.DataCentre]bool{}, reopenedAt: map[fleet.DataCentre]time.Duration{}, unknown: map[fleet.DataCentre]bool{}, reports: map[fleet.DataCentre]evacuationReport{},
 	}
 	c.nextBatch, c.interference = newBatch(1), newInterferenceModel()
 	c.batchNumber = 1
@@ -198,6 +198,9 @@
 		}
 	case AuthorityChanged:
 		c.authority = e.Held && !c.steppedDown
+		if !e.Held {
+			c.forgetEvacuationReads()
+		}
 		c.needsScheduling = true
 	case SteppedDown:
 		c.stepDown()
--- a/decision/cell/evacuation.go
+++ b/decision/cell/evacuation.go
@@ -22,20 +22,31 @@
 // later holder uses it while the store does not answer its read of the requests.
 type EvacuationRecord struct {
 	DataCentres []fleet.DataCentre `json:"data_centres,omitempty"`
+	// Reopened are the withdrawals of the last maxCold.
+	Reopened []ReopenedDataCentre `json:"reopened,omitempty"`
+}
+
+// ReopenedDataCentre is a data centre whose evacuation was withdrawn.
+type ReopenedDataCentre struct {
+	Name fleet.DataCentre `json:"name"`
+	At   time.Time        `json:"at"`
 }
 
 // evacuations is what the holder knows about the operators' requests.
 type evacuations struct {
 	dataCentres map[fleet.DataCentre]bool
+	reopenedAt  map[fleet.DataCentre]time.Duration
 	read        bool          // readAt is valid
 	readAt      time.Duration // start of the read that showed the set
 	// unavailableAt is the start of the last read that the store did not answer, if it
 	// repeatedly does not; 0 if it answers.
 	unavailableAt time.Duration
-	unknown       map[fleet.DataCentre]bool // logged as data centres without a server
-	reservations  []*reservation
-	migratedAt    time.Duration // time of the last move
-	reports       map[fleet.DataCentre]evacuationReport
+	// validFrom is when the holder last lost its authority. Nothing read before counts.
+	validFrom    time.Duration
+	unknown      map[fleet.DataCentre]bool // logged as data centres without a server
+	reservations []*reservation
+	migratedAt   time.Duration // time of the last move
+	reports      map[fleet.DataCentre]evacuationReport
 }
 
 // evacuationsCurrent reports whether the known set is recent enough to order starts:
@@ -60,6 +71,9 @@
 func (c *Cell) evacuationsChanged(report EvacuationsChanged) {
 	before := c.evacuationsCurrent()
 	e := &c.evacuations
+	if report.ReadAt < e.validFrom {
+		return
+	}
 	if report.Unavailable {
 		e.unavailableAt = report.ReadAt
 	} else {
@@ -71,6 +85,14 @@
 	}
 }
 
+// forgetEvacuationReads makes starts wait for a new read of the requests, after a time in
+// which the holder may have stood still. The steady clock leaves out the suspensions of
+// the machine.
+func (c *Cell) forgetEvacuationReads() {
+	e := &c.evacuations
+	e.read, e.unavailableAt, e.validFrom = false, 0, c.now.Steady
+}
+
 // setEvacuations puts a set of evacuated data centres into force and records it.
 func (c *Cell) setEvacuations(list []fleet.DataCentre) {
 	set := map[fleet.DataCentre]bool{}
@@ -83,12 +105,14 @@
 	}
 	before := e.dataCentres
 	e.dataCentres = set
-	for name, d := range c.dataCentres {
-		d.evacuated = set[name]
-		if before[name] && !set[name] {
-			d.reopenedAt = c.now.Steady
+	for name := range before {
+		if !set[name] {
+			e.reopenedAt[name] = c.now.Steady
 		}
 	}
+	for name, d := range c.dataCentres {
+		d.evacuated, d.reopenedAt = set[name], e.reopenedAt[name]
+	}
 	for _, name := range slices.Sorted(maps.Keys(set)) {
 		if !before[name] {
 			c.noteEvacuation(NoteEvacuationBegan, name)
@@ -145,7 +169,14 @@
 
 // evacuationRecord returns the record of the set in force.
 func (c *Cell) evacuationRecord() *EvacuationRecord {
-	return &EvacuationRecord{DataCentres: slices.Sorted(maps.Keys(c.evacuations.dataCentres))}
+	e := &c.evacuations
+	record := &EvacuationRecord{DataCentres: slices.Sorted(maps.Keys(e.dataCentres))}
+	for _, name := range slices.Sorted(maps.Keys(e.reopenedAt)) {
+		if age := c.now.Steady - e.reopenedAt[name]; age < maxCold {
+			record.Reopened = append(record.Reopened, ReopenedDataCentre{name, c.now.Wall.Add(-age)})
+		}
+	}
+	return record
 }
 
 // restoreEvacuations applies the record of the earlier holder.
@@ -153,13 +184,22 @@
 	for _, name := range r.DataCentres {
 		c.evacuations.dataCentres[name] = true
 	}
+	for _, reopened := range r.Reopened {
+		if age := max(0, c.now.Wall.Sub(reopened.At)); age < maxCold {
+			c.evacuations.reopenedAt[reopened.Name] = c.now.Steady - age
+		}
+	}
 	for name, d := range c.dataCentres {
-		d.evacuated = c.evacuations.dataCentres[name]
+		d.evacuated, d.reopenedAt = c.evacuations.dataCentres[name], c.evacuations.reopenedAt[name]
 	}
 }
 
 func (r *EvacuationRecord) check(report func(key, problem, expected string)) {
-	for _, name := range r.DataCentres {
+	names := slices.Clone(r.DataCentres)
+	for _, reopened := range r.Reopened {
+		names = append(names, reopened.Name)
+	}
+	for _, name := range names {
 		if !ValidDataCentre(name) {
 			report("data_centres", "names no data centre", "printable names of data centres")
 		}
--- a/decision/cell/evacuation_test.go
+++ b/decision/cell/evacuation_test.go
@@ -201,6 +201,12 @@
 	stale := func(s *sites) {
 		s.handle(EvacuationsChanged{ReadAt: s.now - testMaxAge - time.Millisecond, Unavailable: true})
 	}
+	lostAuthority := func(s *sites) {
+		s.handle(AuthorityChanged{})
+		s.now += time.Millisecond
+		s.handle(EvacuationsChanged{ReadAt: s.now - 2*time.Millisecond}) // by a read from before
+		s.handle(AuthorityChanged{Held: true})
+	}
 	freeze := func(s *sites) { s.now += 10 * time.Second }
 	for _, c := range []struct {
 		name    string
@@ -216,6 +222,8 @@
 		{"no earlier record", nil, []func(*sites){unavailable}, []fleet.DataCentre{"east", "west"}},
 		{"frozen", nil, []func(*sites){read(), freeze}, nil},
 		{"frozen while the store was silent", nil, []func(*sites){read(), unavailable, freeze}, nil},
+		{"suspended, steady clock stood still", nil, []func(*sites){read(), lostAuthority}, nil},
+		{"suspended, read again", nil, []func(*sites){read(), lostAuthority, read("east")}, []fleet.DataCentre{"west"}},
 		{"frozen, read again", nil, []func(*sites){read(), freeze, read("east")}, []fleet.DataCentre{"west"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -280,12 +288,14 @@
 // Guards against a reopened data centre whose cold servers get their full share at once.
 func TestReopenedColdServersTakeGrowingShare(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		cold time.Duration
-		used [2]int64 // at the reopening and after half of the time
+		name     string
+		cold     time.Duration
+		takeover bool
+		used     [2]int64 // at the reopening and after half of the time
 	}{
-		{"cold", 20 * time.Second, [2]int64{4000, 8000}},
-		{"warm", 0, [2]int64{16000, 16000}},
+		{"cold", 20 * time.Second, false, [2]int64{4000, 8000}},
+		{"cold, with a takeover", 20 * time.Second, true, [2]int64{4000, 8000}},
+		{"warm", 0, false, [2]int64{16000, 16000}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newSites(t, 1, map[fleet.DataCentre]int{"east": 1})
@@ -294,8 +304,12 @@
 			server := s.cell.workers["east-0"].server
 			server.ColdRemaining = c.cold
 			s.requested = nil
-			s.submit(testJob, withStep(small(8), func(s *job.Step) { s.Estimate = time.Minute }))
+			s.play(500 * time.Millisecond)
+			if c.takeover {
+				s = newSites(t, 2, map[fleet.DataCentre]int{"east": 1}, slices.Collect(maps.Values(s.records))...)
+			}
 			s.handle(ServerListed{Server: server})
+			s.submit(testJob, withStep(small(8), func(s *job.Step) { s.Estimate = time.Minute }))
 			s.play(600 * time.Millisecond)
 			for i, want := range c.used {
 				if used := s.cell.workers["east-0"].used.MilliCPU; used != want {
