--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -44,6 +44,9 @@
 	RemoteFactor float64
 	// MaxTimeOverTarget is how long a task may exceed its latency target.
 	MaxTimeOverTarget time.Duration
+	// MaxEvacuationAge bounds the age of the evacuation requests by which starts are
+	// ordered; 0 is no bound.
+	MaxEvacuationAge time.Duration
 	// Capacity is that of the holder's instance.
 	Capacity congestion.Capacity
 	// Regions are the regions of the data centres.
@@ -118,6 +121,7 @@
 	lateStarts       int // part of unansweredStarts whose answers are late
 	silentCalls      int // stops and holds in flight to workers that leave an order unanswered
 	dataCentres      map[fleet.DataCentre]*dataCentre
+	evacuations      evacuations
 	adviceInFlight   int           // advisor calls without an answer yet
 	authority        bool          // the holder may give orders
 	behind           bool          // the holder leaves out work that starts and ends nothing
@@ -152,6 +156,9 @@
 		interferenceWaits: map[fleet.Service]interferenceWait{}, open: map[openKey][]int{},
 		dataCentres: map[fleet.DataCentre]*dataCentre{},
 	}
+	c.evacuations = evacuations{
+		dataCentres: map[fleet.DataCentre]bool{}, reopenedAt: map[fleet.DataCentre]time.Duration{}, unknown: map[fleet.DataCentre]bool{}, reports: map[fleet.DataCentre]evacuationReport{},
+	}
 	c.nextBatch, c.interference = newBatch(1), newInterferenceModel()
 	c.batchNumber = 1
 	return c
@@ -178,6 +185,7 @@
 		c.serverUnlisted(e.ID)
 	case ServerListRead:
 		c.serverListRead = true
+		c.checkEvacuatedNames()
 		c.needsScheduling = true
 	case HoldAnswered:
 		c.holdAnswered(e)
@@ -200,9 +208,14 @@
 		}
 	case AuthorityChanged:
 		c.authority = e.Held && !c.steppedDown
+		if !e.Held {
+			c.forgetEvacuationReads()
+		}
 		c.needsScheduling = true
 	case SteppedDown:
 		c.stepDown()
+	case EvacuationsChanged:
+		c.evacuationsChanged(e)
 	case HolderLoad:
 		c.behind = e.Behind
 	case Tick:
@@ -288,6 +301,7 @@
 	c.countLateStarts()
 	c.removeUnlisted()
 	c.checkBlocked()
+	c.migrate()
 	if !c.behind {
 		c.consolidate()
 	}
@@ -326,6 +340,8 @@
 	AwaitingRack int  `json:"awaiting_rack,omitempty"` // part of WaitingTasks
 	Blocked      bool `json:"blocked"`
 	Authority    bool `json:"authority"`
+	// Evacuations holds the evacuated data centres and what still runs there.
+	Evacuations []EvacuationStats `json:"evacuations,omitempty"`
 }
 
 // Stats returns the counts of the cell.
@@ -340,5 +356,6 @@
 	for _, step := range c.ready {
 		s.WaitingTasks += len(step.waiting)
 	}
+	s.Evacuations = c.Evacuations()
 	return s
 }
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -71,6 +71,7 @@
 	waitReportSince time.Duration
 	nextPreemption  time.Duration // no search for a task to preempt for it before
 	starvingAt      time.Duration // of its last turn as a starving step
+	nextMigration   time.Duration // no search for a place of a task to be moved before
 }
 
 // task is one task of a step.
@@ -95,7 +96,8 @@
 	// awaitsRack means that it waits for the rack of its data since the last pass, and
 	// hasAwaitedRack that it has done so before.
 	awaitsRack, hasAwaitedRack bool
-	copies                     int // second runs started
+	copies                     int          // second runs started
+	reservation                *reservation // its next place while it is moved off an evacuated data centre; nil if none
 }
 
 func (t *task) ref() job.TaskRef {
--- a/decision/cell/server.go
+++ b/decision/cell/server.go
@@ -21,12 +21,11 @@
 	Labels     []string              `json:"labels,omitempty"`
 	Capacity   fleet.Resources       `json:"capacity"`
 	Draining   bool                  `json:"draining,omitempty"`
+	// ColdRemaining is how long the server was still cold when its entry was written.
+	ColdRemaining time.Duration `json:"cold,omitempty"`
 	// Incarnation identifies one lifetime of the worker process; it grows with
 	// each restart under the same identifier. 0 means unknown.
 	Incarnation int64 `json:"born,omitempty"`
-	// ColdRemaining is how long it stays cold after the entry was written; 0 if it is not
-	// cold. It is not recorded: a new holder reads the list.
-	ColdRemaining time.Duration `json:"-"`
 }
 
 // rackLabel is the index of the rack among the labels; the first label is the
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -93,7 +93,9 @@
 	answers           answers
 	dataCentre        *dataCentre
 	cold              coldness
-	region            fleet.Region // empty if the region of its data centre is not known
+	region            fleet.Region    // empty if the region of its data centre is not known
+	reserved          fleet.Resources // of reservations, for tasks that are being moved
+	reservations      []*reservation
 	throttling        throttling
 	suspectRuns       int          // runs of tasks that may crash it
 	lastCrash         *crash       // nil if none was observed
