Reject jobs that surely cannot be served, with TriageByCost

Cause: a cell under a flood accepts every job; what waits until it is of no use takes up memory and passes, and its caller learns it too late.

Change: a finite job is rejected with the reason "overload" when the work that comes before it in the order by cost, waiting and arriving, is twice what its service completes in three times the objective of the job. The gate opens again below 1.5 times. Never rejected are long-running and scheduled jobs, urgent ones while lower priorities run, anything before work has waited for 5 s without a pause, and anything for which a worker has room. The rate is the most cores that finite runs had in the last 15 to 30 s, so starts without an answer do not count as lost capacity.

Ruled out: the work that waits alone.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -98,6 +98,7 @@
 	interferenceWaits map[fleet.Service]interferenceWait
 	nextPass          time.Duration // no scheduling pass before
 	triage            triageState
+	admission         admission
 
 	interference           *interferenceModel
 	interferenceRecordedAt time.Duration // time of the last record of the model
@@ -290,6 +291,9 @@
 		c.openDueOccurrences(j)
 		c.removeFinished(j)
 	}
+	if c.settings.TriageByCost {
+		c.measureBacklogs()
+	}
 	c.needsScheduling = true
 }
 
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -46,7 +46,8 @@
 	steps        []*stepState
 	pendingSteps int // steps that are not done yet
 	// doneWork is the work of the tasks that are done, in core-seconds.
-	doneWork float64
+	doneWork  float64
+	countedIn uint64 // measurement of the backlogs that has counted it
 }
 
 // stepState is one step of an occurrence.
@@ -162,21 +163,24 @@
 		c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NoSuchQueue}})
 		return
 	}
-	if reason := c.rejectionReason(); reason != "" {
-		c.reject(e, reason)
-		return
-	}
 	j := &jobState{
 		job: e.Job, criticalPathTimes: criticalPathTimesOf(&e.Job), work: workOf(&e.Job), acceptedAt: c.now.Steady, acceptedWall: c.now.Wall, submitTokens: []Token{e.Token},
 		occurrences: map[int]*occurrence{}, completed: map[int]bool{},
 	}
+	if reason := c.rejectionReason(j); reason != "" {
+		c.reject(e, reason)
+		return
+	}
+	if c.settings.TriageByCost {
+		c.accepting(j)
+	}
 	c.jobs[e.Job.ID] = j
 	c.nextBatch.jobs = append(c.nextBatch.jobs, j)
 }
 
-// rejectionReason returns the reason why no further job is accepted now, or an
-// empty string.
-func (c *Cell) rejectionReason() string {
+// rejectionReason returns the reason why a job is not accepted now, or an empty
+// string.
+func (c *Cell) rejectionReason(j *jobState) string {
 	switch {
 	case !c.authority:
 		return "holder_unconfirmed"
@@ -184,16 +188,24 @@
 		return "store_silent"
 	case len(c.jobs) >= maxJobs:
 		return "cell_full"
+	case c.settings.TriageByCost && !c.admits(j):
+		return overloadReason
 	default:
 		return ""
 	}
 }
 
 func (c *Cell) reject(e Submitted, reason string) {
-	c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NotStored, RetryAfter: c.retryAfter(), Reason: reason}})
-	c.emit(Note{Event: NoteRejected, Job: e.Job.ID, Detail: map[string]any{
-		"reason": reason, "store_waiting_ms": c.storeWait.Milliseconds(), "jobs": len(c.jobs),
-	}})
+	after := c.retryAfter()
+	detail := map[string]any{"reason": reason, "store_waiting_ms": c.storeWait.Milliseconds(), "jobs": len(c.jobs)}
+	if c.settings.TriageByCost {
+		if reason == overloadReason {
+			after = c.overloadRetry()
+		}
+		c.addRejectionCost(detail, &e.Job, reason, after)
+	}
+	c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NotStored, RetryAfter: after, Reason: reason}})
+	c.emit(Note{Event: NoteRejected, Job: e.Job.ID, Detail: detail})
 }
 
 // rejectUnstored rejects jobs that are neither stored nor in flight to the
--- a/decision/cell/order.go
+++ b/decision/cell/order.go
@@ -34,19 +34,26 @@
 // are weighed by what the caller loses (placeByCost).
 func (c *Cell) orderOf(s *stepState) order {
 	c.orderChecks++
-	j := s.occurrence.job
-	q, hasOverdue := c.queueOf(j), c.hasOverdue(s)
-	objective := q.objective(j)
-	w := triage.Work{
-		Priority: q.Priority, Class: c.classOf(s, objective), Crowds: c.crowds(s, q.Service, hasOverdue),
-		ObjectiveAt: s.occurrence.dueAt + objective,
-	}
+	w, hasOverdue := c.workOfStep(s)
 	if c.settings.TriageByCost {
 		return order{key: c.placeByCost(s, w), hasOverdue: hasOverdue}
 	}
 	return order{key: triage.ByPriority(w), hasOverdue: hasOverdue}
 }
 
+// workOfStep returns what decides the place of a step, and whether one of its tasks is
+// overdue.
+func (c *Cell) workOfStep(s *stepState) (w triage.Work, hasOverdue bool) {
+	j := s.occurrence.job
+	q := c.queueOf(j)
+	objective := q.objective(j)
+	hasOverdue = c.hasOverdue(s)
+	return triage.Work{
+		Priority: q.Priority, Class: c.classOf(s, objective), Crowds: c.crowds(s, q.Service, hasOverdue),
+		ObjectiveAt: s.occurrence.dueAt + objective,
+	}, hasOverdue
+}
+
 // compareSteps orders steps by their place. A sort makes many comparisons of each
 // step, so the places are computed before it.
 func compareSteps(a, b *stepState) int {
--- a/decision/cell/triage_order.go
+++ b/decision/cell/triage_order.go
@@ -66,16 +66,20 @@
 
 // placeByCost returns the place of a step by what its caller loses by its delay.
 func (c *Cell) placeByCost(s *stepState, w triage.Work) triage.Key {
-	if !s.spec.LongRunning {
-		j := s.occurrence.job
+	if j := s.occurrence.job; !s.spec.LongRunning {
 		worth := c.worthOf(j)
-		// The tasks of this step that run need no further room.
-		running := len(s.tasks) - s.done - len(s.waiting)
-		w.Worth, w.Left = worth.worth, (j.work-s.occurrence.doneWork-float64(running)*taskWork(s.spec))*worth.perCore
+		w.Worth, w.Left = worth.worth, c.workLeft(s)*worth.perCore
 	}
 	return triage.ByCost(w)
 }
 
+// workLeft returns the work of the job of a finite step that needs further room, in
+// core-seconds. The tasks of the step that run need none.
+func (c *Cell) workLeft(s *stepState) float64 {
+	running := len(s.tasks) - s.done - len(s.waiting)
+	return s.occurrence.job.work - s.occurrence.doneWork - float64(running)*taskWork(s.spec)
+}
+
 const (
 	// starveAfter is how long a step waits after its job has become of no use, or a
 	// step with new long-running tasks on a crowded service from the start, until it
--- a/decision/triage/order.go
+++ b/decision/triage/order.go
@@ -48,8 +48,8 @@
 	maxDensity   = 1 << (64 - densityShift)
 	// minLeft is the work that counts as left of any job. It bounds the densities.
 	minLeft = 1.0 / 64
-	// urgent is the priority of the most urgent queues.
-	urgent = 0
+	// Urgent is the priority of the most urgent queues.
+	Urgent = 0
 )
 
 // ByPriority returns the place by priority, then crowding, class and objective.
@@ -85,7 +85,7 @@
 
 // density returns the coarse worth of each unit of the work left.
 func density(w Work) uint64 {
-	if w.Priority <= urgent {
+	if w.Priority <= Urgent {
 		return 0
 	}
 	return math.Float64bits(max(0, w.Worth)/max(minLeft, w.Left)) >> densityShift
