Spread rejected callers over time and prefer those that come again, with TriageByCost

Cause: all callers that are rejected while the store is silent, or while the cell is overloaded, are told the same time, so they come again together. One that comes again waits behind all that came meanwhile.

Change: Retry-After is a whole number of seconds. After a rejection for overload it starts from the time in which the work that does not fit is done; to any time, seconds are added by the job's identifier, over as many seconds as the callers that are expected already need at 200 a second, 5 s at most. The holder keeps up to 4,096 promises in memory. A caller that comes when it was told to, or up to 10 s later, is accepted where a new one would still find the gate closed, and its job takes its place among similar ones by its first submission. A takeover loses the promises: these callers then count as new ones, as they all did before.

Ruled out: a spread over 50 callers a second, which would tell callers of a store outage of 10 s up to 5 s more than now; with 200 it is 1 s.

TestReturningJobComesBeforeNewerOnes.

--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -34,6 +34,9 @@
 	nextDue      int          // first occurrence that has not been opened yet
 	work         float64      // of one occurrence, in core-seconds
 	worth        jobWorth     // only with TriageByCost
+	// firstAt is the first submission of a job that was rejected and came again when
+	// its caller was told to; 0 for any other.
+	firstAt time.Duration
 }
 
 // occurrence is one pass through the steps of a job.
@@ -199,9 +202,7 @@
 	after := c.retryAfter()
 	detail := map[string]any{"reason": reason, "store_waiting_ms": c.storeWait.Milliseconds(), "jobs": len(c.jobs)}
 	if c.settings.TriageByCost {
-		if reason == overloadReason {
-			after = c.overloadRetry()
-		}
+		after = c.retryTime(&e.Job, reason)
 		c.addRejectionCost(detail, &e.Job, reason, after)
 	}
 	c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NotStored, RetryAfter: after, Reason: reason}})
--- a/decision/cell/triage_admission.go
+++ b/decision/cell/triage_admission.go
@@ -16,10 +16,12 @@
 }
 
 // admission is what admission by cost knows. A takeover loses it: the new holder
-// rejects nothing until it has seen a backlog for minBacklog.
+// rejects nothing until it has seen a backlog for minBacklog, and callers that come
+// again are treated as new ones.
 type admission struct {
 	gates      map[gateKey]*triage.Gate
 	backlogs   map[fleet.Service]*backlog
+	promises   triage.Promises
 	measuredAt time.Duration
 	passes     uint64        // measurements so far
 	rejected   triage.Demand // of the last job that was rejected
@@ -136,6 +138,7 @@
 	}
 	key := c.placeOfNew(j)
 	d.Objective, d.Rate = q.objective(j), max(b.running, b.peak, b.earlierPeak)
+	_, d.Returns = c.admission.promises.Get(c.now.Steady, j.job.ID)
 	d.Arriving = b.arrivals.Before(c.now.Steady, key)
 	for other, work := range b.waiting {
 		if other.Compare(&key) <= 0 {
@@ -188,20 +191,17 @@
 	return false
 }
 
-// accepting counts a job that is accepted.
+// accepting counts a job that is accepted, and keeps the promise to its caller.
 func (c *Cell) accepting(j *jobState) {
 	if j.work > 0 {
 		c.backlogOf(c.queueOf(j).Service).arrivals.Add(c.now.Steady, c.placeOfNew(j), j.work)
 	}
+	c.keepPromise(j)
 }
 
-// overloadRetry returns when the caller of a job that was rejected for overload should
-// come again: when the work that does not fit before the job is done.
-func (c *Cell) overloadRetry() time.Duration { return max(shortRetry, c.admission.rejected.Excess()) }
-
 // addRejectionCost adds to the log line of a rejection what decided it.
 func (c *Cell) addRejectionCost(detail map[string]any, j *job.Job, reason string, after time.Duration) {
-	detail["priority"], detail["retry_after_ms"] = c.queues[j.Queue].Priority, after.Milliseconds()
+	detail["priority"], detail["retry_after_ms"], detail["expected"] = c.queues[j.Queue].Priority, after.Milliseconds(), c.admission.promises.Len()
 	if d := c.admission.rejected; reason == overloadReason {
 		detail["load_percent"], detail["objective_ms"] = int64(100*d.Load()), d.Objective.Milliseconds()
 		detail["ahead_core_s"], detail["arriving_cores"], detail["rate_cores"] = int64(d.Ahead), int64(d.Arriving), int64(d.Rate)
--- a/decision/cell/triage_admission_test.go
+++ b/decision/cell/triage_admission_test.go
@@ -108,8 +108,8 @@
 func TestOverloadRejectsNeitherUrgentNorLongRunningJobs(t *testing.T) {
 	f := overloadedFixture(t)
 	rejected := f.submitOverload("00000000000000c1", "q", false)
-	if rejected.Verdict != NotStored || rejected.Reason != overloadReason || rejected.RetryAfter < time.Second {
-		t.Fatalf("got %+v with a backlog of a hundred jobs, want a rejection", rejected)
+	if rejected.Verdict != NotStored || rejected.Reason != overloadReason || rejected.RetryAfter < time.Second || rejected.RetryAfter%time.Second != 0 {
+		t.Fatalf("got %+v with a backlog of a hundred jobs, want a rejection with whole seconds", rejected)
 	}
 	if r := f.submitOverload("00000000000000c2", "urgent", false); r.Verdict != Accepted {
 		t.Errorf("got %+v for an urgent job, want it accepted: a job of a lower priority runs", r)
@@ -129,17 +129,44 @@
 	}
 }
 
+// Guards against a caller that comes again when it was told to and waits behind callers
+// that came later.
+func TestReturningJobComesBeforeNewerOnes(t *testing.T) {
+	f := newFixture(t, 1)
+	f.cell.settings.TriageByCost = true
+	f.setUpServers()
+	f.handle(StoreHealth{Waiting: time.Second})
+	const returning, newer fleet.JobID = "00000000000000c1", "00000000000000a1"
+	reply := f.submitOverload(returning, "q", false)
+	f.handle(StoreHealth{})
+	f.now += reply.RetryAfter / 2
+	f.submitOverload(newer, "q", false)
+	f.now += reply.RetryAfter / 2
+	f.submitOverload(returning, "q", false)
+	f.handle(ServerListed{Server: testServer("a")})
+	f.answerHolds(nil, nil)
+	f.handle(Tick{})
+	if starts := f.takeStarts(); len(starts) != 1 || starts[0].Task.Job != returning {
+		t.Errorf("got starts %+v, want one of the job that was rejected and came again", starts)
+	}
+}
+
 // Guards against a store that does not answer and makes a cell with a backlog forget or
-// reject accepted jobs.
+// reject accepted jobs, or tell all callers the same time.
 func TestSilentStoreWithBacklog(t *testing.T) {
 	f := overloadedFixture(t)
 	waiting := f.cell.Stats().WaitingTasks
 	f.handle(StoreHealth{Waiting: time.Second})
+	times := map[time.Duration]bool{}
 	for i := range 1000 {
 		r := f.submitOverload(fleet.JobID(fmt.Sprintf("%016x", 0xd0000+i)), "q", false)
 		if r.Verdict != NotStored || r.Reason != "store_silent" {
 			t.Fatalf("got %+v while the store is silent", r)
 		}
+		times[r.RetryAfter] = true
+	}
+	if len(times) < 3 {
+		t.Errorf("1,000 callers were told only %v", times)
 	}
 	if got := f.cell.Stats().WaitingTasks; got != waiting {
 		t.Errorf("%d tasks wait, want the %d from before the outage", got, waiting)
--- a/decision/cell/triage_order.go
+++ b/decision/cell/triage_order.go
@@ -69,6 +69,9 @@
 	if j := s.occurrence.job; !s.spec.LongRunning {
 		worth := c.worthOf(j)
 		w.Worth, w.Left = worth.worth, c.workLeft(s)*worth.perCore
+		if j.firstAt > 0 && j.job.Repeats == 0 {
+			w.ObjectiveAt -= s.occurrence.dueAt - j.firstAt
+		}
 	}
 	return triage.ByCost(w)
 }
