Stop the run whose stop costs its caller least, with TriageByCost

Cause: on a crowded service a long-running task is stopped for any waiting finite task, also for one whose job is of no use any more, and the smallest is chosen whatever its job loses. A long run of a less urgent job is never stopped for an urgent one.

Nothing is stopped for work of no use. Of the runs whose room would let the task start, those of jobs of no use come first, then the less urgent ones, then by the part of the job that the stop costs. A finite run is stopped only if it has 3 s left, and its job is of no use, or is less urgent and has a checkpoint; at most four of a service at a time. The bounds on stops of long-running tasks are as before. Each stop has a log line room_made with both sides' cost.

Ruled out: stops of finite runs with less than 3 s left. A stop, its list and the next start take up to 1.5 s, in which runs of 1 to 3 s return their room too; on the deployments with high load nothing finite is stopped but the runs of longer jobs.

--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -341,4 +341,5 @@
 	NoteTaskWaits          NoteEvent = "task_waits"
 	NoteTaskSuspected      NoteEvent = "task_suspected"
 	NoteTaskGivenUp        NoteEvent = "task_given_up"
+	NoteRoomMade           NoteEvent = "room_made"
 )
--- a/decision/cell/preempt.go
+++ b/decision/cell/preempt.go
@@ -37,13 +37,17 @@
 // crowd is fragmented: there is no room for the larger tasks, however long they
 // wait.
 func (c *Cell) preempt(s *stepState) {
+	if c.settings.TriageByCost {
+		c.preemptByCost(s)
+		return
+	}
 	now := c.now.Steady
 	t := s.tasks[s.waiting[0]]
 	if s.spec.LongRunning || s.spec.BestEffort || s.spec.Gang || c.blocked || now < c.nextPreemption || now < s.nextPreemption ||
 		now-max(c.waitingSince(t), t.notBefore) < preemptAfter || !c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
 		return
 	}
-	c.nextPreemption = now + max(minPreemptInterval, preemptInterval*preemptWorkers/time.Duration(max(preemptWorkers, len(c.sortedWorkers))))
+	c.nextPreemption = now + c.preemptionInterval()
 	victim := c.preemptionVictim(t)
 	if victim == nil || !c.mayPreempt(s, victim) {
 		s.nextPreemption = now + preemptRetry
--- a/decision/cell/triage_admission.go
+++ b/decision/cell/triage_admission.go
@@ -33,6 +33,7 @@
 	arrivals triage.Arrivals
 	running  float64 // cores of the finite runs
 	lowest   int     // priority of the least urgent finite run
+	longRuns bool    // a finite run is expected to go on for long enough to stop it
 	// since is the time from which useful work has waited at each measurement; 0 if
 	// none waits.
 	since time.Duration
@@ -65,7 +66,7 @@
 	a.passes++
 	for _, b := range a.backlogs {
 		clear(b.waiting)
-		b.running, b.lowest = 0, 0
+		b.running, b.lowest, b.longRuns = 0, 0, false
 	}
 	for _, w := range c.sortedWorkers {
 		b := c.backlogOf(w.server.Service)
@@ -73,6 +74,7 @@
 			if spec := r.task.step.spec; !spec.LongRunning {
 				b.running += float64(r.need.MilliCPU) / milliCPUPerCore
 				b.lowest = max(b.lowest, c.queueOf(r.task.step.occurrence.job).Priority)
+				b.longRuns = b.longRuns || spec.Estimate-(now-r.orderedAt) >= triage.MinRemaining
 			}
 		}
 	}
--- a/decision/cell/triage_bench_test.go
+++ b/decision/cell/triage_bench_test.go
@@ -90,3 +90,22 @@
 	b.ReportMetric(float64(least[2])/float64(least[0]), "x-fields")
 	b.ReportMetric(float64(least[2])/float64(least[1]), "x-priority")
 }
+
+// BenchmarkCheapestVictim measures the search for the run whose stop costs least, which
+// is made as often as that of BenchmarkPreemptionVictim.
+func BenchmarkCheapestVictim(b *testing.B) {
+	for _, workers := range []int{66, 350, 1000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := newCrowdedBenchFixture(workers, 1)
+			f.cell.settings.TriageByCost = true
+			f.submit("000000000000b001", benchWaitingStep())
+			s := f.cell.jobs["000000000000b001"].occurrences[0].steps[0]
+			waiting, _ := f.cell.workOfStep(s)
+			for b.Loop() {
+				if victim, _ := f.cell.cheapestVictim(s.tasks[0], waiting); victim == nil {
+					b.Fatal("no long-running task can be stopped")
+				}
+			}
+		})
+	}
+}
--- a/decision/triage/triage.go
+++ b/decision/triage/triage.go
@@ -22,6 +22,9 @@
 	Useless               // neither
 )
 
+// String returns the name of the class in the log.
+func (c Class) String() string { return [...]string{"starving", "in_time", "late", "no_use"}[c] }
+
 // LateFactor is the multiple of its objective after which the completion of a
 // job is of no use to its caller.
 const LateFactor = 3
