Count and log what triage by cost delays, rejects and stops

Cause: the log lines of waits don't show what decided the place of a step, and no metric tells the decisions by cost apart.

Change: lacewingfork_triage_total by action, priority and reason, from the notes of the cell that carry a priority; they do so only with TriageByCost. task_waits carries the class, the worth, the work left and what the next delay costs. The lines stay bounded by maxWaitReports.

Ruled out: a line for each pass or start, which would be one for each of thousands of steps.

A test shows that the lost run of a nearly complete job restarts first, which the order by priority does not do.

--- a/decision/cell/triage_order.go
+++ b/decision/cell/triage_order.go
@@ -83,6 +83,19 @@
 	return s.occurrence.job.work - s.occurrence.doneWork - float64(running)*taskWork(s.spec)
 }
 
+// addDelayCost adds to the log line of a wait what decided the place of the step. The
+// loss is that of the job when it falls into the next class.
+func (c *Cell) addDelayCost(detail map[string]any, s *stepState) {
+	w, _ := c.workOfStep(s)
+	detail["priority"], detail["class"] = w.Priority, w.Class.String()
+	if s.spec.LongRunning {
+		return
+	}
+	worth := c.worthOf(s.occurrence.job)
+	detail["worth_permille"], detail["left_permille"] = int64(1000*worth.worth), int64(1000*c.workLeft(s)*worth.perCore)
+	detail["loss_permille"] = int64(1000 * triage.LossOfDelay(worth.worth, w.Class, min(w.Class+1, triage.Useless)))
+}
+
 const (
 	// starveAfter is how long a step waits after its job has become of no use, or a
 	// step with new long-running tasks on a crowded service from the start, until it
--- a/decision/cell/triage_order_test.go
+++ b/decision/cell/triage_order_test.go
@@ -172,3 +172,37 @@
 		t.Errorf("got starts of %v after the takeover, want %v: one that has starved, then one that is nearly complete", started, want)
 	}
 }
+
+// Guards against a lost run of a nearly complete job that waits behind jobs that have
+// just begun: its caller would lose the work of all its other tasks.
+func TestLostRunOfNearlyCompleteJobRestartsFirst(t *testing.T) {
+	const nearly, fresh fleet.JobID = "00000000000000b2", "00000000000000a1"
+	for _, byCost := range []bool{false, true} {
+		f := newFixture(t, 1)
+		f.cell.settings.TriageByCost = byCost
+		f.setUpServers(testServer("a"))
+		f.handle(QueuesChanged{Queues: []QueueSettings{{Name: "q", Service: "s", Priority: 2, SlackFactor: 2, TargetLatency: time.Second}}})
+		step := oneTaskStep()
+		step.Count = 8
+		f.submit(nearly, step)
+		var last Start
+		for n := int64(1); n <= 8; n++ {
+			starts := f.takeStarts()
+			if len(starts) != 1 {
+				t.Fatalf("got starts %+v, want one", starts)
+			}
+			last = starts[0]
+			f.acceptStart(last)
+			end := job.EndDone
+			if n == 8 { // the last run fails
+				end = job.EndFailed
+				f.submit(fresh, step)
+				f.cell.jobs[fresh].occurrences[0].dueAt -= time.Second // its objective is earlier
+			}
+			f.answerHolds(nil, map[fleet.BackendServerID][]FinishedRow{"a": {{Number: n, Task: last.Task, Attempt: last.Attempt, End: end}}})
+		}
+		if starts := f.takeStarts(); len(starts) != 1 || (starts[0].Task == last.Task) != byCost {
+			t.Errorf("by cost %v: got starts %+v after the loss of %v", byCost, starts, last.Task)
+		}
+	}
+}
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -104,6 +104,9 @@
 			detail["workers_"+obstacleNames[o]] = count
 		}
 	}
+	if c.settings.TriageByCost {
+		c.addDelayCost(detail, s)
+	}
 	detail["capacity_milli_cpu"], detail["long_running_milli_cpu"], detail["other_milli_cpu"] = u.capacity.MilliCPU, u.longRunningCPU, u.otherCPU
 	detail["capacity_mib"], detail["best_effort_mib"] = u.capacity.MemoryMiB, u.bestEffortMiB
 	c.emit(Note{Event: NoteTaskWaits, Job: j.job.ID, Task: t.ref().String(), Detail: detail})
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -1,6 +1,8 @@
 package holder
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"lacewingfork.example/lacewingfork/decision/cell"
@@ -15,6 +17,7 @@
 	taskWaitSeconds prometheus.Histogram
 	jobSeconds      prometheus.Histogram
 	taskWaits       *prometheus.CounterVec
+	triage          *prometheus.CounterVec
 	takeovers       prometheus.Counter
 	unreadResponses prometheus.Counter
 	lag             prometheus.Gauge
@@ -38,6 +41,9 @@
 		taskWaits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingfork_task_waits_total", Help: "Logged waits of tasks for a start, by reason.",
 		}, []string{"reason"}),
+		triage: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingfork_triage_total", Help: "Jobs rejected, runs stopped for others and logged waits with triage by cost, by priority of the queue and reason.",
+		}, []string{"action", "priority", "reason"}),
 		jobSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lacewingfork_job_seconds", Help: "Time from a job's arrival to its final state.", Buckets: seconds,
 		}),
@@ -51,7 +57,7 @@
 	m.lag = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "lacewingfork_holder_lag_seconds", Help: "Longest time that an answer of a worker has waited for the holder since its last tick.",
 	})
-	registry.MustRegister(m.lag, m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.jobSeconds, m.takeovers, m.unreadResponses)
+	registry.MustRegister(m.lag, m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.triage, m.jobSeconds, m.takeovers, m.unreadResponses)
 	return m
 }
 
@@ -79,11 +85,25 @@
 		if reason, ok := n.Detail["reason"].(string); ok {
 			m.taskWaits.WithLabelValues(reason).Inc()
 		}
+		m.observeTriage("delayed", n)
+	case cell.NoteRejected:
+		m.observeTriage("rejected", n)
+	case cell.NoteRoomMade:
+		m.observeTriage("stopped", n)
 	case cell.NoteJobEnded:
 		observe(m.jobSeconds, n, "after_ms", 1e3)
 	}
 }
 
+// observeTriage counts a decision by cost. Notes have a priority only with triage by
+// cost.
+func (m *metrics) observeTriage(action string, n cell.Note) {
+	priority, byCost := n.Detail["priority"].(int)
+	if reason, ok := n.Detail["reason"].(string); ok && byCost {
+		m.triage.WithLabelValues(action, strconv.Itoa(priority), reason).Inc()
+	}
+}
+
 // observe adds the note's value under key, converted to seconds.
 func observe(h prometheus.Histogram, n cell.Note, key string, unitsPerSecond float64) {
 	if value, ok := n.Detail[key].(int64); ok {
