Compare the order without triage by cost with the former one in random cells

Cause: the comparison of the passes covers the order only as far as it changes a start; the large jobs of the most urgent kind had no test with the switch on.

Change: each step of the random histories sorts the waiting steps by the former comparison of fields and by the shared keys. The simulations of large urgent jobs are played with triage by cost too.

Ruled out: nothing.

--- a/decision/cell/crowded_sim_test.go
+++ b/decision/cell/crowded_sim_test.go
@@ -69,10 +69,11 @@
 // playCrowdedServices plays a service for each of a number of seeds and returns the
 // finite jobs in the order of their work. longRunningShare and finiteShare are what
 // the tasks of each kind need, relative to the capacity.
-func playCrowdedServices(t *testing.T, seeds uint64, longRunningShare, finiteShare float64) []*crowdedJob {
+func playCrowdedServices(t *testing.T, seeds uint64, longRunningShare, finiteShare float64, byCost bool) []*crowdedJob {
 	var jobs []*crowdedJob
 	for seed := range seeds {
 		s := newCrowdedService(t, seed, longRunningShare)
+		s.cell.settings.TriageByCost = byCost
 		s.run(500 * time.Millisecond)
 		s.replaceLongRunning()
 		s.run(5 * time.Second)
--- a/decision/cell/crowded_test.go
+++ b/decision/cell/crowded_test.go
@@ -11,12 +11,12 @@
 
 // Guards against serving the largest jobs less than half as often as all (SHORT).
 func TestLargeJobsAreServedBesideLongRunningTasks(t *testing.T) {
-	checkLargeJobsAreServed(t, playCrowdedServices(t, 8, 1.05, 0.04))
+	checkLargeJobsAreServed(t, playCrowdedServices(t, 8, 1.05, 0.04, false))
 }
 
 // Guards against large jobs that expire because jobs that have expired come first.
 func TestLargeJobsAreServedUnderOverload(t *testing.T) {
-	checkLargeJobsAreServed(t, playCrowdedServices(t, 1, 0, 1.7))
+	checkLargeJobsAreServed(t, playCrowdedServices(t, 1, 0, 1.7, false))
 }
 
 // checkLargeJobsAreServed requires that the largest tenth of the jobs and the fifth
--- a/decision/cell/equivalence_test.go
+++ b/decision/cell/equivalence_test.go
@@ -39,6 +39,9 @@
 		if t.Failed() {
 			t.Fatalf("seed %d, at %v", seed, h.now)
 		}
+		if !byCost && h.reordered == 0 {
+			t.Errorf("seed %d: no order was compared", seed)
+		}
 		all.add(h)
 	}
 	t.Logf("%+v", all)
@@ -77,6 +80,7 @@
 	finished  map[fleet.BackendServerID][]FinishedRow
 	ends      map[fleet.BackendServerID]int64
 	jobs      []fleet.JobID
+	reordered int // steps whose order was compared
 }
 
 func newHistory(t *testing.T, seed uint64, byCost bool) *history {
@@ -155,6 +159,7 @@
 	h.answerOrders()
 	h.answerAllHolds()
 	h.checkWorkDone()
+	h.checkOrder()
 	for _, n := range takeActions[Note](h.fixture) {
 		if n.Event == NoteStopOrdered && n.Detail["reason"] == "makes_room" {
 			h.Preempted++
--- a/decision/cell/triage_order_test.go
+++ b/decision/cell/triage_order_test.go
@@ -27,6 +27,23 @@
 	}
 }
 
+// checkOrder compares the order of the waiting steps without triage by cost with the
+// former comparison of the fields.
+func (h *history) checkOrder() {
+	c := h.cell
+	if c.settings.TriageByCost {
+		return
+	}
+	want := slices.Clone(c.ready)
+	c.crowdingMeasured = false
+	slices.SortStableFunc(want, c.referenceOrder)
+	h.reordered += len(want)
+	c.orderSteps()
+	if !slices.Equal(c.ready, want) {
+		h.t.Errorf("at %v: %d steps are not in the former order", h.now, len(want))
+	}
+}
+
 // overloads are shares of the capacity that short and batch jobs need together, before
 // and during a burst.
 var overloads = []struct{ short, batch, burst float64 }{{0.2, 1.5, 1.5}, {0.8, 0.4, 1}}
@@ -66,6 +83,13 @@
 	}
 }
 
+// Guards against triage by cost that serves the largest urgent jobs less than half as
+// often as all (SHORT), beside long-running tasks and under overload.
+func TestLargeUrgentJobsAreServedByCost(t *testing.T) {
+	checkLargeJobsAreServed(t, playCrowdedServices(t, 8, 1.05, 0.04, true))
+	checkLargeJobsAreServed(t, playCrowdedServices(t, 1, 0, 1.7, true))
+}
+
 // starvingFixture has one server, which a stream of jobs in time takes, and a job that
 // has been of no use since it was accepted.
 type starvingFixture struct {
