--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -110,6 +110,7 @@
 	unevenNotedAt     time.Duration
 	nextPass          time.Duration // no scheduling pass before
 	triage            triageState
+	admission         admission
 
 	interference           *interferenceModel
 	interferenceRecordedAt time.Duration // time of the last record of the model
@@ -315,6 +316,9 @@
 		c.openDueOccurrences(j)
 		c.removeFinished(j)
 	}
+	if c.settings.TriageByCost {
+		c.measureBacklogs()
+	}
 	c.needsScheduling = true
 }
 
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -361,4 +361,5 @@
 	NoteEvacuationUnknown   NoteEvent = "evacuation_unknown_data_centre"
 	NoteUnevenDemand        NoteEvent = "uneven_demand"
 	NoteRegionUnknown       NoteEvent = "region_unknown"
+	NoteRoomMade            NoteEvent = "room_made"
 )
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -34,6 +34,9 @@
 	nextDue      int          // first occurrence that has not been opened yet
 	work         float64      // of one occurrence, in core-seconds
 	worth        jobWorth     // only with TriageByCost
+	// firstAt is the first submission of a job that was rejected and came again when
+	// its caller was told to; 0 for any other.
+	firstAt time.Duration
 }
 
 // occurrence is one pass through the steps of a job.
@@ -46,7 +49,8 @@
 	steps        []*stepState
 	pendingSteps int // steps that are not done yet
 	// doneWork is the work of the tasks that are done, in core-seconds.
-	doneWork float64
+	doneWork  float64
+	countedIn uint64 // measurement of the backlogs that has counted it
 }
 
 // stepState is one step of an occurrence.
@@ -168,21 +172,24 @@
 		c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NoSuchQueue}})
 		return
 	}
-	if reason := c.rejectionReason(); reason != "" {
-		c.reject(e, reason)
-		return
-	}
 	j := &jobState{
 		job: e.Job, criticalPathTimes: criticalPathTimesOf(&e.Job), work: workOf(&e.Job), acceptedAt: c.now.Steady, acceptedWall: c.now.Wall, submitTokens: []Token{e.Token},
 		occurrences: map[int]*occurrence{}, completed: map[int]bool{},
 	}
+	if reason := c.rejectionReason(j); reason != "" {
+		c.reject(e, reason)
+		return
+	}
+	if c.settings.TriageByCost {
+		c.accepting(j)
+	}
 	c.jobs[e.Job.ID] = j
 	c.nextBatch.jobs = append(c.nextBatch.jobs, j)
 }
 
-// rejectionReason returns the reason why no further job is accepted now, or an
-// empty string.
-func (c *Cell) rejectionReason() string {
+// rejectionReason returns the reason why a job is not accepted now, or an empty
+// string.
+func (c *Cell) rejectionReason(j *jobState) string {
 	switch {
 	case !c.authority:
 		return "holder_unconfirmed"
@@ -190,16 +197,22 @@
 		return "store_silent"
 	case len(c.jobs) >= maxJobs:
 		return "cell_full"
+	case c.settings.TriageByCost && !c.admits(j):
+		return overloadReason
 	default:
 		return ""
 	}
 }
 
 func (c *Cell) reject(e Submitted, reason string) {
-	c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NotStored, RetryAfter: c.retryAfter(), Reason: reason}})
-	c.emit(Note{Event: NoteRejected, Job: e.Job.ID, Detail: map[string]any{
-		"reason": reason, "store_waiting_ms": c.storeWait.Milliseconds(), "jobs": len(c.jobs),
-	}})
+	after := c.retryAfter()
+	detail := map[string]any{"reason": reason, "store_waiting_ms": c.storeWait.Milliseconds(), "jobs": len(c.jobs)}
+	if c.settings.TriageByCost {
+		after = c.retryTime(&e.Job, reason)
+		c.addRejectionCost(detail, &e.Job, reason, after)
+	}
+	c.emit(Reply{Token: e.Token, Reply: JobReply{Verdict: NotStored, RetryAfter: after, Reason: reason}})
+	c.emit(Note{Event: NoteRejected, Job: e.Job.ID, Detail: detail})
 }
 
 // rejectUnstored rejects jobs that are neither stored nor in flight to the
--- a/decision/cell/triage_order_test.go
+++ b/decision/cell/triage_order_test.go
@@ -27,6 +27,23 @@
 	}
 }
 
+// checkOrder compares the order of the waiting steps without triage by cost with the
+// former comparison of the fields.
+func (h *history) checkOrder() {
+	c := h.cell
+	if c.settings.TriageByCost {
+		return
+	}
+	want := slices.Clone(c.ready)
+	c.crowdingMeasured = false
+	slices.SortStableFunc(want, c.referenceOrder)
+	h.reordered += len(want)
+	c.orderSteps()
+	if !slices.Equal(c.ready, want) {
+		h.t.Errorf("at %v: %d steps are not in the former order", h.now, len(want))
+	}
+}
+
 // overloads are shares of the capacity that short and batch jobs need together, before
 // and during a burst.
 var overloads = []struct{ short, batch, burst float64 }{{0.2, 1.5, 1.5}, {0.8, 0.4, 1}}
@@ -66,6 +83,13 @@
 	}
 }
 
+// Guards against triage by cost that serves the largest urgent jobs less than half as
+// often as all (SHORT), beside long-running tasks and under overload.
+func TestLargeUrgentJobsAreServedByCost(t *testing.T) {
+	checkLargeJobsAreServed(t, playCrowdedServices(t, 8, 1.05, 0.04, true))
+	checkLargeJobsAreServed(t, playCrowdedServices(t, 1, 0, 1.7, true))
+}
+
 // starvingFixture has one server, which a stream of jobs in time takes, and a job that
 // has been of no use since it was accepted.
 type starvingFixture struct {
@@ -172,3 +196,37 @@
 		t.Errorf("got starts of %v after the takeover, want %v: one that has starved, then one that is nearly complete", started, want)
 	}
 }
+
+// Guards against a lost run of a nearly complete job that waits behind jobs that have
+// just begun: its caller would lose the work of all its other tasks.
+func TestLostRunOfNearlyCompleteJobRestartsFirst(t *testing.T) {
+	const nearly, fresh fleet.JobID = "00000000000000b2", "00000000000000a1"
+	for _, byCost := range []bool{false, true} {
+		f := newFixture(t, 1)
+		f.cell.settings.TriageByCost = byCost
+		f.setUpServers(testServer("a"))
+		f.handle(QueuesChanged{Queues: []QueueSettings{{Name: "q", Service: "s", Priority: 2, SlackFactor: 2, TargetLatency: time.Second}}})
+		step := oneTaskStep()
+		step.Count = 8
+		f.submit(nearly, step)
+		var last Start
+		for n := int64(1); n <= 8; n++ {
+			starts := f.takeStarts()
+			if len(starts) != 1 {
+				t.Fatalf("got starts %+v, want one", starts)
+			}
+			last = starts[0]
+			f.acceptStart(last)
+			end := job.EndDone
+			if n == 8 { // the last run fails
+				end = job.EndFailed
+				f.submit(fresh, step)
+				f.cell.jobs[fresh].occurrences[0].dueAt -= time.Second // its objective is earlier
+			}
+			f.answerHolds(nil, map[fleet.BackendServerID][]FinishedRow{"a": {{Number: n, Task: last.Task, Attempt: last.Attempt, End: end}}})
+		}
+		if starts := f.takeStarts(); len(starts) != 1 || (starts[0].Task == last.Task) != byCost {
+			t.Errorf("by cost %v: got starts %+v after the loss of %v", byCost, starts, last.Task)
+		}
+	}
+}
