Bound the cost of planned racks and of the search for copies

Each pass planned the wanted racks anew and asked for room for each task: 0.95 ms a pass with 319 tasks that wait for one rack, at 350 workers. The search for copies rated all workers for each candidate: 4.5 ms at 350 workers with the runs of BenchmarkTasksThatAwaitRack past their estimate.

A plan is now used for 20 ms, the tasks of a step ask for room once a pass, and a rack is marked as wanted at its workers instead of in a map. A task whose rack has room is placed without rating the others: each of these costs at least the distance to the data. A search for copies tries four candidates.

--- a/decision/cell/candidates.go
+++ b/decision/cell/candidates.go
@@ -49,6 +49,9 @@
 		if c.exceedsRoom(t.step) {
 			return nil, 0
 		}
+		if w, cost := c.chooseInRack(t); w != nil {
+			return w, cost
+		}
 		c.collect(found, t)
 	}
 	w, cost := c.best(found, t)
--- a/decision/cell/copies.go
+++ b/decision/cell/copies.go
@@ -31,6 +31,9 @@
 	// ones only if at least a copyWinShare of them were done first.
 	copyTrials   = 8
 	copyWinShare = 0.25
+	// maxCopySearches bounds the searches for a server at a time: each rates every
+	// worker.
+	maxCopySearches = 4
 )
 
 // copyCandidate is a run that may be worth a copy, with its expected rest.
@@ -52,12 +55,14 @@
 		return
 	}
 	short := c.servicesShortOfRoom()
+	searches := min(allowed, maxCopySearches)
 	for _, candidate := range candidates {
-		if allowed <= 0 || c.startsExhausted() {
+		if searches <= 0 || c.startsExhausted() {
 			return
 		}
-		if !short[candidate.run.worker.server.Service] && c.startCopy(candidate) {
-			allowed--
+		if !short[candidate.run.worker.server.Service] {
+			searches--
+			c.startCopy(candidate)
 		}
 	}
 }
@@ -131,26 +136,25 @@
 
 // startCopy starts a second run of a task on another server if it is worth its time
 // there.
-func (c *Cell) startCopy(candidate copyCandidate) bool {
+func (c *Cell) startCopy(candidate copyCandidate) {
 	old, t := candidate.run, candidate.run.task
 	avoided := t.avoid
 	t.avoid = append(slices.Clone(avoided), old.worker.server.ID)
 	w, cost := c.choose(t)
 	t.avoid = avoided
 	if w == nil || w == old.worker || t.step.spec.BestEffort && c.interferes(w, t, cost) {
-		return false
+		return
 	}
 	gain := copyGain
 	if c.highlyUtilized(w.server.Service) {
 		gain = busyCopyGain
 	}
 	if !worthCopy(candidate.rest, c.expectedRunTime(w, t), gain) {
-		return false
+		return
 	}
 	t.copies++
 	c.uneven.Copies++
 	c.startRun(t, w)
-	return true
 }
 
 // copyEnded counts a task of which a copy was started by the run that was done first.
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -66,6 +66,7 @@
 	nextWaitReport  time.Duration
 	waitReportSince time.Duration
 	nextPreemption  time.Duration // no search for a task to preempt for it before
+	rackFullIn      uint64        // last scheduling pass in which the rack of its data had no room
 }
 
 // task is one task of a step.
@@ -90,7 +91,8 @@
 	// awaitsRack means that it waits for the rack of its data since the last pass, and
 	// hasAwaitedRack that it has done so before.
 	awaitsRack, hasAwaitedRack bool
-	copies                     int // second runs started
+	rackPlanning               uint64 // plan in which it has claimed room
+	copies                     int    // second runs started
 }
 
 func (t *task) ref() job.TaskRef {
--- a/decision/cell/racks.go
+++ b/decision/cell/racks.go
@@ -19,10 +19,12 @@
 type racks struct {
 	members map[rackKey][]*worker // in the order of identifiers; nil if it has to be computed again
 	plans   map[rackKey][]plannedWorker
-	busy    map[fleet.Service]bool // result of highlyUtilized in the present pass
-	// wantedUntil is the time until which tasks without data in a rack prefer others.
-	wantedUntil map[rackKey]time.Duration
-	waiting     int // tasks that wait for their rack since the last pass
+	busy    map[fleet.Service]bool // result of highlyUtilized, as old as the plans
+	// plannedAt is when the plans were begun, and planning counts them. pass counts the
+	// scheduling passes.
+	plannedAt      time.Duration
+	planning, pass uint64
+	waiting        int // tasks that wait for their rack since the last pass
 }
 
 // plannedWorker is a worker of a rack with the room that it has now, and the room
@@ -50,17 +52,20 @@
 	// rackWaitMargin stretches an expected wait: a prediction that is as often too
 	// short as too long costs a waiting task more than it gains.
 	rackWaitMargin = 1.25
+	// planTime is how long a plan is used. Many passes may follow each other within it,
+	// and hundreds of tasks may wait for one rack.
+	planTime = 20 * time.Millisecond
 )
 
-// beginPass drops what holds for one scheduling pass.
+// beginPass begins a scheduling pass, and drops plans that are too old.
 func (k *racks) beginPass(now time.Duration) {
+	k.pass++
 	k.waiting = 0
-	clear(k.plans)
-	clear(k.busy)
-	for key, until := range k.wantedUntil {
-		if now >= until {
-			delete(k.wantedUntil, key)
-		}
+	if now-k.plannedAt >= planTime {
+		k.plannedAt = now
+		k.planning++
+		clear(k.plans)
+		clear(k.busy)
 	}
 }
 
@@ -71,6 +76,7 @@
 // a run outside the rack occupies RemoteFactor times as much processor time, which
 // other tasks wait for.
 func (c *Cell) awaitsRack(t *task) bool {
+	awaited := t.awaitsRack && t.rackPlanning == c.racks.planning
 	t.awaitsRack = false
 	s := t.step.spec
 	if !c.settings.UnevenDemand || s.DataRack == "" || s.LongRunning || s.BestEffort || s.Estimate <= 0 || c.settings.RemoteFactor <= 1 {
@@ -80,7 +86,12 @@
 	if len(c.rackMembers(key)) == 0 || c.rackHasRoom(key, t) {
 		return false
 	}
-	c.racks.want(key, c.now.Steady)
+	if awaited { // it has claimed room in the plan
+		t.awaitsRack = true
+		c.racks.waiting++
+		return true
+	}
+	c.wantRack(key)
 	plan := c.rackPlan(key)
 	at, wait := earliestRoom(plan, c, t)
 	if at < 0 || !c.worthWaiting(t, wait) {
@@ -92,7 +103,7 @@
 		t.hasAwaitedRack = true
 		c.uneven.RackWaits++
 	}
-	t.awaitsRack = true
+	t.awaitsRack, t.rackPlanning = true, c.racks.planning
 	return true
 }
 
@@ -110,16 +121,45 @@
 }
 
 // rackHasRoom reports whether a worker of a rack can run a task now, and the task has
-// no reason to avoid it.
+// no reason to avoid it. Where one task of a step has no room in a pass, the others have
+// none.
 func (c *Cell) rackHasRoom(key rackKey, t *task) bool {
+	alike := len(t.avoid) == 0 && !t.isSuspect()
+	if alike && t.step.rackFullIn == c.racks.pass {
+		return false
+	}
 	for _, w := range c.rackMembers(key) {
 		if c.feasible(w, t) && !slices.Contains(t.avoid, w.server.ID) {
 			return true
 		}
 	}
+	if alike {
+		t.step.rackFullIn = c.racks.pass
+	}
 	return false
 }
 
+// chooseInRack returns what choose does if that is a worker in the rack of the task's
+// data, without rating the others: each of these costs at least the distance. It returns
+// nil if another worker may cost less.
+func (c *Cell) chooseInRack(t *task) (best *worker, bestCost float64) {
+	s := t.step.spec
+	if !c.settings.UnevenDemand || s.DataRack == "" || s.LongRunning || s.BestEffort {
+		return nil, 0
+	}
+	queue := c.queueOf(t.step.occurrence.job)
+	bestCost = costRemote * (c.settings.RemoteFactor - 1)
+	for _, w := range c.rackMembers(rackKey{queue.Service, s.DataRack}) {
+		if !c.canRunFrom(queue, w, t) {
+			continue
+		}
+		if cost := c.cost(w, t); cost < bestCost {
+			best, bestCost = w, cost
+		}
+	}
+	return best, bestCost
+}
+
 // rackMembers returns the workers of a rack.
 func (c *Cell) rackMembers(key rackKey) []*worker {
 	if c.racks.members == nil {
@@ -134,7 +174,7 @@
 	return c.racks.members[key]
 }
 
-// rackPlan returns the plan of a rack for the present pass. Workers that can run no
+// rackPlan returns the present plan of a rack. Workers that can run no
 // task now have no part in it, so no task waits for a rack that is lost.
 func (c *Cell) rackPlan(key rackKey) []plannedWorker {
 	if plan, known := c.racks.plans[key]; known {
@@ -224,12 +264,11 @@
 	}
 }
 
-// want notes that a task has found no room in the rack of its data.
-func (k *racks) want(key rackKey, now time.Duration) {
-	if k.wantedUntil == nil {
-		k.wantedUntil = map[rackKey]time.Duration{}
+// wantRack notes that a task has found no room in the rack of its data.
+func (c *Cell) wantRack(key rackKey) {
+	for _, w := range c.rackMembers(key) {
+		w.rackWantedUntil = c.now.Steady + wantedTime
 	}
-	k.wantedUntil[key] = now + wantedTime
 }
 
 // highlyUtilized reports whether the runs use most of the processors of a service. The
@@ -247,30 +286,21 @@
 }
 
 // rackCost returns the cost of the distance between a task and its data, and that of a
-// server whose rack holds the data of others.
+// server whose rack holds the data of others. Long-running tasks outlast the demand for
+// a rack.
 func (c *Cell) rackCost(w *worker, t *task) float64 {
 	s := t.step.spec
-	rack := w.server.Rack()
-	if s.DataRack != "" && rack != s.DataRack {
-		cost := costRemote * (c.settings.RemoteFactor - 1)
-		return cost + c.wantedCost(w, s.LongRunning)
-	}
-	if s.DataRack == "" {
-		return c.wantedCost(w, s.LongRunning)
-	}
-	return 0
-}
-
-// wantedCost returns the cost of a server for a task whose data is not in its rack.
-// Long-running tasks outlast the demand for a rack.
-func (c *Cell) wantedCost(w *worker, longRunning bool) float64 {
-	if longRunning || len(c.racks.wantedUntil) == 0 {
-		return 0
+	cost := 0.0
+	if s.DataRack != "" {
+		if w.server.Rack() == s.DataRack {
+			return 0
+		}
+		cost = costRemote * (c.settings.RemoteFactor - 1)
 	}
-	if c.now.Steady < c.racks.wantedUntil[rackKey{w.server.Service, w.server.Rack()}] {
-		return costWanted
+	if c.now.Steady < w.rackWantedUntil && !s.LongRunning {
+		cost += costWanted
 	}
-	return 0
+	return cost
 }
 
 // interferes reports whether the cost of the best worker for a best-effort task shows
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -83,7 +83,8 @@
 	answers           answers
 	dataCentre        *dataCentre
 	cold              coldness
-	region            fleet.Region // empty if the region of its data centre is not known
+	rackWantedUntil   time.Duration // tasks without data in its rack prefer others until then
+	region            fleet.Region  // empty if the region of its data centre is not known
 	throttling        throttling
 	suspectRuns       int          // runs of tasks that may crash it
 	lastCrash         *crash       // nil if none was observed
