Leave larger servers to the tasks that fit only there

Best fit by free cores put small tasks on a large server that was fuller than the small ones, so that tasks which fit only on the large ones waited for them.

A server larger than the smallest one that a task fits on now costs in proportion, for finite tasks always and for long-running ones for a minute after a step that fits only there has been seen; otherwise their packing by images stays as it is.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -101,6 +101,7 @@
 	ratedBuffer       ratedWorkers      // reused by the searches of a pass
 	interferenceWaits map[fleet.Service]interferenceWait
 	racks             racks
+	sizes             sizes
 	runTimes          map[runKind]*runTimes
 	copiesSearchedAt  time.Duration
 	uneven            unevenCounts // since the last note
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -66,7 +66,8 @@
 	nextWaitReport  time.Duration
 	waitReportSince time.Duration
 	nextPreemption  time.Duration // no search for a task to preempt for it before
-	rackFullIn      uint64        // last scheduling pass in which the rack of its data had no room
+	fit             sizeFit
+	rackFullIn      uint64 // last scheduling pass in which the rack of its data had no room
 }
 
 // task is one task of a step.
--- a/decision/cell/steps.go
+++ b/decision/cell/steps.go
@@ -81,6 +81,7 @@
 func (c *Cell) enqueue(s *stepState) {
 	if len(s.waiting) > 0 && !s.inReady {
 		s.inReady = true
+		c.wantSize(s)
 		c.ready = append(c.ready, s)
 	}
 	c.needsScheduling = true
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -141,6 +141,7 @@
 		c.emit(Note{Event: NoteWorkerListed, Server: s.ID, Detail: map[string]any{"draining": true}})
 	}
 	c.listCold(w, s)
+	c.sizes.listed(w, s)
 	w.server, w.listed, w.dataCentre, w.region = s, true, c.dataCentreOf(s.DataCentre), c.settings.Regions[s.DataCentre]
 	c.racks.members = nil
 	if s.Draining {
