--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -76,6 +76,8 @@
 	nextPreemption  time.Duration // no search for a task to preempt for it before
 	starvingAt      time.Duration // of its last turn as a starving step
 	nextMigration   time.Duration // no search for a place of a task to be moved before
+	fit             sizeFit
+	rackFullIn      uint64 // last scheduling pass in which the rack of its data had no room
 }
 
 // task is one task of a step.
@@ -102,6 +104,7 @@
 	awaitsRack, hasAwaitedRack bool
 	copies                     int          // second runs started
 	reservation                *reservation // its next place while it is moved off an evacuated data centre; nil if none
+	rackPlanning               uint64       // plan in which it has claimed room
 }
 
 func (t *task) ref() job.TaskRef {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -96,6 +96,7 @@
 	region            fleet.Region    // empty if the region of its data centre is not known
 	reserved          fleet.Resources // of reservations, for tasks that are being moved
 	reservations      []*reservation
+	rackWantedUntil   time.Duration // tasks without data in its rack prefer others until then
 	throttling        throttling
 	suspectRuns       int          // runs of tasks that may crash it
 	lastCrash         *crash       // nil if none was observed
@@ -152,6 +153,7 @@
 		c.emit(Note{Event: NoteWorkerListed, Server: s.ID, Detail: map[string]any{"draining": true}})
 	}
 	c.listCold(w, s)
+	c.sizes.listed(w, s)
 	w.server, w.listed, w.dataCentre, w.region = s, true, c.dataCentreOf(s.DataCentre), c.settings.Regions[s.DataCentre]
 	c.racks.members = nil
 	if s.Draining {
