Model: evacuations beside takeovers, partitions and suspended holders

TestModelEvacuations plays 80 seeds of 60 s with four data centres, requests and withdrawals, long-running and checkpointing tasks that are moved, and the faults of TestModel, and checks EVACUATED beside the other guarantees. It draws nothing in the other scenarios, whose seeds keep their meaning.

--- a/decision/cell/model_test.go
+++ b/decision/cell/model_test.go
@@ -32,6 +32,7 @@
 	acknowledgedDone map[job.TaskRef]bool // tasks whose end as done was acknowledged
 	failedRuns       map[job.TaskRef]int  // acknowledged failed runs by task
 	crashes          modelCrashes
+	evacuations      modelEvacuations
 }
 
 // modelFaults are the probabilities of faults that affect single calls and jobs.
@@ -72,6 +73,7 @@
 	voidThrough         int64               // highest end listed before the last lease expiry; up to here ends do not count
 	refusedAttempts     map[job.TaskRef]int // highest attempt that was stopped or has ended, by task
 	capacity            fleet.Resources
+	dataCentre          fleet.DataCentre
 	region              *modelRegion // nil unless the scenario has regions
 	draining            bool
 	capacityChanges     []capacityChange
@@ -186,6 +188,9 @@
 	h := &modelHolder{m: m, epoch: m.epoch, alive: true, confirmedAt: m.now, hasAuthority: true, tokens: map[Token]fleet.JobID{}}
 	settings := DefaultSettings()
 	settings.StatusRetention = time.Hour
+	if m.evacuations != nil {
+		settings.MaxEvacuationAge = testMaxAge
+	}
 	h.cell = New(settings, m.epoch)
 	var records []Record
 	for _, key := range slices.Sorted(maps.Keys(m.records)) {
--- a/decision/cell/model_worker_test.go
+++ b/decision/cell/model_worker_test.go
@@ -35,7 +35,7 @@
 
 // server returns the entry of the worker in the server list.
 func (w *modelWorker) server() Server {
-	s := Server{ID: w.id, Address: string(w.id), Service: "service", Capacity: w.capacity, Incarnation: w.incarnation, Labels: []string{"a", "r1"}, Draining: w.draining}
+	s := Server{ID: w.id, Address: string(w.id), Service: "service", Capacity: w.capacity, Incarnation: w.incarnation, Labels: []string{"a", "r1"}, Draining: w.draining, DataCentre: w.dataCentre}
 	if w.region != nil {
 		s.DataCentre = w.region.name
 	}
@@ -178,6 +178,7 @@
 	if m.failedRuns[s.Task] >= m.queue.MaxAttempts && !step.LongRunning {
 		m.reportf("BUDGET: %s is started after %d failed runs", s.Task, m.failedRuns[s.Task])
 	}
+	m.checkEvacuation(w, s, ordered)
 	// The bound does not count for orders that a worker carries out late.
 	if j.cancelled > 0 && ordered > j.cancelled+3*time.Second {
 		m.reportf("UNASKED: %s is started %v after its cancellation", s.Task, ordered-j.cancelled)
