Keep the check of a worker as cheap as before without evacuations

The room of a worker subtracts reservations only if it has some, and the cold share is looked at only in reopened data centres.

--- a/decision/cell/reopening.go
+++ b/decision/cell/reopening.go
@@ -14,7 +14,7 @@
 // it takes while it is cold. A server without work always takes a task.
 func (c *Cell) coldShareUsed(w *worker) bool {
 	reopened, warm := w.dataCentre.reopenedAt, w.coldUntil
-	if reopened == 0 || c.now.Steady >= warm || warm <= reopened {
+	if c.now.Steady >= warm || warm <= reopened {
 		return false
 	}
 	share := max(minColdShare, float64(c.now.Steady-reopened)/float64(warm-reopened))
--- a/decision/cell/room.go
+++ b/decision/cell/room.go
@@ -147,7 +147,11 @@
 
 // free returns the capacity left on the worker.
 func (w *worker) free() fleet.Resources {
-	return w.server.Capacity.Sub(w.used).Sub(w.orphanResources).Sub(w.reserved)
+	free := w.server.Capacity.Sub(w.used).Sub(w.orphanResources)
+	if len(w.reservations) > 0 {
+		free = free.Sub(w.reserved)
+	}
+	return free
 }
 
 // countedNeed returns the resources that a task of a step needs to have left on its
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -229,7 +229,7 @@
 		return obstacleMissedTarget // of a serving task there
 	case w.unknownOrphan:
 		return obstacleOrphan
-	case c.coldShareUsed(w):
+	case w.dataCentre.reopenedAt != 0 && c.coldShareUsed(w):
 		return obstacleCold
 	default:
 		return obstacleNone
