--- a/decision/cell/evacuation.go
+++ b/decision/cell/evacuation.go
@@ -8,6 +8,25 @@
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
+// EvacuationsChanged is the event that reports the data centres whose evacuation
+// operators request, as a read showed them that began at ReadAt. Unavailable means
+// instead that the store did not answer this read and the one before.
+type EvacuationsChanged struct {
+	DataCentres []fleet.DataCentre
+	ReadAt      time.Duration
+	Unavailable bool
+}
+
+func (EvacuationsChanged) isEvent() {}
+
+// The decisions on evacuations that a Cell logs.
+const (
+	NoteEvacuationBegan     NoteEvent = "evacuation_began"
+	NoteEvacuationProgress  NoteEvent = "evacuation_progress"
+	NoteEvacuationWithdrawn NoteEvent = "evacuation_withdrawn"
+	NoteEvacuationUnknown   NoteEvent = "evacuation_unknown_data_centre"
+)
+
 const evacuationsKey = Key("evacuations")
 
 // maxDataCentreBytes bounds the name of a data centre in a request.
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -137,14 +137,6 @@
 	// HolderLoad reports whether the holder decides later than it should, for want of
 	// processor time.
 	HolderLoad struct{ Behind bool }
-	// EvacuationsChanged reports the data centres whose evacuation operators request,
-	// as a read showed them that began at ReadAt. Unavailable means instead that the
-	// store did not answer this read and the one before.
-	EvacuationsChanged struct {
-		DataCentres []fleet.DataCentre
-		ReadAt      time.Duration
-		Unavailable bool
-	}
 	// Tick reports that time has passed.
 	Tick struct{}
 	// PassTime reports that the time until the scheduling pass that PassDue has
@@ -152,27 +144,26 @@
 	PassTime struct{}
 )
 
-func (Submitted) isEvent()          {}
-func (CancelRequested) isEvent()    {}
-func (StateRequested) isEvent()     {}
-func (QueuesChanged) isEvent()      {}
-func (ServerListed) isEvent()       {}
-func (ServerUnlisted) isEvent()     {}
-func (ServerListRead) isEvent()     {}
-func (HoldAnswered) isEvent()       {}
-func (StartAnswered) isEvent()      {}
-func (StopAnswered) isEvent()       {}
-func (ThrottleAnswered) isEvent()   {}
-func (AdviceAnswered) isEvent()     {}
-func (Committed) isEvent()          {}
-func (BatchRefused) isEvent()       {}
-func (StoreHealth) isEvent()        {}
-func (SteppedDown) isEvent()        {}
-func (AuthorityChanged) isEvent()   {}
-func (HolderLoad) isEvent()         {}
-func (EvacuationsChanged) isEvent() {}
-func (Tick) isEvent()               {}
-func (PassTime) isEvent()           {}
+func (Submitted) isEvent()        {}
+func (CancelRequested) isEvent()  {}
+func (StateRequested) isEvent()   {}
+func (QueuesChanged) isEvent()    {}
+func (ServerListed) isEvent()     {}
+func (ServerUnlisted) isEvent()   {}
+func (ServerListRead) isEvent()   {}
+func (HoldAnswered) isEvent()     {}
+func (StartAnswered) isEvent()    {}
+func (StopAnswered) isEvent()     {}
+func (ThrottleAnswered) isEvent() {}
+func (AdviceAnswered) isEvent()   {}
+func (Committed) isEvent()        {}
+func (BatchRefused) isEvent()     {}
+func (StoreHealth) isEvent()      {}
+func (SteppedDown) isEvent()      {}
+func (AuthorityChanged) isEvent() {}
+func (HolderLoad) isEvent()       {}
+func (Tick) isEvent()             {}
+func (PassTime) isEvent()         {}
 
 // RunningRow is one run that a worker lists.
 type RunningRow struct {
@@ -322,36 +313,32 @@
 
 // The decisions that a Cell logs.
 const (
-	NoteAccepted            NoteEvent = "job_accepted"
-	NoteRejected            NoteEvent = "job_rejected"
-	NoteCancelled           NoteEvent = "job_cancelled"
-	NoteJobEnded            NoteEvent = "job_ended"
-	NoteStartOrdered        NoteEvent = "task_start_ordered"
-	NoteStartAnswered       NoteEvent = "task_start_answered"
-	NoteTaskEnded           NoteEvent = "task_ended"
-	NoteStopOrdered         NoteEvent = "task_stop_ordered"
-	NoteTaskThrottled       NoteEvent = "task_paced"
-	NoteWorkerListed        NoteEvent = "worker_listed"
-	NoteWorkerUnlisted      NoteEvent = "worker_unlisted"
-	NoteWorkerFenced        NoteEvent = "worker_fenced"
-	NoteWorkerUnreachable   NoteEvent = "worker_silent"
-	NoteWorkerReachable     NoteEvent = "worker_answers"
-	NoteWorkerLeaseExpired  NoteEvent = "worker_lease_lapsed"
-	NoteWorkerRestarted     NoteEvent = "worker_restarted"
-	NoteWorkerQuarantined   NoteEvent = "worker_set_aside"
-	NoteWorkerCleared       NoteEvent = "worker_cleared"
-	NoteRestored            NoteEvent = "cell_restored"
-	NoteUnblocked           NoteEvent = "cell_unblocked"
-	NoteQueuesChanged       NoteEvent = "queues_changed"
-	NoteJobUnreadable       NoteEvent = "job_unreadable"
-	NoteRunWithoutTask      NoteEvent = "run_without_task"
-	NoteAdviceRequested     NoteEvent = "advice_asked"
-	NoteAdviceReceived      NoteEvent = "advice_given"
-	NoteTaskWaits           NoteEvent = "task_waits"
-	NoteTaskSuspected       NoteEvent = "task_suspected"
-	NoteTaskGivenUp         NoteEvent = "task_given_up"
-	NoteEvacuationBegan     NoteEvent = "evacuation_began"
-	NoteEvacuationProgress  NoteEvent = "evacuation_progress"
-	NoteEvacuationWithdrawn NoteEvent = "evacuation_withdrawn"
-	NoteEvacuationUnknown   NoteEvent = "evacuation_unknown_data_centre"
+	NoteAccepted           NoteEvent = "job_accepted"
+	NoteRejected           NoteEvent = "job_rejected"
+	NoteCancelled          NoteEvent = "job_cancelled"
+	NoteJobEnded           NoteEvent = "job_ended"
+	NoteStartOrdered       NoteEvent = "task_start_ordered"
+	NoteStartAnswered      NoteEvent = "task_start_answered"
+	NoteTaskEnded          NoteEvent = "task_ended"
+	NoteStopOrdered        NoteEvent = "task_stop_ordered"
+	NoteTaskThrottled      NoteEvent = "task_paced"
+	NoteWorkerListed       NoteEvent = "worker_listed"
+	NoteWorkerUnlisted     NoteEvent = "worker_unlisted"
+	NoteWorkerFenced       NoteEvent = "worker_fenced"
+	NoteWorkerUnreachable  NoteEvent = "worker_silent"
+	NoteWorkerReachable    NoteEvent = "worker_answers"
+	NoteWorkerLeaseExpired NoteEvent = "worker_lease_lapsed"
+	NoteWorkerRestarted    NoteEvent = "worker_restarted"
+	NoteWorkerQuarantined  NoteEvent = "worker_set_aside"
+	NoteWorkerCleared      NoteEvent = "worker_cleared"
+	NoteRestored           NoteEvent = "cell_restored"
+	NoteUnblocked          NoteEvent = "cell_unblocked"
+	NoteQueuesChanged      NoteEvent = "queues_changed"
+	NoteJobUnreadable      NoteEvent = "job_unreadable"
+	NoteRunWithoutTask     NoteEvent = "run_without_task"
+	NoteAdviceRequested    NoteEvent = "advice_asked"
+	NoteAdviceReceived     NoteEvent = "advice_given"
+	NoteTaskWaits          NoteEvent = "task_waits"
+	NoteTaskSuspected      NoteEvent = "task_suspected"
+	NoteTaskGivenUp        NoteEvent = "task_given_up"
 )
