--- a/decision/cell/reopening.go
+++ b/decision/cell/reopening.go
@@ -13,8 +13,9 @@
 // coldShareUsed reports whether a server in a reopened data centre has as much work as
 // it takes while it is cold. A server without work always takes a task.
 func (c *Cell) coldShareUsed(w *worker) bool {
-	reopened, warm := w.dataCentre.reopenedAt, min(w.cold.until, w.dataCentre.reopenedAt+maxCold)
-	if reopened == 0 || c.now.Steady >= warm || warm <= reopened {
+	reopened := w.dataCentre.reopenedAt
+	warm := min(w.cold.until, reopened+maxCold)
+	if c.now.Steady >= warm || warm <= reopened {
 		return false
 	}
 	share := max(minColdShare, float64(c.now.Steady-reopened)/float64(warm-reopened))
