--- a/decision/cell/crash_sim_test.go
+++ b/decision/cell/crash_sim_test.go
@@ -145,7 +145,7 @@
 	if up {
 		w.end(job.EndStopped, func(r crashRun) bool { return r.start.Task == a.Task && r.start.Attempt <= a.Attempt })
 	}
-	s.handle(StopAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, OK: up})
+	s.handle(StopAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, OK: up, Sent: s.now})
 }
 
 func (s *crashSimulation) crashesWorker(ref job.TaskRef) bool {
--- a/decision/cell/crowded_sim_test.go
+++ b/decision/cell/crowded_sim_test.go
@@ -137,7 +137,7 @@
 		if _, runs := w.runs[key]; runs && !w.stopped[key] {
 			w.runs[key], w.stopped[key] = s.now+500*time.Millisecond, true
 		}
-		s.handle(StopAnswered{Server: stop.Server, Task: stop.Task, Attempt: stop.Attempt, OK: true})
+		s.handle(StopAnswered{Server: stop.Server, Task: stop.Task, Attempt: stop.Attempt, OK: true, Sent: s.now})
 	}
 }
 
--- a/decision/cell/equivalence_test.go
+++ b/decision/cell/equivalence_test.go
@@ -205,7 +205,7 @@
 		if _, runs := h.runs[s.Server][key]; runs && !h.stopped[key] {
 			h.runs[s.Server][key], h.stopped[key] = h.now+200*time.Millisecond, true
 		}
-		h.apply(StopAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, OK: true})
+		h.apply(StopAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, OK: true, Sent: h.now})
 	}
 	for _, a := range takeActions[Advise](h.fixture) {
 		h.Advised++
--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -105,6 +105,7 @@
 		Attempt int
 		OK      bool
 		Fenced  bool
+		Sent    time.Duration
 	}
 	// ThrottleAnswered is the outcome of a Throttle.
 	ThrottleAnswered struct {
--- a/decision/cell/model_test.go
+++ b/decision/cell/model_test.go
@@ -292,8 +292,9 @@
 		m.callWorker(h, a.Server, func(w *modelWorker) Event { return w.start(h.epoch, a, ordered) },
 			StartAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Outcome: StartUnknown, Sent: ordered})
 	case Stop:
-		m.callWorker(h, a.Server, func(w *modelWorker) Event { return w.stop(h.epoch, a) },
-			StopAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt})
+		sent := m.now
+		m.callWorker(h, a.Server, func(w *modelWorker) Event { return w.stop(h.epoch, a, sent) },
+			StopAnswered{Server: a.Server, Task: a.Task, Attempt: a.Attempt, Sent: sent})
 	case Superseded:
 		h.alive = false
 	case Reply:
--- a/decision/cell/model_worker_test.go
+++ b/decision/cell/model_worker_test.go
@@ -223,8 +223,8 @@
 }
 
 // stop executes a Stop call. Runs end up to 800 ms later.
-func (w *modelWorker) stop(epoch int, s Stop) Event {
-	answer := StopAnswered{Server: w.id, Task: s.Task, Attempt: s.Attempt}
+func (w *modelWorker) stop(epoch int, s Stop, sent time.Duration) Event {
+	answer := StopAnswered{Server: w.id, Task: s.Task, Attempt: s.Attempt, Sent: sent}
 	if epoch < w.highestEpoch {
 		answer.Fenced = true
 		return answer
--- a/decision/cell/more_ends_test.go
+++ b/decision/cell/more_ends_test.go
@@ -69,7 +69,7 @@
 			f.acceptStart(start)
 			if stopped {
 				f.cell.stopRun(f.cell.workers["a"].runsInOrder[0], "test")
-				f.handle(StopAnswered{Server: "a", Task: start.Task, Attempt: start.Attempt, OK: true})
+				f.handle(StopAnswered{Server: "a", Task: start.Task, Attempt: start.Attempt, OK: true, Sent: f.now})
 			}
 			f.now += time.Millisecond
 			worker := &endsInPages{pageSize: 1, ends: []FinishedRow{
--- a/decision/cell/preempt_test.go
+++ b/decision/cell/preempt_test.go
@@ -68,7 +68,7 @@
 			if len(stops) == 0 {
 				return
 			}
-			f.handle(StopAnswered{Server: stops[0].Server, Task: stops[0].Task, Attempt: stops[0].Attempt, OK: true})
+			f.handle(StopAnswered{Server: stops[0].Server, Task: stops[0].Task, Attempt: stops[0].Attempt, OK: true, Sent: f.now})
 			running[stops[0].Server] = slices.DeleteFunc(running[stops[0].Server], func(r RunningRow) bool { return r.Task == stops[0].Task })
 			f.answerHolds(running, map[fleet.BackendServerID][]FinishedRow{stops[0].Server: {{Number: 1, Task: stops[0].Task, Attempt: stops[0].Attempt, End: job.EndStopped}}})
 			starts := takeActions[Start](f)
--- a/decision/cell/regression_test.go
+++ b/decision/cell/regression_test.go
@@ -63,7 +63,7 @@
 	if again := takeActions[Start](f); len(again) != 0 {
 		t.Fatalf("got starts %+v before the stop was confirmed, want none", again)
 	}
-	f.handle(StopAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, OK: true})
+	f.handle(StopAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, OK: true, Sent: f.now})
 	f.now += time.Millisecond
 	f.advance(50 * time.Millisecond)
 	f.answerHolds(nil, nil)
--- a/decision/cell/return_test.go
+++ b/decision/cell/return_test.go
@@ -108,7 +108,7 @@
 	for len(f.unstopped) > 0 && f.now-f.unstopped[0].sent >= orderTimeout {
 		s := f.unstopped[0].stop
 		f.unstopped = f.unstopped[1:]
-		f.handle(StopAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt})
+		f.handle(StopAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, Sent: f.now})
 	}
 	for _, s := range takeActions[Stop](f.fixture) {
 		if f.silent && f.far(s.Server) {
@@ -117,7 +117,7 @@
 			continue
 		}
 		f.end(s.Server, s.Task, job.EndStopped)
-		f.handle(StopAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, OK: true})
+		f.handle(StopAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, OK: true, Sent: f.now})
 	}
 }
 
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -311,9 +311,14 @@
 	if w == nil {
 		return
 	}
-	w.answers.stopEnded()
 	if e.Fenced {
 		c.emit(Superseded{Server: e.Server})
+	}
+	if e.Sent < w.replacedAt {
+		return // the former incarnation may have answered, and the present one refuses nothing
+	}
+	w.answers.stopEnded()
+	if e.Fenced {
 		return
 	}
 	if !e.OK {
--- a/decision/cell/settled_start_test.go
+++ b/decision/cell/settled_start_test.go
@@ -12,7 +12,7 @@
 // that the present incarnation of the worker refuses the start.
 func (f *fixture) settle(s Start) {
 	f.handle(StartAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, Outcome: StartUnknown, Sent: f.now})
-	f.handle(StopAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, OK: true})
+	f.handle(StopAnswered{Server: s.Server, Task: s.Task, Attempt: s.Attempt, OK: true, Sent: f.now})
 	f.now += time.Millisecond
 	f.advance(50 * time.Millisecond)
 	f.answerHolds(nil, nil)
@@ -103,7 +103,7 @@
 			if w = f.cell.workers[start.Server]; w.lateOrderUntil <= f.now {
 				t.Errorf("late calls are expected until %v at %v", w.lateOrderUntil, f.now)
 			}
-			f.handle(StopAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt}) // no answer
+			f.handle(StopAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, Sent: f.now}) // no answer
 			again := 0
 			for range 40 {
 				for _, h := range takeActions[Hold](f) {
@@ -140,7 +140,7 @@
 				f.answerAllBut("a")
 				f.advance(50 * time.Millisecond)
 				for range f.takeStopsOf(start) {
-					f.handle(StopAnswered{Server: "a", Task: start.Task, Attempt: start.Attempt}) // no answer
+					f.handle(StopAnswered{Server: "a", Task: start.Task, Attempt: start.Attempt, Sent: f.now}) // no answer
 				}
 				if again := takeActions[Start](f); len(again) > 0 {
 					t.Fatalf("started again on %s before a has acknowledged the stop", again[0].Server)
@@ -149,3 +149,40 @@
 		})
 	}
 }
+
+// Guards against a second run because the answer of the former incarnation settles a start.
+func TestStopAnswerOfFormerIncarnationDoesNotCount(t *testing.T) {
+	f := newFixture(t, 1)
+	f.setUpServers(testServer("a"), testServer("b"))
+	f.submit(testJob, oneTaskStep())
+	start := f.takeStarts()[0]
+	f.handle(StartAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, Outcome: StartUnknown, Sent: f.now})
+	sent := f.now
+	if f.takeStopsOf(start) != 1 {
+		t.Fatal("the start without an answer is not stopped")
+	}
+	f.now += 20 * time.Millisecond
+	f.handle(ServerListed{Server: restartedServer(start.Server)})
+	if f.takeStopsOf(start) != 1 {
+		t.Fatal("the new incarnation is not told to refuse the start")
+	}
+	f.now += 10 * time.Millisecond
+	f.handle(StopAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, OK: true, Sent: sent})
+	f.now += 10 * time.Millisecond
+	f.handle(Tick{})
+	serve := func() (again []Start) {
+		for range 6 {
+			f.answerAs(2, 0)
+			f.advance(50 * time.Millisecond)
+			again = append(again, f.takeStarts()...)
+		}
+		return again
+	}
+	if again := serve(); len(again) > 0 {
+		t.Fatalf("got starts %+v before the new incarnation has acknowledged the stop", again)
+	}
+	f.handle(StopAnswered{Server: start.Server, Task: start.Task, Attempt: start.Attempt, OK: true, Sent: f.now})
+	if again := serve(); len(again) != 1 {
+		t.Errorf("got starts %+v after the new incarnation has acknowledged the stop, want one", again)
+	}
+}
