--- a/decision/cell/late_lease_test.go
+++ b/decision/cell/late_lease_test.go
@@ -1,8 +1,11 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"lacewingfork.example/lacewingfork/fleet"
 )
 
 // expectNoStartBefore fails the test if a task starts before the given time while server
@@ -150,3 +153,68 @@
 		t.Errorf("got %d records of the server in the next batch, want 1", n)
 	}
 }
+
+// Guards against restarted workers that a full lease record leaves unused or unknown.
+func TestMoreRestartedWorkersThanLeaseRows(t *testing.T) {
+	f := newFixture(t, 1)
+	servers := make([]Server, maxLeaseRows+50)
+	for i := range servers {
+		servers[i] = testServer(fleet.BackendServerID(fmt.Sprintf("s%04d", i)))
+	}
+	f.setUpServers(servers...)
+	f.now += time.Second
+	for _, w := range f.cell.sortedWorkers {
+		w.leaseCalls.unanswered = f.now // a hold with a lease to the former incarnation
+	}
+	latest := f.cell.latestLeaseEnd(f.now)
+	for _, s := range servers {
+		f.handle(ServerListed{Server: restartedServer(s.ID)})
+	}
+	restarted := f.now
+	takeActions[Hold](f)
+	for _, w := range f.cell.sortedWorkers {
+		w.holdInFlight, w.nextHoldAt = 0, f.now
+	}
+	unused := len(servers)
+	for unused > 0 && f.now < restarted+2*time.Second {
+		f.advance(50 * time.Millisecond)
+		for _, h := range takeActions[Hold](f) {
+			f.handle(HoldAnswered{Server: h.Server, Number: h.Number, Sent: f.now, OK: true, Incarnation: 2, Clock: f.now - restarted + time.Second})
+		}
+		unused = 0
+		for _, w := range f.cell.sortedWorkers {
+			if !w.usable() {
+				unused++
+			}
+		}
+	}
+	if unused > 0 {
+		t.Fatalf("%d workers are unused %v after the restart", unused, f.now-restarted)
+	}
+	for _, w := range f.succeed(2).cell.sortedWorkers {
+		if w.stored && w.earlierHolderUntil < latest {
+			t.Fatalf("the next holder waits for %s until %v; its lease may last until %v", w.server.ID, w.earlierHolderUntil, latest)
+		}
+	}
+}
+
+// Guards against a second run after a takeover just as a restarted worker falls silent.
+func TestLeaseRecordKeepsWorkerThatFallsSilent(t *testing.T) {
+	f, _ := restartWithHoldInFlight(t)
+	boot := f.now
+	f.failHolds()
+	f.now += 300 * time.Millisecond
+	f.handle(Tick{})
+	f.runOnRestarted(boot)
+	latest := f.cell.workers["a"].lateOrderUntil
+	for range 6 {
+		f.answerAllBut("a")
+		f.advance(50 * time.Millisecond)
+	}
+	if w := f.cell.workers["a"]; !w.unreachable || f.now-w.unreachableSince >= quietAfter {
+		t.Fatalf("unreachable %v for %v", w.unreachable, f.now-w.unreachableSince)
+	}
+	if w := f.succeed(2).cell.workers["a"]; w.earlierHolderUntil < latest {
+		t.Errorf("the next holder waits until %v; the lease may last until %v", w.earlierHolderUntil, latest)
+	}
+}
--- a/decision/cell/lease_record.go
+++ b/decision/cell/lease_record.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"lacewingfork.example/lacewingfork/fleet"
@@ -21,8 +23,8 @@
 	// leaseRecordStep is the time by which the bound of a worker has to have
 	// fallen for another record.
 	leaseRecordStep = time.Second
-	// maxLeaseRows bounds the record to 240,000 bytes with the longest identifiers. For
-	// the other workers the longest lease is assumed.
+	// maxLeaseRows bounds the record to 240,000 bytes with the longest identifiers. The
+	// longest leases get the rows; OthersLeftMs bounds the rest.
 	maxLeaseRows = 800
 )
 
@@ -31,6 +33,9 @@
 type LeaseRecord struct {
 	Round   int           `json:"round"`
 	Workers []WorkerLease `json:"workers,omitempty"`
+	// OthersLeftMs is the LeftMs of the workers without a row; 0 if it is shorter than
+	// what a holder assumes of them.
+	OthersLeftMs int64 `json:"others_left_ms,omitempty"`
 }
 
 // WorkerLease is a promise of a holder: LeftMs milliseconds after the record was written
@@ -69,7 +74,7 @@
 	case c.steppedDown, w.unreachable && now-w.unreachableSince >= quietAfter, !w.fenced && now-c.restoredAt >= quietAfter:
 	case w.fenced && w.server.Draining && !w.unreachable:
 		renewed = drainLease
-	case w.fenced && !w.unreachable && w.lateOrderUntil-now > c.longestWait():
+	case w.fenced && w.lateOrderUntil-now > c.longestWait():
 		renewed = c.settings.Lease
 	default:
 		return WorkerLease{}, false
@@ -105,7 +110,7 @@
 	c.inLeaseRecord = map[fleet.BackendServerID]bool{}
 	for _, w := range c.sortedWorkers {
 		lease, ok := c.leaseOf(w)
-		if !ok || len(record.Workers) == maxLeaseRows {
+		if !ok {
 			if w.bound != nil {
 				b.unbound = append(b.unbound, w)
 			}
@@ -116,6 +121,13 @@
 		b.bound, b.late[w] = append(b.bound, w), w.lateOrderUntil
 		record.Workers, c.inLeaseRecord[w.server.ID] = append(record.Workers, lease), true
 	}
+	if len(record.Workers) > maxLeaseRows {
+		slices.SortStableFunc(record.Workers, func(a, b WorkerLease) int { return cmp.Compare(b.LeftMs, a.LeftMs) })
+		if others := record.Workers[maxLeaseRows]; others.wait(c.settings) > c.longestWait() {
+			record.OthersLeftMs = others.LeftMs
+		}
+		record.Workers = record.Workers[:maxLeaseRows]
+	}
 	return record
 }
 
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -272,10 +272,12 @@
 func (c *Cell) Restore(now Moment, records []Record) {
 	c.now = now
 	c.restoredAt = now.Steady
-	longestWait, longestBound := c.longestWait(), c.settings.AuthorityBound+c.latestLeaseEnd(clockMargin)
+	othersWait, longestBound := c.longestWait(), c.settings.AuthorityBound+c.latestLeaseEnd(clockMargin)
 	waits := map[fleet.BackendServerID]time.Duration{}
 	for _, r := range records {
 		if r.Leases != nil && r.Leases.Round == c.round-1 {
+			others := WorkerLease{LeftMs: r.Leases.OthersLeftMs}
+			othersWait = max(othersWait, min(others.wait(c.settings), longestBound))
 			for _, lease := range r.Leases.Workers {
 				waits[lease.Server] = lease.wait(c.settings)
 			}
@@ -292,7 +294,7 @@
 			c.interference.restore(r.Interference)
 		case r.Server != nil:
 			w := c.addWorker(*r.Server)
-			w.stored, w.recordQueued, w.earlierHolderUntil = true, true, now.Steady+longestWait
+			w.stored, w.recordQueued, w.earlierHolderUntil = true, true, now.Steady+othersWait
 			w.recordedIncarnation = r.Server.Incarnation
 			if wait, known := waits[r.Server.ID]; known {
 				w.earlierHolderUntil = 0
--- a/decision/cell/record_check.go
+++ b/decision/cell/record_check.go
@@ -125,13 +125,16 @@
 const maxLeaseMs = int64(time.Hour / time.Millisecond)
 
 func (r *LeaseRecord) check(report func(key, problem, expected string)) {
-	for _, lease := range r.Workers {
-		for key, ms := range map[string]int64{"workers.left_ms": lease.LeftMs, "workers.renewed_ms": lease.RenewedMs} {
-			if ms < 0 || ms > maxLeaseMs {
-				report(key, fmt.Sprintf("is %d", ms), fmt.Sprintf("0 to %d", maxLeaseMs))
-			}
+	checkMs := func(key string, ms int64) {
+		if ms < 0 || ms > maxLeaseMs {
+			report(key, fmt.Sprintf("is %d", ms), fmt.Sprintf("0 to %d", maxLeaseMs))
 		}
 	}
+	checkMs("others_left_ms", r.OthersLeftMs)
+	for _, lease := range r.Workers {
+		checkMs("workers.left_ms", lease.LeftMs)
+		checkMs("workers.renewed_ms", lease.RenewedMs)
+	}
 }
 
 // ServerOfKey returns the server whose record has a key.
