Decide which clients are cut off in a pure package

decision/intake keeps one budget of connections and of body bytes for a front end. At the limit of connections a new one takes the place of the one that has waited longest for the end of its request or for its next one. A body is charged for what has arrived; beyond the budget the oldest incomplete body that is large or older than 2 s goes first. A complete request is never cut off.

A limit for each client address was ruled out: clients behind a load balancer share one. Cutting off the largest body was ruled out: a fast client with a large body would lose to a crowd of small ones that never end.

--- /dev/null
+++ b/decision/intake/property_test.go
@@ -0,0 +1,206 @@
+package intake
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// model holds what the property test knows about the connections of an Intake.
+type model struct {
+	t      *rapid.T
+	intake *Intake
+	limits Limits
+	now    time.Duration
+	nextID ID
+	known  map[ID]*modelConnection
+}
+
+type modelConnection struct {
+	state   state
+	since   time.Duration
+	bytes   int64
+	general bool
+}
+
+// Guards against a budget that is exceeded, a reserved share that large or old
+// bodies use, a cut of a complete request, a cut of any but the oldest, and a cut
+// without need.
+func TestBudgetsHoldUnderAnyEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{
+			Connections: rapid.IntRange(1, 8).Draw(t, "connections"), Bytes: 1000,
+			ReservedBytes: rapid.Int64Range(0, 500).Draw(t, "reserved"), OrdinaryBytes: 100, OrdinaryTime: 2 * time.Second,
+			BodyTime: 10 * time.Second, MinRate: 20, RateGrace: 4 * time.Second,
+		}
+		m := &model{t: t, intake: New(limits), limits: limits, known: map[ID]*modelConnection{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(*rapid.T) { m.open() },
+			"begin": func(*rapid.T) {
+				m.change(func(id ID, c *modelConnection) {
+					if got := m.intake.Begin(m.now, id); got != (c.state != rejected) {
+						t.Fatalf("Begin of %d: got %t in state %d", id, got, c.state)
+					}
+					if c.state != rejected {
+						*c = modelConnection{state: arriving, since: m.now}
+					}
+				})
+			},
+			"grow": func(*rapid.T) { m.grow(rapid.Int64Range(0, 400).Draw(t, "bytes")) },
+			"complete": func(*rapid.T) {
+				m.change(func(id ID, c *modelConnection) {
+					if got := m.intake.Complete(m.now, id, c.bytes); got != (c.state != rejected) {
+						t.Fatalf("Complete of %d: got %t in state %d", id, got, c.state)
+					}
+					if c.state != rejected {
+						c.state, c.since = complete, m.now
+					}
+				})
+			},
+			"end": func(*rapid.T) {
+				m.change(func(id ID, c *modelConnection) {
+					m.intake.End(m.now, id)
+					if c.state != rejected {
+						*c = modelConnection{state: waiting, since: m.now}
+					}
+				})
+			},
+			"close": func(*rapid.T) {
+				m.change(func(id ID, _ *modelConnection) { m.intake.Close(id); delete(m.known, id) })
+			},
+			"wait": func(*rapid.T) { m.now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond },
+			"expire": func(*rapid.T) {
+				m.promote()
+				m.apply(m.intake.Expire(m.now), true)
+			},
+			"": func(*rapid.T) { m.check() },
+		})
+	})
+}
+
+// change calls f for a connection, if there is any.
+func (m *model) change(f func(ID, *modelConnection)) {
+	if len(m.known) == 0 {
+		return
+	}
+	ids := []ID{}
+	for id := range m.known {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	id := rapid.SampledFrom(ids).Draw(m.t, "id")
+	f(id, m.known[id])
+}
+
+func (m *model) open() {
+	m.nextID++
+	cuts, accepted := m.intake.Open(m.now, m.nextID)
+	if full := len(m.known) >= m.limits.Connections; full != (len(cuts) == 1) || len(cuts) > 1 || !full && !accepted {
+		m.t.Fatalf("Open: got accepted %t and cuts %v with %d of %d connections", accepted, cuts, len(m.known), m.limits.Connections)
+	}
+	if !accepted {
+		if cuts[0] != (Cut{ID: m.nextID, Reason: ReasonFull, Close: true}) {
+			m.t.Fatalf("a connection was refused with %+v", cuts[0])
+		}
+		for id, c := range m.known {
+			if c.state != complete {
+				m.t.Fatalf("Open was refused although connection %d is in state %d", id, c.state)
+			}
+		}
+		return
+	}
+	for _, cut := range cuts {
+		victim := m.known[cut.ID]
+		for id, c := range m.known {
+			older := c.state != complete && c.state != rejected && victim.state != rejected && c.since < victim.since
+			if victim.state == complete || c.state == rejected && victim.state != rejected || older {
+				m.t.Fatalf("Open cut off %d in state %d of %v rather than %d in state %d of %v", cut.ID, victim.state, victim.since, id, c.state, c.since)
+			}
+		}
+		delete(m.known, cut.ID)
+	}
+	m.known[m.nextID] = &modelConnection{state: waiting, since: m.now}
+}
+
+func (m *model) grow(more int64) {
+	m.change(func(id ID, c *modelConnection) {
+		m.promote()
+		wasArriving := c.state == arriving
+		if wasArriving {
+			c.bytes += more
+			c.general = c.general || c.bytes > m.limits.OrdinaryBytes
+		}
+		cuts, kept := m.intake.Grow(m.now, id, c.bytes)
+		m.apply(cuts, false)
+		if kept != (wasArriving && c.state == arriving) {
+			m.t.Fatalf("Grow of %d: got %t in state %d", id, kept, c.state)
+		}
+	})
+}
+
+// promote makes the bodies general that have been arriving for too long.
+func (m *model) promote() {
+	for _, c := range m.known {
+		c.general = c.general || c.state == arriving && m.now-c.since > m.limits.OrdinaryTime
+	}
+}
+
+func (m *model) sums() (bytes, general int64) {
+	for _, c := range m.known {
+		bytes += c.bytes
+		if c.general {
+			general += c.bytes
+		}
+	}
+	return bytes, general
+}
+
+// apply checks each cut against the state before it.
+func (m *model) apply(cuts []Cut, expiry bool) {
+	for _, cut := range cuts {
+		victim := m.known[cut.ID]
+		if victim == nil || victim.state != arriving || cut.Close {
+			m.t.Fatalf("got cut %+v of %+v, want one of an arriving body", cut, victim)
+		}
+		age := m.now - victim.since
+		bytes, general := m.sums()
+		switch cut.Reason {
+		case ReasonBytes:
+			needed := general > m.limits.Bytes-m.limits.ReservedBytes || bytes > m.limits.Bytes
+			for id, c := range m.known {
+				if c.state == arriving && (c.general && !victim.general || c.general == victim.general && c.since < victim.since) {
+					m.t.Fatalf("cut off %d (%+v) rather than %d (%+v)", cut.ID, victim, id, c)
+				}
+			}
+			if !needed {
+				m.t.Fatalf("cut off %d without need: %d bytes, %d of them general", cut.ID, bytes, general)
+			}
+		case ReasonBodyTime:
+			if !expiry || age <= m.limits.BodyTime {
+				m.t.Fatalf("cut off %d after %v", cut.ID, age)
+			}
+		case ReasonBodyRate:
+			if !expiry || age <= m.limits.RateGrace || float64(victim.bytes) >= float64(m.limits.MinRate)*(age-m.limits.RateGrace).Seconds() {
+				m.t.Fatalf("cut off %d with %d bytes after %v", cut.ID, victim.bytes, age)
+			}
+		default:
+			m.t.Fatalf("got cut %+v for a body", cut)
+		}
+		*victim = modelConnection{state: rejected, since: m.now}
+	}
+}
+
+// check compares the usage with the model and the budgets. A body that has become
+// old counts as ordinary until the next body grows or the bodies expire.
+func (m *model) check() {
+	usage := m.intake.Usage()
+	bytes, _ := m.sums()
+	if usage.Bytes != bytes || usage.Connections != len(m.known) {
+		m.t.Fatalf("got usage %+v, want %d bytes and %d connections", usage, bytes, len(m.known))
+	}
+	if usage.Bytes > m.limits.Bytes || usage.GeneralBytes > m.limits.Bytes-m.limits.ReservedBytes || usage.Connections > m.limits.Connections {
+		m.t.Fatalf("got usage %+v beyond the limits %+v", usage, m.limits)
+	}
+}
