Bound what callers can make the scheduler hold

The scheduler read each body of up to the largest size without any bound on their number, and accepted connections until it had no descriptors left, so that calls to the store failed too. A body has a time and a least rate, a response a time in which it has to be read. The section [callers] holds the settings.

Two amplifications were found by complete bodies of 1 MB: an empty step has three bytes and took hundreds when it was decoded, and each wrong number of a list took a finding. A bound on the bodies alone did not suffice.

--- a/decision/job/check.go
+++ b/decision/job/check.go
@@ -15,6 +15,9 @@
 	MaxSteps     = 256
 	MaxTasks     = 20000
 	MaxRepeats   = 10000
+	// maxFindings bounds the answer to a submission of legal size that has a fault in
+	// every few bytes, which would take some hundred times its size.
+	maxFindings = 100
 	// maxInterval keeps the time from the first occurrence to the last within a
 	// time.Duration.
 	maxInterval = time.Duration(math.MaxInt64) / MaxRepeats
@@ -28,6 +31,9 @@
 func (j Job) Check(document string) error {
 	var list findings.List
 	report := func(key, problem, expected string) {
+		if len(list) >= maxFindings {
+			return
+		}
 		list.Add(findings.Finding{File: document, Key: key, Problem: problem, Expected: expected})
 	}
 	if !ValidID(string(j.ID)) {
@@ -65,9 +71,13 @@
 	if s.Count < 1 || s.Count > MaxTasks {
 		report(key("count"), fmt.Sprintf("is %d", s.Count), fmt.Sprintf("1 to %d", MaxTasks))
 	}
+	faults := 0
 	for _, before := range s.After {
 		if before < 0 || before >= index {
 			report(key("after"), fmt.Sprintf("names step %d", before), "earlier steps")
+			if faults++; faults == maxFindings {
+				break
+			}
 		}
 	}
 	for name, n := range map[string]int64{
--- a/scheduler/callers/callers.go
+++ b/scheduler/callers/callers.go
@@ -1,8 +1,9 @@
 // Package callers is the supervisor of the HTTP server for callers. It owns the
 // routing configuration as an immutable value. net/http runs a goroutine for
 // each connection, which decodes the call, sends a request to the holder
-// through a ring, waits for the response and encodes it. When the server duty
-// fails, its connections break and callers retry.
+// through a ring, waits for the response and encodes it. The intake duty of package
+// frontend bounds what unfinished calls hold. When the server duty fails, its
+// connections break and callers retry.
 package callers
 
 import (
@@ -17,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/internal/frontend"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/logs"
 	"lacewingfork.example/lacewingfork/scheduler/message"
@@ -29,8 +31,6 @@
 	// other limits.
 	defaultBodyBytes   = 1 << 20
 	defaultHeaderBytes = 16 << 10
-	headerTimeout      = 5 * time.Second
-	idleTimeout        = 30 * time.Second
 	// defaultWait applies if neither the caller nor the route sets a timeout.
 	defaultWait = 3 * time.Second
 	// responseMargin is the part of the caller's timeout that is reserved for
@@ -38,9 +38,17 @@
 	responseMargin = 60 * time.Millisecond
 )
 
+// Settings are the limits on clients.
+type Settings struct {
+	Limits        frontend.Limits
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
 // Supervisor runs the HTTP server and the routing duty.
 type Supervisor struct {
 	listener      net.Listener
+	gate          *frontend.Gate
 	server        *http.Server
 	format        api.CallerFormat
 	clock         *clock.Clock
@@ -57,7 +65,7 @@
 
 // New adds the supervisor below root.
 func New(
-	root *supervise.Tree, listener net.Listener, format api.CallerFormat, c *clock.Clock, log *logs.Log,
+	root *supervise.Tree, settings Settings, listener net.Listener, format api.CallerFormat, c *clock.Clock, log *logs.Log,
 	rings *peers.Rings, registry prometheus.Registerer,
 ) *Supervisor {
 	s := &Supervisor{
@@ -71,10 +79,14 @@
 	registry.MustRegister(s.callSeconds)
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.PathPrefix("/").HandlerFunc(s.handle)
+	tree := root.Child("callers", supervise.DefaultIntensity)
+	s.gate = frontend.New(tree, "callers", settings.Limits, log.Event, registry, func(w http.ResponseWriter, r *http.Request) {
+		s.write(w, r, c.Steady(), cutOff())
+	})
 	s.server = &http.Server{
-		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: defaultHeaderBytes,
+		Handler: s.gate.Handler(router), ConnContext: s.gate.ConnContext,
+		ReadHeaderTimeout: settings.HeaderTimeout, IdleTimeout: settings.IdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
 	}
-	tree := root.Child("callers", supervise.DefaultIntensity)
 	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
 	tree.Start(supervise.Duty{Name: "routes", Rings: []supervise.AnyRing{s.Configurations}, Run: s.updateRoutes})
 	return s
@@ -83,7 +95,7 @@
 func (s *Supervisor) serve(ctx context.Context, _ <-chan supervise.DumpRequest) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() }) // the process is stopping
 	defer stop()
-	err := s.server.Serve(s.listener)
+	err := s.server.Serve(s.gate.Listen(ctx, s.listener))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/scheduler/callers/handle.go
+++ b/scheduler/callers/handle.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 	"lacewingfork.example/lacewingfork/decision/cell"
 	"lacewingfork.example/lacewingfork/decision/job"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/frontend"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/message"
 	"lacewingfork.example/lacewingfork/scheduler/peers"
@@ -27,6 +27,12 @@
 	reason     string // set for failures that the caller did not cause
 }
 
+// cutOff returns the response to a call that was cut off before it was complete. It
+// is not logged: a crowd has many, which the intake duty logs in one line a second.
+func cutOff() result {
+	return result{status: http.StatusServiceUnavailable, retryAfter: time.Second}
+}
+
 func (s *Supervisor) handle(w http.ResponseWriter, r *http.Request) {
 	start := s.clock.Steady()
 	table := s.routes.Load()
@@ -95,11 +101,14 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := frontend.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, &result{status: http.StatusRequestEntityTooLarge, body: s.format.ErrorBody(err)}
+	case errors.Is(err, frontend.ErrCut):
+		failure := cutOff()
+		return nil, &failure
 	case err != nil:
 		return nil, &result{status: http.StatusBadRequest, body: s.format.ErrorBody(err)}
 	}
--- a/scheduler/settings/settings.go
+++ b/scheduler/settings/settings.go
@@ -21,6 +21,7 @@
 type Settings struct {
 	Instance Instance
 	Listen   Listen
+	Callers  Callers
 	Store    Store
 	Advisor  Advisor
 	Platform Platform
@@ -45,6 +46,18 @@
 	Operations string
 }
 
+// Callers holds the limits on callers' connections and bodies. The descriptions of
+// the settings give their meaning.
+type Callers struct {
+	Connections  int
+	BodyMiB      int
+	BodyTime     time.Duration
+	BodyRate     int
+	HeaderTime   time.Duration
+	IdleTime     time.Duration
+	ResponseTime time.Duration
+}
+
 // Store is the platform's store.
 type Store struct{ Address string }
 
@@ -154,6 +167,7 @@
 			Range: addressRange, Valid: validAddress, Field: func(s *Settings) any { return &s.Listen.Operations },
 		},
 	}},
+	{Name: "callers", Keys: callersKeys},
 	{Name: "store", Keys: []tomlfile.Key[Settings]{
 		{
 			Name: "address", Description: "address of the platform's store", Required: true,
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -9,6 +9,7 @@
 	"lacewingfork.example/lacewingfork/decision/cell"
 	"lacewingfork.example/lacewingfork/decision/congestion"
 	"lacewingfork.example/lacewingfork/internal/clock"
+	"lacewingfork.example/lacewingfork/internal/frontend"
 	"lacewingfork.example/lacewingfork/records/cellrecord"
 	"lacewingfork.example/lacewingfork/scheduler/api"
 	"lacewingfork.example/lacewingfork/scheduler/callers"
@@ -43,9 +44,23 @@
 }
 
 func newCallers(
-	tree *supervise.Tree, l *Listeners, p api.Platform, c *clock.Clock, lines *logs.Log, rings *peers.Rings, registry *prometheus.Registry,
+	tree *supervise.Tree, s settings.Settings, l *Listeners, p api.Platform, c *clock.Clock, lines *logs.Log, rings *peers.Rings,
+	registry *prometheus.Registry,
 ) *callers.Supervisor {
-	return callers.New(tree, l.Callers, p.Callers, c, lines, rings, registry)
+	return callers.New(tree, callersSettings(s), l.Callers, p.Callers, c, lines, rings, registry)
+}
+
+const mebibyte = 1 << 20 // bytes
+
+func callersSettings(all settings.Settings) callers.Settings {
+	s := all.Callers
+	return callers.Settings{
+		HeaderTimeout: s.HeaderTime, IdleTimeout: s.IdleTime,
+		Limits: frontend.NewLimits(frontend.Settings{
+			Connections: s.Connections, Bytes: int64(s.BodyMiB) * mebibyte, BodyTime: s.BodyTime, BodyRate: int64(s.BodyRate),
+			WriteTimeout: s.ResponseTime,
+		}, int64(all.Instance.MemoryMiB)*mebibyte, frontend.Descriptors()),
+	}
 }
 
 func newPeers(tree *supervise.Tree, s settings.Settings, l *Listeners, rings *peers.Rings, c *clock.Clock, lines *logs.Log) *peers.Supervisor {
