Keep the bytes of a body that is cut off until its goroutine lets go of them

On a busy machine TestEntryBodiesInPieces held 288 MiB of 256 in one of two runs: a cut released its bytes at once, while its goroutine waited for a processor with the body, and the next client filled them again. The bytes now count until the goroutine has ended the request, and a body that would exceed the budget with them waits for the answer of the duty.

--- a/decision/intake/intake.go
+++ b/decision/intake/intake.go
@@ -94,17 +94,21 @@
 	bytes   int64 // of all bodies
 	// generalBytes is the part of bytes that is not ordinary.
 	generalBytes int64
+	// held holds the bytes of bodies that were cut off and whose goroutines have not
+	// let go of them yet; heldBytes is their sum.
+	held      map[ID]int64
+	heldBytes int64
 }
 
 // New returns an Intake without connections.
 func New(limits Limits) *Intake {
-	return &Intake{limits: limits, connections: map[ID]*connection{}}
+	return &Intake{limits: limits, connections: map[ID]*connection{}, held: map[ID]int64{}}
 }
 
 // Usage is what the budgets are used for.
 type Usage struct {
 	Connections, Arriving, Complete int
-	Bytes, GeneralBytes             int64
+	Bytes, GeneralBytes, HeldBytes  int64
 }
 
 // Usage returns the use of the budgets.
@@ -112,6 +116,7 @@
 	return Usage{
 		Connections: len(i.connections), Arriving: i.queues[arriving].length + i.general.length,
 		Complete: i.queues[complete].length, Bytes: i.bytes, GeneralBytes: i.generalBytes,
+		HeldBytes: i.heldBytes,
 	}
 }
 
@@ -127,6 +132,7 @@
 		if victim == nil {
 			return append(cuts, Cut{ID: id, Reason: ReasonFull, Close: true}), false
 		}
+		i.hold(victim)
 		i.remove(victim)
 		cuts = append(cuts, Cut{ID: victim.id, Reason: ReasonConnections, Close: true})
 	}
@@ -163,6 +169,20 @@
 	return cuts, c.state == arriving
 }
 
+// Waits reports whether the body of a connection must not grow yet: bodies that were
+// cut off for it are still held, and with them the budget would be exceeded.
+func (i *Intake) Waits(id ID) bool {
+	c := i.connections[id]
+	switch {
+	case c == nil || c.state != arriving:
+		return false
+	case c.general:
+		return i.generalBytes+i.heldBytes > i.limits.Bytes-i.limits.ReservedBytes
+	default:
+		return i.bytes+i.heldBytes > i.limits.Bytes
+	}
+}
+
 // Complete says that a request is complete; bytes is the size of its body. It
 // returns false if the connection has been cut off, so that the request must not
 // run.
@@ -176,16 +196,20 @@
 	return true
 }
 
-// End says that a request has been answered, so that its body is no longer held.
+// End says that a request has been answered, so that its body is no longer held. It
+// has to be called for a request that was cut off, too.
 func (i *Intake) End(now time.Duration, id ID) {
+	i.letGo(id)
 	if c := i.connections[id]; c != nil && c.state != rejected {
 		i.release(c)
 		i.move(now, c, waiting)
 	}
 }
 
-// Close removes a connection that has been closed.
+// Close removes a connection that has been closed. It has to be called for one that
+// was cut off, too.
 func (i *Intake) Close(id ID) {
+	i.letGo(id)
 	if c := i.connections[id]; c != nil {
 		i.remove(c)
 	}
--- a/decision/intake/property_test.go
+++ b/decision/intake/property_test.go
@@ -16,6 +16,7 @@
 	now    time.Duration
 	nextID ID
 	known  map[ID]*modelConnection
+	held   map[ID]int64 // bytes of bodies that were cut off
 }
 
 type modelConnection struct {
@@ -35,7 +36,7 @@
 			ReservedBytes: rapid.Int64Range(0, 500).Draw(t, "reserved"), OrdinaryBytes: 100, OrdinaryTime: 2 * time.Second,
 			BodyTime: 10 * time.Second, MinRate: 20, RateGrace: 4 * time.Second,
 		}
-		m := &model{t: t, intake: New(limits), limits: limits, known: map[ID]*modelConnection{}}
+		m := &model{t: t, intake: New(limits), limits: limits, known: map[ID]*modelConnection{}, held: map[ID]int64{}}
 		t.Repeat(map[string]func(*rapid.T){
 			"open": func(*rapid.T) { m.open() },
 			"begin": func(*rapid.T) {
@@ -62,13 +63,22 @@
 			"end": func(*rapid.T) {
 				m.change(func(id ID, c *modelConnection) {
 					m.intake.End(m.now, id)
+					delete(m.held, id)
 					if c.state != rejected {
 						*c = modelConnection{state: waiting, since: m.now}
 					}
 				})
 			},
 			"close": func(*rapid.T) {
-				m.change(func(id ID, _ *modelConnection) { m.intake.Close(id); delete(m.known, id) })
+				m.change(func(id ID, _ *modelConnection) { m.intake.Close(id); delete(m.known, id); delete(m.held, id) })
+			},
+			"let go": func(*rapid.T) { // of the body of a connection that was closed
+				for id := range m.held {
+					if m.known[id] == nil {
+						m.intake.Close(id)
+						delete(m.held, id)
+					}
+				}
 			},
 			"wait": func(*rapid.T) { m.now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond },
 			"expire": func(*rapid.T) {
@@ -119,6 +129,7 @@
 				m.t.Fatalf("Open cut off %d in state %d of %v rather than %d in state %d of %v", cut.ID, victim.state, victim.since, id, c.state, c.since)
 			}
 		}
+		m.hold(cut.ID, victim)
 		delete(m.known, cut.ID)
 	}
 	m.known[m.nextID] = &modelConnection{state: waiting, since: m.now}
@@ -188,10 +199,17 @@
 		default:
 			m.t.Fatalf("got cut %+v for a body", cut)
 		}
+		m.hold(cut.ID, victim)
 		*victim = modelConnection{state: rejected, since: m.now}
 	}
 }
 
+func (m *model) hold(id ID, c *modelConnection) {
+	if c.bytes > 0 {
+		m.held[id] = c.bytes
+	}
+}
+
 // check compares the usage with the model and the budgets. A body that has become
 // old counts as ordinary until the next body grows or the bodies expire.
 func (m *model) check() {
@@ -200,6 +218,23 @@
 	if usage.Bytes != bytes || usage.Connections != len(m.known) {
 		m.t.Fatalf("got usage %+v, want %d bytes and %d connections", usage, bytes, len(m.known))
 	}
+	held := int64(0)
+	for _, n := range m.held {
+		held += n
+	}
+	if usage.HeldBytes != held {
+		m.t.Fatalf("got %d bytes held of bodies that were cut off, want %d", usage.HeldBytes, held)
+	}
+	for id, c := range m.known {
+		over := usage.Bytes+held > m.limits.Bytes
+		if c.general {
+			over = usage.GeneralBytes+held > m.limits.Bytes-m.limits.ReservedBytes
+		}
+		// The model makes a body general later than the Intake while none grows.
+		if got := m.intake.Waits(id); got != (over && c.state == arriving) && m.now-c.since <= m.limits.OrdinaryTime {
+			m.t.Fatalf("Waits of %d (%+v): got %t with usage %+v", id, c, got, usage)
+		}
+	}
 	if usage.Bytes > m.limits.Bytes || usage.GeneralBytes > m.limits.Bytes-m.limits.ReservedBytes || usage.Connections > m.limits.Connections {
 		m.t.Fatalf("got usage %+v beyond the limits %+v", usage, m.limits)
 	}
--- a/decision/intake/state.go
+++ b/decision/intake/state.go
@@ -131,7 +131,22 @@
 
 // reject cuts off an arriving body. Its connection counts until it is closed.
 func (i *Intake) reject(now time.Duration, c *connection, reason Reason) Cut {
+	i.hold(c)
 	i.release(c)
 	i.move(now, c, rejected)
 	return Cut{ID: c.id, Reason: reason}
 }
+
+// hold keeps the bytes of a body that is cut off until its goroutine lets go of them.
+func (i *Intake) hold(c *connection) {
+	if c.bytes > 0 {
+		i.held[c.id] = c.bytes
+		i.heldBytes += c.bytes
+	}
+}
+
+// letGo ends hold.
+func (i *Intake) letGo(id ID) {
+	i.heldBytes -= i.held[id]
+	delete(i.held, id)
+}
--- a/internal/frontend/duty.go
+++ b/internal/frontend/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lacewingfork.example/lacewingfork/decision/intake"
@@ -10,11 +11,13 @@
 
 // duty is the state of one run of the intake duty.
 type duty struct {
-	gate   *Gate
-	state  *intake.Intake
-	conns  map[intake.ID]*conn
-	cuts   map[intake.Reason]int // since the last log line
-	logged time.Duration
+	gate  *Gate
+	state *intake.Intake
+	conns map[intake.ID]*conn
+	cuts  map[intake.Reason]int // since the last log line
+	// waiting holds the questions of bodies that must not grow yet.
+	waiting []request
+	logged  time.Duration
 }
 
 func (g *Gate) run(ctx context.Context, dumps <-chan supervise.DumpRequest) error {
@@ -27,11 +30,15 @@
 			return ctx.Err()
 		case r := <-g.requests.Items():
 			kept := d.handle(r)
-			if r.reply != nil {
-				_ = r.reply.Put(ctx, kept) // has room for the only answer
+			if kept && r.kind == grew && d.state.Waits(r.conn.id) {
+				d.waiting = append(d.waiting, r)
+			} else {
+				r.answer(kept)
 			}
+			d.answerWaiting()
 		case <-ticker.C:
 			d.apply(d.state.Expire(d.now()))
+			d.answerWaiting()
 			d.report()
 		case r := <-dumps:
 			r.Answer(map[string]any{"usage": d.state.Usage(), "limits": g.limits.Limits})
@@ -44,10 +51,14 @@
 // handle handles what a connection tells and returns the answer to a question.
 func (d *duty) handle(r request) bool {
 	now, id := d.now(), r.conn.id
-	if r.kind == closed {
+	switch r.kind {
+	case closed:
 		d.state.Close(id)
 		delete(d.conns, id)
 		return true
+	case ended:
+		d.state.End(now, id)
+		return true
 	}
 	// net/http may close a connection, after a failed write, before the handler ends.
 	if r.conn.cut || r.conn.closed.Load() {
@@ -70,12 +81,21 @@
 		return kept
 	case completed:
 		return d.state.Complete(now, id, r.bytes)
-	case ended:
-		d.state.End(now, id)
 	}
 	return true
 }
 
+// answerWaiting answers the questions of bodies that may grow now or were cut off.
+func (d *duty) answerWaiting() {
+	d.waiting = slices.DeleteFunc(d.waiting, func(r request) bool {
+		if !r.conn.cut && d.state.Waits(r.conn.id) {
+			return false
+		}
+		r.answer(!r.conn.cut)
+		return true
+	})
+}
+
 // apply cuts off clients. It does not block.
 func (d *duty) apply(cuts []intake.Cut) {
 	for _, cut := range cuts {
--- a/internal/frontend/gate.go
+++ b/internal/frontend/gate.go
@@ -103,6 +103,13 @@
 	reply *supervise.Ring[bool]
 }
 
+// answer answers a question. It has no effect on a notice.
+func (r request) answer(kept bool) {
+	if r.reply != nil {
+		_ = r.reply.Put(context.Background(), kept) // has room for the only answer
+	}
+}
+
 // ask asks the duty and returns its answer, or false if there is none.
 func (g *Gate) ask(r request) bool {
 	r.reply = supervise.NewRing[bool](g.requests.Stats().Name+"-reply", 1, supervise.Refuse)
