Let the property test of intake reach the budgets

With rapid's own sequences of about 30 actions and small numbers the test passed with the order of cuts reversed. It now draws up to 200 actions, the frequent ones more often, and sizes near the limits; it also checks which bodies are ordinary and that nothing too old or too slow is left.

--- a/decision/intake/property_test.go
+++ b/decision/intake/property_test.go
@@ -32,64 +32,82 @@
 func TestBudgetsHoldUnderAnyEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := Limits{
-			Connections: rapid.IntRange(1, 8).Draw(t, "connections"), Bytes: 1000,
-			ReservedBytes: rapid.Int64Range(0, 500).Draw(t, "reserved"), OrdinaryBytes: 100, OrdinaryTime: 2 * time.Second,
-			BodyTime: 10 * time.Second, MinRate: 20, RateGrace: 4 * time.Second,
+			Connections: rapid.SampledFrom([]int{2, 8, 30}).Draw(t, "connections"), Bytes: 600,
+			ReservedBytes: rapid.SampledFrom([]int64{0, 150, 400}).Draw(t, "reserved"), OrdinaryBytes: 100, OrdinaryTime: 2 * time.Second,
+			BodyTime: 6 * time.Second, MinRate: 20, RateGrace: 4 * time.Second,
 		}
 		m := &model{t: t, intake: New(limits), limits: limits, known: map[ID]*modelConnection{}, held: map[ID]int64{}}
-		t.Repeat(map[string]func(*rapid.T){
-			"open": func(*rapid.T) { m.open() },
-			"begin": func(*rapid.T) {
-				m.change(func(id ID, c *modelConnection) {
-					if got := m.intake.Begin(m.now, id); got != (c.state != rejected) {
-						t.Fatalf("Begin of %d: got %t in state %d", id, got, c.state)
-					}
-					if c.state != rejected {
-						*c = modelConnection{state: arriving, since: m.now}
-					}
-				})
-			},
-			"grow": func(*rapid.T) { m.grow(rapid.Int64Range(0, 400).Draw(t, "bytes")) },
-			"complete": func(*rapid.T) {
-				m.change(func(id ID, c *modelConnection) {
-					if got := m.intake.Complete(m.now, id, c.bytes); got != (c.state != rejected) {
-						t.Fatalf("Complete of %d: got %t in state %d", id, got, c.state)
-					}
-					if c.state != rejected {
-						c.state, c.since = complete, m.now
-					}
-				})
-			},
-			"end": func(*rapid.T) {
-				m.change(func(id ID, c *modelConnection) {
-					m.intake.End(m.now, id)
-					delete(m.held, id)
-					if c.state != rejected {
-						*c = modelConnection{state: waiting, since: m.now}
-					}
-				})
-			},
-			"close": func(*rapid.T) {
-				m.change(func(id ID, _ *modelConnection) { m.intake.Close(id); delete(m.known, id); delete(m.held, id) })
-			},
-			"let go": func(*rapid.T) { // of the body of a connection that was closed
-				for id := range m.held {
-					if m.known[id] == nil {
-						m.intake.Close(id)
-						delete(m.held, id)
-					}
-				}
-			},
-			"wait": func(*rapid.T) { m.now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond },
-			"expire": func(*rapid.T) {
-				m.promote()
-				m.apply(m.intake.Expire(m.now), true)
-			},
-			"": func(*rapid.T) { m.check() },
-		})
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			m.step()
+			m.check()
+		}
 	})
 }
 
+// actions holds the actions of a step, the frequent ones several times.
+var actions = []string{
+	"open", "open", "begin", "begin", "begin", "grow", "grow", "grow", "grow", "grow", "grow", "complete", "end", "close", "let go", "wait", "wait", "expire", "expire",
+}
+
+func (m *model) step() {
+	switch rapid.SampledFrom(actions).Draw(m.t, "action") {
+	case "open":
+		m.open()
+	case "begin":
+		m.change(func(id ID, c *modelConnection) {
+			if got := m.intake.Begin(m.now, id); got != (c.state != rejected) {
+				m.t.Fatalf("Begin of %d: got %t in state %d", id, got, c.state)
+			}
+			if c.state != rejected {
+				*c = modelConnection{state: arriving, since: m.now}
+			}
+		})
+	case "grow":
+		m.grow(rapid.SampledFrom([]int64{0, 30, 60, 200, 400}).Draw(m.t, "bytes"))
+	case "complete":
+		m.change(func(id ID, c *modelConnection) {
+			if got := m.intake.Complete(m.now, id, c.bytes); got != (c.state != rejected) {
+				m.t.Fatalf("Complete of %d: got %t in state %d", id, got, c.state)
+			}
+			if c.state != rejected {
+				c.state, c.since = complete, m.now
+			}
+		})
+	case "end":
+		m.change(func(id ID, c *modelConnection) {
+			m.intake.End(m.now, id)
+			delete(m.held, id)
+			if c.state != rejected {
+				*c = modelConnection{state: waiting, since: m.now}
+			}
+		})
+	case "close":
+		m.change(func(id ID, _ *modelConnection) {
+			m.intake.Close(id)
+			delete(m.known, id)
+			delete(m.held, id)
+		})
+	case "let go": // of the bodies of connections that were closed
+		for id := range m.held {
+			if m.known[id] == nil {
+				m.intake.Close(id)
+				delete(m.held, id)
+			}
+		}
+	case "wait":
+		m.now += rapid.SampledFrom([]time.Duration{time.Millisecond, 600 * time.Millisecond, 2500 * time.Millisecond}).Draw(m.t, "time")
+	case "expire":
+		m.promote()
+		m.apply(m.intake.Expire(m.now), true)
+		m.checkGeneral()
+		for id, c := range m.known {
+			if c.state == arriving && (m.now-c.since > m.limits.BodyTime || m.tooSlow(c)) {
+				m.t.Fatalf("%d with %d bytes after %v was not cut off", id, c.bytes, m.now-c.since)
+			}
+		}
+	}
+}
+
 // change calls f for a connection, if there is any.
 func (m *model) change(f func(ID, *modelConnection)) {
 	if len(m.known) == 0 {
@@ -137,14 +155,17 @@
 
 func (m *model) grow(more int64) {
 	m.change(func(id ID, c *modelConnection) {
-		m.promote()
 		wasArriving := c.state == arriving
 		if wasArriving {
+			m.promote()
 			c.bytes += more
 			c.general = c.general || c.bytes > m.limits.OrdinaryBytes
 		}
 		cuts, kept := m.intake.Grow(m.now, id, c.bytes)
 		m.apply(cuts, false)
+		if wasArriving {
+			m.checkGeneral()
+		}
 		if kept != (wasArriving && c.state == arriving) {
 			m.t.Fatalf("Grow of %d: got %t in state %d", id, kept, c.state)
 		}
@@ -193,7 +214,7 @@
 				m.t.Fatalf("cut off %d after %v", cut.ID, age)
 			}
 		case ReasonBodyRate:
-			if !expiry || age <= m.limits.RateGrace || float64(victim.bytes) >= float64(m.limits.MinRate)*(age-m.limits.RateGrace).Seconds() {
+			if !expiry || !m.tooSlow(victim) {
 				m.t.Fatalf("cut off %d with %d bytes after %v", cut.ID, victim.bytes, age)
 			}
 		default:
@@ -204,6 +225,19 @@
 	}
 }
 
+func (m *model) tooSlow(c *modelConnection) bool {
+	counted := m.now - c.since - m.limits.RateGrace
+	return counted > 0 && float64(c.bytes) < float64(m.limits.MinRate)*counted.Seconds()
+}
+
+// checkGeneral checks which bodies may not use the reserved share, after a call that
+// considers their ages.
+func (m *model) checkGeneral() {
+	if _, general := m.sums(); m.intake.Usage().GeneralBytes != general {
+		m.t.Fatalf("got %d bytes that are not ordinary, want %d", m.intake.Usage().GeneralBytes, general)
+	}
+}
+
 func (m *model) hold(id ID, c *modelConnection) {
 	if c.bytes > 0 {
 		m.held[id] = c.bytes
