Bound what callers can make the entry instance hold

A semaphore charged each request with its declared length, or the largest one, before a byte of its body had arrived: 24 clients with an unfinished MiB excluded all others for 30 s, and connections were unbounded. The intake duty replaces it: bodies are charged as they arrive, complete ones until they are answered (24 MiB as before, as each peer forwards as much), and connections are bounded (2,048 at most). Submissions of jobs count too. ReadTimeout is replaced by limits of its own for header and body: it ran on while a request was in progress, whose deadline may be 60 s.

TestBufferedBodiesAreBounded took the semaphore itself. It now fills the budget with requests in progress, whose next one must be refused as not run with Retry-After, and then with incomplete ones, beside which a request must be answered.

The operations listeners close idle connections and bound headers.

--- a/entry/callers/callers.go
+++ b/entry/callers/callers.go
@@ -2,7 +2,8 @@
 //
 // The server duty owns the listener. net/http runs a goroutine for each
 // connection, which decodes the request, puts a submission on the routing ring,
-// waits for the answer and encodes it. A failed server duty is restarted on the
+// waits for the answer and encodes it. The intake duty of package frontend bounds
+// what unfinished requests hold. A failed server duty is restarted on the
 // same listener. Requests of the failed run get no answer, so their callers must
 // treat the outcome as unknown.
 package callers
@@ -19,26 +20,18 @@
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
-	"golang.org/x/sync/semaphore"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"lacewingfork.example/lacewingfork/callerapi"
 	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/decision/requestkey"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/frontend"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
 const (
-	// maxBufferedBodyBytes bounds the bodies of all requests in progress, in
-	// bytes. Each of the 6 other instances applies the same bound to the
-	// requests that it forwards, so an instance buffers at most 7 times this
-	// much: 168 MiB of its 256 MiB.
-	maxBufferedBodyBytes = 24 << 20
-	// readTimeout bounds the time in which a caller must send its request.
-	readTimeout = 30 * time.Second
-	// idleTimeout is the time after which an idle connection is closed.
-	idleTimeout = 90 * time.Second
 	// waitGrace is how long after the deadline the front end still waits for
 	// an answer. The routing duty's own timer ends every request before that.
 	waitGrace = 500 * time.Millisecond
@@ -56,6 +49,12 @@
 	// MaxDeadline bounds the deadline of a request even if the configuration
 	// allows a longer one.
 	MaxDeadline time.Duration
+	// Limits bound what the requests in progress hold. HeaderTimeout and
+	// IdleTimeout are the longest times for a header and between two requests.
+	Limits                     frontend.Limits
+	HeaderTimeout, IdleTimeout time.Duration
+	// Log logs what was cut off.
+	Log frontend.Log
 }
 
 // Supervisor runs the server duty and a duty that publishes the configuration in
@@ -77,20 +76,19 @@
 	sequence      atomic.Uint64
 	incarnation   string
 	server        *http.Server
-	// bodyBytes limits the buffered request bodies to maxBufferedBodyBytes.
-	bodyBytes *semaphore.Weighted
+	gate          *frontend.Gate
 }
 
 // New adds the callers supervisor below root. The register functions add further
 // routes, such as those of batch jobs.
 func New(
 	root *supervise.Tree, settings Settings, listener net.Listener,
-	submissions *supervise.Ring[message.Submission], metrics *Metrics, register ...func(*mux.Router),
+	submissions *supervise.Ring[message.Submission], metrics *Metrics, registry prometheus.Registerer, register ...func(*mux.Router),
 ) *Supervisor {
 	s := &Supervisor{
 		settings: settings, listener: listener, submissions: submissions, metrics: metrics,
 		Configurations: supervise.NewRing[message.ConfigurationInForce]("callers.configurations", 1, supervise.DropOldest),
-		incarnation:    randomHex(6), bodyBytes: semaphore.NewWeighted(maxBufferedBodyBytes),
+		incarnation:    randomHex(6),
 	}
 	router := mux.NewRouter()
 	router.HandleFunc(callerapi.PathServices+"{service}/{operation}", s.handleRequest).Methods(http.MethodPost)
@@ -98,10 +96,14 @@
 	for _, add := range register {
 		add(router)
 	}
+	tree := root.Child("callers", supervise.DefaultIntensity)
+	s.gate = frontend.New(tree, "callers", settings.Limits, settings.Log, registry, func(w http.ResponseWriter, r *http.Request) {
+		s.reject(w, r, message.Refusal(s.nextID(), outcome.Overloaded, time.Second))
+	})
 	s.server = &http.Server{
-		Handler: router, MaxHeaderBytes: settings.MaxHeaderBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Handler: s.gate.Handler(router), ConnContext: s.gate.ConnContext, MaxHeaderBytes: settings.MaxHeaderBytes,
+		ReadHeaderTimeout: settings.HeaderTimeout, IdleTimeout: settings.IdleTimeout,
 	}
-	tree := root.Child("callers", supervise.DefaultIntensity)
 	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
 	tree.Start(supervise.Duty{Name: "configuration", Rings: []supervise.AnyRing{s.Configurations}, Run: s.followConfigurations})
 	return s
@@ -110,7 +112,7 @@
 func (s *Supervisor) serve(ctx context.Context, _ <-chan supervise.DumpRequest) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
-	err := s.server.Serve(s.listener)
+	err := s.server.Serve(s.gate.Listen(ctx, s.listener))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -161,15 +163,6 @@
 
 func (s *Supervisor) handleRequest(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	reserved := s.settings.MaxBodyBytes
-	if r.ContentLength >= 0 {
-		reserved = min(reserved, r.ContentLength)
-	}
-	if !s.bodyBytes.TryAcquire(reserved) {
-		s.reject(w, r, message.Refusal(s.nextID(), outcome.Overloaded, time.Second))
-		return
-	}
-	defer s.bodyBytes.Release(reserved)
 	request, refusal := s.decode(w, r)
 	if refusal != nil {
 		s.reject(w, r, *refusal)
@@ -194,6 +187,10 @@
 		s.write(w, r, message.Refusal(id, outcome.NoSuchService, 0))
 		return
 	}
+	if _, refusal := s.readBody(w, r, id); refusal != nil { // a request that runs must be complete
+		s.write(w, r, *refusal)
+		return
+	}
 	answer := s.submit(r.Context(), message.Submission{Request: request, IssueKey: true})
 	if answer.Outcome == outcome.Answered {
 		answer.Status, answer.Body = http.StatusOK, encodeKey(answer.Key)
--- a/entry/callers/callers_test.go
+++ b/entry/callers/callers_test.go
@@ -14,12 +14,17 @@
 
 	"lacewingfork.example/lacewingfork/callerapi"
 	"lacewingfork.example/lacewingfork/decision/configuration"
+	"lacewingfork.example/lacewingfork/decision/intake"
 	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/frontend"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
+// maxTestBytes bounds the bodies of all requests of a test's front end.
+const maxTestBytes = 8 << 10
+
 // frontEnd is a running front end. The test answers its submissions in place of
 // the routing duty.
 type frontEnd struct {
@@ -34,10 +39,15 @@
 		t.Fatal(err)
 	}
 	tree := supervise.NewTree("test", supervise.DefaultIntensity, func(supervise.Event) {})
+	registry := prometheus.NewRegistry()
 	submissions := supervise.NewRing[message.Submission]("submissions", 8, supervise.Refuse)
 	s := New(tree, Settings{
 		Instance: "e1", StopTimeout: 5 * time.Second, MaxBodyBytes: 1 << 10, MaxHeaderBytes: 16 << 10, MaxDeadline: time.Minute,
-	}, listener, submissions, NewMetrics(prometheus.NewRegistry()))
+		HeaderTimeout: time.Minute, IdleTimeout: time.Minute, Log: func(string, ...any) {},
+		Limits: frontend.Limits{WriteTimeout: time.Minute, Limits: intake.Limits{
+			Connections: 64, Bytes: maxTestBytes, OrdinaryBytes: 512, OrdinaryTime: time.Minute, BodyTime: time.Minute, RateGrace: time.Minute,
+		}},
+	}, listener, submissions, NewMetrics(registry), registry)
 	s.Resends = supervise.NewRing[message.ResendConfiguration]("wanted", 1, supervise.DropOldest)
 	s.configuration.Store(&message.ConfigurationInForce{Version: 1, Value: &configuration.Configuration{
 		Limits: configuration.DefaultLimits,
@@ -199,20 +209,38 @@
 	}
 }
 
-// Guards against request bodies that exhaust the memory of an instance.
+// Guards against request bodies that exhaust the memory of an instance: those of
+// requests in progress, which are complete, and those that are not complete.
 func TestBufferedBodiesAreBounded(t *testing.T) {
+	const layout = "/v1/services/planner/layout"
+	large := post(layout, strings.Repeat("x", 1<<10))
 	f := startFrontEnd(t)
+	held := []message.Submission{}
+	for range maxTestBytes >> 10 {
+		go func() { _, _ = f.sendRaw(large, false) }() // its answer is not checked
+		held = append(held, <-f.submissions.Items())
+	}
+	full := f.send(t, large, false)
+	if full.StatusCode != 503 || full.Header.Get(callerapi.HeaderReason) != string(outcome.Overloaded) || full.Header.Get("Retry-After") == "" ||
+		full.Header.Get(callerapi.HeaderOutcome) != outcome.RefusedNotRun.String() || !full.Close {
+		t.Errorf("at the limit: got %d %v, want 503, not run, overloaded, with Retry-After and Connection: close", full.StatusCode, full.Header)
+	}
 	f.answerAll(t, message.Answer{Outcome: outcome.Answered, Status: 200})
-	if !f.bodyBytes.TryAcquire(maxBufferedBodyBytes) {
-		t.Fatal("body bytes are reserved before the first request, want none")
+	for _, s := range held {
+		s.Deliver(message.Answer{ID: s.Request.ID, Outcome: outcome.Answered, Status: 200})
 	}
-	const layout = "/v1/services/planner/layout"
-	full := f.send(t, post(layout, "x"), false)
-	f.bodyBytes.Release(maxBufferedBodyBytes)
-	free := f.send(t, post(layout, "x"), false)
-	if full.Header.Get(callerapi.HeaderReason) != string(outcome.Overloaded) || free.StatusCode != 200 {
-		t.Errorf("at the limit: reason %q, want %q; below the limit: status %d, want 200",
-			full.Header.Get(callerapi.HeaderReason), outcome.Overloaded, free.StatusCode)
+	for range 3 * maxTestBytes >> 10 { // more than the budget, none of them complete
+		conn, err := net.Dial("tcp", f.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if _, err := conn.Write([]byte(large[:len(large)-1])); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if free := f.send(t, large, false); free.StatusCode != 200 {
+		t.Errorf("beside incomplete bodies: got status %d, want 200", free.StatusCode)
 	}
 }
 
--- a/entry/callers/codec.go
+++ b/entry/callers/codec.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,6 +14,7 @@
 	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/frontend"
 )
 
 // keyDeadline is the deadline of a call that issues a request key, from its
@@ -45,13 +45,9 @@
 	if !ok || len(r.Header.Get(callerapi.HeaderTeam)) > maxNameBytes || len(r.Header.Get(callerapi.HeaderCaller)) > maxNameBytes {
 		return refuse(outcome.MalformedRequest, 0)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return refuse(outcome.BodyTooLarge, 0)
-	case err != nil:
-		return refuse(outcome.MalformedRequest, 0)
+	body, refusal := s.readBody(w, r, id)
+	if refusal != nil {
+		return nil, refusal
 	}
 	return &message.Request{
 		ID: id, Caller: fleet.Caller(r.Header.Get(callerapi.HeaderCaller)), Team: fleet.Team(r.Header.Get(callerapi.HeaderTeam)),
@@ -60,6 +56,24 @@
 	}, nil
 }
 
+// readBody returns either the body or, if it is refused, the answer to the request.
+func (s *Supervisor) readBody(w http.ResponseWriter, r *http.Request, id fleet.RequestID) ([]byte, *message.Answer) {
+	body, err := frontend.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	var refusal message.Answer
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		refusal = message.Refusal(id, outcome.BodyTooLarge, 0)
+	case errors.Is(err, frontend.ErrCut):
+		refusal = message.Refusal(id, outcome.Overloaded, time.Second)
+	default:
+		refusal = message.Refusal(id, outcome.MalformedRequest, 0)
+	}
+	return nil, &refusal
+}
+
 // deadlineOf returns the deadline of the header or, without one, that of the
 // operation, which the limit caps. It returns false for a header that is malformed
 // or exceeds the limit.
--- a/entry/callers/jobs.go
+++ b/entry/callers/jobs.go
@@ -16,10 +16,12 @@
 	"github.com/gorilla/mux"
 
 	"lacewingfork.example/lacewingfork/callerapi"
+	"lacewingfork.example/lacewingfork/decision/outcome"
 	"lacewingfork.example/lacewingfork/decision/task"
 	"lacewingfork.example/lacewingfork/entry/message"
 	"lacewingfork.example/lacewingfork/findings"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/frontend"
 	"lacewingfork.example/lacewingfork/supervise"
 )
 
@@ -63,6 +65,10 @@
 func (j jobRoutes) submit(w http.ResponseWriter, r *http.Request) {
 	job, status, err := decodeJob(w, r)
 	if err != nil {
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set(callerapi.HeaderRetryAfter, "1")
+			w.Header().Set(callerapi.HeaderReason, string(outcome.Overloaded))
+		}
 		writeJobError(w, status, err.Error())
 		return
 	}
@@ -210,7 +216,7 @@
 }
 
 // decodeJob reads a submission. The error lists all findings together; the status
-// distinguishes a body that is too large from one that is invalid.
+// distinguishes a body that was cut off, is too large or is invalid.
 func decodeJob(w http.ResponseWriter, r *http.Request) (task.Job, int, error) {
 	var body callerapi.Job
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJobBytes))
@@ -221,6 +227,9 @@
 			err = errors.New("more follows after the job")
 		}
 	}
+	if errors.Is(err, frontend.ErrCut) {
+		return task.Job{}, http.StatusServiceUnavailable, frontend.ErrCut
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return task.Job{}, http.StatusRequestEntityTooLarge, errors.Errorf("body is larger than %d bytes", maxJobBytes)
--- a/entry/operations/operations.go
+++ b/entry/operations/operations.go
@@ -28,8 +28,13 @@
 	"lacewingfork.example/lacewingfork/supervise/ringmetrics"
 )
 
-// queryTimeout bounds the wait for the answers of duties.
-const queryTimeout = time.Second
+const (
+	// queryTimeout bounds the wait for the answers of duties.
+	queryTimeout = time.Second
+	// idleTimeout is above the 15 s between two scrapes of the metrics.
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 16 << 10
+)
 
 // Settings describes the instance and bounds its history.
 type Settings struct {
@@ -89,7 +94,9 @@
 	}
 	s.explainers = append([]*supervise.Ring[message.ExplainQuery]{s.historyQueries}, explainers...)
 	registry.MustRegister(ringmetrics.New(s.directory))
-	s.server = &http.Server{Handler: s.routes(registry), ReadHeaderTimeout: 5 * time.Second}
+	s.server = &http.Server{
+		Handler: s.routes(registry), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	tree := root.Child("operations", supervise.DefaultIntensity)
 	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
 	tree.Start(supervise.Duty{Name: "history", Rings: []supervise.AnyRing{s.Events, s.historyQueries}, Run: s.runHistory})
--- a/entry/wiring.go
+++ b/entry/wiring.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
@@ -17,6 +18,7 @@
 	"lacewingfork.example/lacewingfork/entry/routing"
 	"lacewingfork.example/lacewingfork/entry/scheduling"
 	"lacewingfork.example/lacewingfork/fleet"
+	"lacewingfork.example/lacewingfork/internal/frontend"
 	"lacewingfork.example/lacewingfork/platformapi"
 	ownershiprecords "lacewingfork.example/lacewingfork/records/ownership"
 	taskrecords "lacewingfork.example/lacewingfork/records/task"
@@ -174,15 +176,27 @@
 	ledger.Start(tree, p.Appends())
 }
 
+// instanceMemory is the memory of an instance, in bytes.
+const instanceMemory = 256 << 20
+
 func newCallers(
 	tree *supervise.Tree, s settings.Settings, l *Listeners, route *routing.Duty, m metrics, ledger *batch.Supervisor,
+	registry *prometheus.Registry, logger *log.Logger,
 ) *callers.Supervisor {
 	config := callers.Settings{
 		Instance: s.Instance.ID, StopTimeout: s.Process.StopTimeout,
 		MaxBodyBytes: s.Limits.BodyBytes, MaxHeaderBytes: s.Limits.HeaderBytes, MaxDeadline: s.Limits.MaxDeadline,
+		HeaderTimeout: s.Limits.HeaderTime, IdleTimeout: s.Limits.IdleTime,
+		Limits: frontend.NewLimits(frontend.Settings{
+			Connections: s.Limits.Connections, Bytes: int64(s.Limits.BodyMiB) << 20, BodyTime: s.Limits.BodyTime,
+			BodyRate: int64(s.Limits.BodyRate), WriteTimeout: s.Limits.ResponseTime,
+		}, instanceMemory, frontend.Descriptors()),
+		Log: func(event string, pairs ...any) {
+			logger.Warn("clients were cut off", append([]any{"event", event}, pairs...)...)
+		},
 	}
 	return callers.New(
-		tree, config, l.Callers, route.Submissions, m.callers, callers.RegisterJobs(ledger.Commands),
+		tree, config, l.Callers, route.Submissions, m.callers, registry, callers.RegisterJobs(ledger.Commands),
 	)
 }
 
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -72,14 +72,16 @@
 	}
 }
 
-// Descriptors returns the limit on the open descriptors of this process.
+// leastDescriptors is the least number of descriptors of an instance. A platform may
+// bound them otherwise than by the limit of the process.
+const leastDescriptors = 4100
+
+// Descriptors returns how many descriptors this process may open: its limit, or
+// leastDescriptors if that is lower.
 func Descriptors() uint64 {
 	var limit unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
-		return defaultDescriptors
+		return leastDescriptors
 	}
-	return limit.Cur
+	return min(limit.Cur, leastDescriptors)
 }
-
-// defaultDescriptors is the least number of descriptors of an instance.
-const defaultDescriptors = 4100
--- a/scheduler/operations/operations.go
+++ b/scheduler/operations/operations.go
@@ -27,6 +27,9 @@
 
 const (
 	headerTimeout = 2 * time.Second // for the header of a request
+	// idleTimeout is above the 15 s between two scrapes of the metrics.
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 16 << 10
 	// holderLossGrace is how long the instance stays ready without a link to a
 	// holder. It covers a takeover, which takes one to two seconds and during
 	// which callers wait.
@@ -61,7 +64,9 @@
 		Draining:       supervise.NewStateRing[struct{}]("operations.draining"),
 	}
 	registry.MustRegister(ringmetrics.New(s.directory))
-	s.server = &http.Server{Handler: s.routes(registry), ReadHeaderTimeout: headerTimeout}
+	s.server = &http.Server{
+		Handler: s.routes(registry), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
 	tree := root.Child("operations", supervise.DefaultIntensity)
 	tree.Start(supervise.Duty{Name: "server", Run: s.serve})
 	tree.Start(supervise.Duty{
--- a/scheduler/settings/callers.go
+++ b/scheduler/settings/callers.go
@@ -11,7 +11,7 @@
 // within 3 s.
 var callersKeys = []tomlfile.Key[Settings]{
 	{
-		Name: "connections", Description: "open connections of callers; 0: two thirds of the descriptors beyond 200, and at most one for each 128 KiB of `memory_mib`",
+		Name: "connections", Description: "open connections of callers; 0: two thirds of the descriptors beyond 200, of at most 4100, and at most one for each 128 KiB of `memory_mib`",
 		Unit: "connections", Default: 0, Min: 0, Max: 1 << 20, Field: func(s *Settings) any { return &s.Callers.Connections },
 	},
 	{
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -154,6 +154,43 @@
 		Default: 8192, Min: 1024, Max: 1 << 16,
 		Field: func(s *Settings) any { return &s.Limits.ExplanationHistory },
 	},
+	{
+		Name: "connections", Description: "open connections of callers; 0: two thirds of the descriptors beyond 200, of at most 4100, and at most 2048", Unit: "connections",
+		Default: 0, Min: 0, Max: 1 << 20,
+		Field: func(s *Settings) any { return &s.Limits.Connections },
+	},
+	{
+		// Each of the 6 other instances applies the same bound to the requests that it
+		// forwards, so an instance holds at most 7 times the default: 168 MiB of 256.
+		Name: "body_mib", Description: "bodies of all requests that are not answered; a quarter of it is reserved for bodies of at most 64 KiB that began less than 2 s ago or are complete", Unit: "MiB",
+		Default: 24, Min: 2, Max: 1 << 20,
+		Field: func(s *Settings) any { return &s.Limits.BodyMiB },
+	},
+	{
+		Name: "body_time", Description: "longest time in which a body arrives",
+		Default: 30 * time.Second, Min: time.Second, Max: time.Hour,
+		Field: func(s *Settings) any { return &s.Limits.BodyTime },
+	},
+	{
+		Name: "body_rate", Description: "least average rate of a body after its first 5 s; 0: any", Unit: "bytes a second",
+		Default: 256, Min: 0, Max: 1 << 30,
+		Field: func(s *Settings) any { return &s.Limits.BodyRate },
+	},
+	{
+		Name: "header_time", Description: "longest time in which a header arrives",
+		Default: 5 * time.Second, Min: time.Second, Max: time.Hour,
+		Field: func(s *Settings) any { return &s.Limits.HeaderTime },
+	},
+	{
+		Name: "idle_time", Description: "longest time between two requests on a connection; above the 60 s of the package `caller`",
+		Default: 90 * time.Second, Min: time.Second, Max: time.Hour,
+		Field: func(s *Settings) any { return &s.Limits.IdleTime },
+	},
+	{
+		Name: "response_time", Description: "longest time in which a caller reads a response",
+		Default: 30 * time.Second, Min: time.Second, Max: time.Hour,
+		Field: func(s *Settings) any { return &s.Limits.ResponseTime },
+	},
 }
 
 func isListenAddress(text string) bool {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -71,6 +71,15 @@
 	MaxDeadline        time.Duration // longest deadline of a request
 	ConnectionMaxAge   time.Duration // age at which a pooled connection is replaced
 	ExplanationHistory int           // number of events kept
+
+	// The limits on callers. The descriptions of the settings give their meaning.
+	Connections  int
+	BodyMiB      int
+	BodyTime     time.Duration
+	BodyRate     int
+	HeaderTime   time.Duration
+	IdleTime     time.Duration
+	ResponseTime time.Duration
 }
 
 // Process holds the settings of the process as a whole.
