--- a/decision/cell/cost.go
+++ b/decision/cell/cost.go
@@ -16,7 +16,11 @@
 	costPerRun       = 0.01
 	// costVacating keeps long-running tasks off servers that are being vacated of
 	// serving tasks.
-	costVacating    = 100.0
+	costVacating = 100.0
+	// costLateLease keeps long-running tasks off workers on which a late call may extend
+	// the lease, so that a task lost with the worker waits up to 22 s. It is more than
+	// the free cores of a server cost and less than costNoServing.
+	costLateLease   = 30.0
 	milliCPUPerCore = 1000.0
 )
 
@@ -44,6 +48,9 @@
 		if c.now.Steady < w.vacatingUntil {
 			cost += costVacating
 		}
+		if w.lateOrderUntil-c.now.Steady > c.settings.Lease {
+			cost += costLateLease
+		}
 		if serving == 0 {
 			cost += costNoServing
 		}
--- a/decision/cell/late_lease_test.go
+++ b/decision/cell/late_lease_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"lacewingfork.example/lacewingfork/decision/job"
 	"lacewingfork.example/lacewingfork/fleet"
 )
 
@@ -218,3 +219,29 @@
 		t.Errorf("the next holder waits until %v; the lease may last until %v", w.earlierHolderUntil, latest)
 	}
 }
+
+// Guards against a long-running task on a late lease while another server has equal room.
+func TestLongRunningTaskAvoidsLateLease(t *testing.T) {
+	lease := DefaultSettings().Lease
+	for name, c := range map[string]struct {
+		late    time.Duration // time for which late calls are expected on server a
+		step    job.Step
+		servers []Server
+		want    fleet.BackendServerID
+	}{
+		"late lease":          {lease + time.Second, longRunningStep(1), []Server{testServer("a"), testServer("b")}, "b"},
+		"ordinary lease":      {lease, longRunningStep(1), []Server{testServer("a"), testServer("b")}, "a"},
+		"short task":          {lease + time.Second, oneTaskStep(), []Server{testServer("a"), testServer("b")}, "a"},
+		"no room on the rest": {lease + time.Second, longRunningStep(1), []Server{testServer("a")}, "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.setUpServers(c.servers...)
+			f.cell.workers["a"].lateOrderUntil = f.now + c.late
+			f.submit(testJob, c.step)
+			if starts := f.takeStarts(); len(starts) != 1 || starts[0].Server != c.want {
+				t.Errorf("got starts %+v, want one on %s", starts, c.want)
+			}
+		})
+	}
+}
