Test the wait for bodies that were cut off; bound the logged findings

A submission with a hundred findings made a log line of some ten kilobytes, and the ring of the log holds 2,048 lines: the line now has the first 500 bytes. The rule that a body waits until those that were cut off for it are no longer held was covered by the crowds only; a test of the duty shows it.

--- a/internal/frontend/duty.go
+++ b/internal/frontend/duty.go
@@ -29,13 +29,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case r := <-g.requests.Items():
-			kept := d.handle(r)
-			if kept && r.kind == grew && d.state.Waits(r.conn.id) {
-				d.waiting = append(d.waiting, r)
-			} else {
-				r.answer(kept)
-			}
-			d.answerWaiting()
+			d.serve(r)
 		case <-ticker.C:
 			d.apply(d.state.Expire(d.now()))
 			d.answerWaiting()
@@ -48,6 +42,17 @@
 
 func (d *duty) now() time.Duration { return time.Since(d.gate.start) }
 
+// serve handles what a connection tells and answers what may be answered by now.
+func (d *duty) serve(r request) {
+	kept := d.handle(r)
+	if kept && r.kind == grew && d.state.Waits(r.conn.id) {
+		d.waiting = append(d.waiting, r)
+	} else {
+		r.answer(kept)
+	}
+	d.answerWaiting()
+}
+
 // handle handles what a connection tells and returns the answer to a question.
 func (d *duty) handle(r request) bool {
 	now, id := d.now(), r.conn.id
--- a/internal/frontend/gate_test.go
+++ b/internal/frontend/gate_test.go
@@ -278,11 +278,52 @@
 	s.await(connections, 0)
 }
 
+// newTestDuty returns the state of a duty without a network.
+func newTestDuty() *duty {
+	g := &Gate{limits: testLimits(), cuts: prometheus.NewCounterVec(prometheus.CounterOpts{}, []string{"reason"})}
+	return &duty{gate: g, state: intake.New(g.limits.Limits), conns: map[intake.ID]*conn{}, cuts: map[intake.Reason]int{}}
+}
+
+// Guards against a body that grows while those that were cut off for it are still
+// held, and against one that waits for ever.
+func TestBodyWaitsForThoseThatWereCutOff(t *testing.T) {
+	const most = 48 << 10 // of bodies that are not ordinary
+	d := newTestDuty()
+	first, second, third := &conn{id: 1}, &conn{id: 2}, &conn{id: 3}
+	answers := map[*conn]*supervise.Ring[bool]{}
+	grow := func(c *conn) {
+		answers[c] = supervise.NewRing[bool]("reply", 1, supervise.Refuse)
+		d.serve(request{kind: began, conn: c})
+		d.serve(request{kind: grew, conn: c, bytes: most, reply: answers[c]})
+	}
+	expect := func(c *conn, want string) {
+		t.Helper()
+		got := "none"
+		select {
+		case kept := <-answers[c].Items():
+			got = fmt.Sprint(kept)
+		default:
+		}
+		if got != want {
+			t.Errorf("connection %d: got answer %s, want %s", c.id, got, want)
+		}
+	}
+	grow(first)
+	expect(first, "true")
+	grow(second) // cuts off the first
+	expect(second, "none")
+	grow(third) // cuts off the second, which waits
+	expect(second, "false")
+	d.serve(request{kind: ended, conn: first})
+	expect(third, "none")
+	d.serve(request{kind: ended, conn: second})
+	expect(third, "true")
+}
+
 // Guards against requests that fail after a restart of the intake duty, which has
 // forgotten their connections, and against one that runs although it was cut off.
 func TestRestartedDutyTakesOverConnections(t *testing.T) {
-	g := &Gate{limits: testLimits(), cuts: prometheus.NewCounterVec(prometheus.CounterOpts{}, []string{"reason"})}
-	d := &duty{gate: g, state: intake.New(g.limits.Limits), conns: map[intake.ID]*conn{}, cuts: map[intake.Reason]int{}}
+	d := newTestDuty()
 	known, cut := &conn{id: 1}, &conn{id: 2, cut: true}
 	if !d.handle(request{kind: completed, conn: known}) || d.state.Usage().Complete != 1 {
 		t.Errorf("got usage %+v, want a complete request", d.state.Usage())
--- a/scheduler/callers/handle.go
+++ b/scheduler/callers/handle.go
@@ -114,12 +114,18 @@
 	}
 	submitted, err := s.format.Submission(request.Job, request.Queue, body)
 	if err != nil {
-		s.log.Event(string(cell.NoteJobUnreadable), "job", request.Job, "error", err)
+		s.log.Event(string(cell.NoteJobUnreadable), "job", request.Job, "error", firstBytes(err.Error(), maxLoggedError))
 		return nil, &result{status: http.StatusBadRequest, body: s.format.ErrorBody(err)}
 	}
 	return &submitted, nil
 }
 
+// maxLoggedError bounds the findings in a log line, in bytes: a submission may have
+// a hundred.
+const maxLoggedError = 500
+
+func firstBytes(text string, most int) string { return text[:min(len(text), most)] }
+
 // sendRequest sends the request to the holder and waits for the response.
 func (s *Supervisor) sendRequest(ctx context.Context, request message.Request) result {
 	if err := s.requests.Put(ctx, request); err != nil {
