Place a gang of one rack in a rack that holds it, or wait for one

With UnevenDemand. The members were placed one by one, by the cost of those outside the rack of the others; the first went to any rack, and when that was too full for the rest the gang was spread, and slow as a whole.

Ruled out: reserving a rack member by member, which idles it.

The equivalence of passes covers gangs of one rack.

--- a/decision/cell/equivalence_test.go
+++ b/decision/cell/equivalence_test.go
@@ -194,6 +194,9 @@
 		if h.cell.settings.UnevenDemand && pick(0.4) {
 			s.DataRack = fmt.Sprintf("r%d", h.random.IntN(3))
 		}
+		if h.cell.settings.UnevenDemand && s.Gang {
+			s.SameRack = pick(0.5)
+		}
 		if s.LongRunning && pick(0.2) {
 			s.LatencyTarget = 100 * time.Millisecond
 		} else if !s.LongRunning {
--- a/decision/cell/gang.go
+++ b/decision/cell/gang.go
@@ -32,9 +32,22 @@
 }
 
 // placeGang returns a worker for each task, or nil if they do not all fit.
-// Members that are already placed reserve their resources while the others are
-// placed; the reservations are released at the end.
 func (c *Cell) placeGang(s *stepState) []*worker {
+	if c.settings.UnevenDemand && s.spec.SameRack {
+		if placed, waits := c.placeGangInRack(s); placed != nil || waits {
+			return placed
+		}
+	}
+	return c.placeMembers(s, func(t *task) *worker {
+		w, _ := c.findWorker(t) // the cost only ranks the workers
+		return w
+	})
+}
+
+// placeMembers returns the worker that pick returns for each task of a gang, or nil
+// if it returns nil for one. Members that are already placed reserve their resources
+// while the others are placed; the reservations are released at the end.
+func (c *Cell) placeMembers(s *stepState, pick func(t *task) *worker) []*worker {
 	placed := make([]*worker, 0, len(s.tasks))
 	reserved := make([]*run, 0, len(s.tasks))
 	defer func() {
@@ -45,7 +58,7 @@
 		}
 	}()
 	for _, t := range s.tasks {
-		w, _ := c.findWorker(t) // the cost only ranks the workers
+		w := pick(t)
 		if w == nil {
 			return nil
 		}
--- a/decision/cell/racks.go
+++ b/decision/cell/racks.go
@@ -18,6 +18,7 @@
 // it follows from the runs and the time, so a new holder needs no record of it.
 type racks struct {
 	members map[rackKey][]*worker // in the order of identifiers; nil if it has to be computed again
+	keys    []rackKey             // of members, in the order of their first workers
 	plans   map[rackKey][]plannedWorker
 	busy    map[fleet.Service]bool // result of highlyUtilized, as old as the plans
 	// plannedAt is when the plans were begun, and planning counts them. pass counts the
@@ -163,10 +164,13 @@
 // rackMembers returns the workers of a rack.
 func (c *Cell) rackMembers(key rackKey) []*worker {
 	if c.racks.members == nil {
-		c.racks.members = map[rackKey][]*worker{}
+		c.racks.members, c.racks.keys = map[rackKey][]*worker{}, nil
 		for _, w := range c.sortedWorkers {
 			if rack := w.server.Rack(); rack != "" {
 				k := rackKey{w.server.Service, rack}
+				if c.racks.members[k] == nil {
+					c.racks.keys = append(c.racks.keys, k)
+				}
 				c.racks.members[k] = append(c.racks.members[k], w)
 			}
 		}
--- a/decision/cell/uneven_sim_test.go
+++ b/decision/cell/uneven_sim_test.go
@@ -179,6 +179,10 @@
 			took = time.Duration(float64(took) * s.load.remoteFactor)
 			s.result.Remote++
 		}
+		if step.SameRack && s.spread(start.Task) {
+			took = time.Duration(float64(took) * s.load.remoteFactor)
+			s.result.Remote++
+		}
 		if s.load.slowdown != nil {
 			took = time.Duration(float64(took) * s.load.slowdown(w.server, s.now, len(w.runs)))
 		}
@@ -200,6 +204,17 @@
 	}
 }
 
+// spread reports whether the runs of the step of a task are in several racks.
+func (s *unevenService) spread(ref job.TaskRef) bool {
+	racks := map[string]bool{}
+	for _, t := range s.cell.lookup(ref).step.tasks {
+		for _, r := range t.runs {
+			racks[r.worker.server.Rack()] = true
+		}
+	}
+	return len(racks) > 1
+}
+
 // checkStart checks that a task starts only while it may.
 func (s *unevenService) checkStart(start Start) {
 	runs := 0
