Compare the crowd in a rack with the distance for best-effort tasks

With UnevenDemand. The processor need of a best-effort task is not counted, so the rack of its data was never full: at a remote factor of 2, tasks left it only when about 50 cores more than the idle ones were wanted on a server of 16.

The cost now compares the slowdowns: RemoteFactor outside the rack, and half of the factor by which the best-effort tasks of a server need more than its idle processor time.

--- a/decision/cell/racks.go
+++ b/decision/cell/racks.go
@@ -50,6 +50,10 @@
 	// costWanted is the cost of a server in such a rack for a task whose data is not
 	// there. It is below costRemote, so that it moves no task off its own data.
 	costWanted = 50.0
+	// crowdingWeight is the weight of the slowdown by other best-effort tasks against
+	// that by the distance: it lasts until some of these tasks end, the distance for the
+	// whole run. With a weight of 1 tasks left a rack that was just full.
+	crowdingWeight = 0.5
 	// rackWaitMargin stretches an expected wait: a prediction that is as often too
 	// short as too long costs a waiting task more than it gains.
 	rackWaitMargin = 1.25
@@ -296,10 +300,17 @@
 	s := t.step.spec
 	cost := 0.0
 	if s.DataRack != "" {
-		if w.server.Rack() == s.DataRack {
-			return 0
+		slowdown, inRack := c.settings.RemoteFactor, w.server.Rack() == s.DataRack
+		if inRack {
+			slowdown = 1
+		}
+		if c.settings.UnevenDemand && s.BestEffort {
+			slowdown *= 1 + crowdingWeight*(w.crowding(s.Need.MilliCPU)-1)
+		}
+		cost = costRemote * (slowdown - 1)
+		if inRack {
+			return cost
 		}
-		cost = costRemote * (c.settings.RemoteFactor - 1)
 	}
 	if c.now.Steady < w.rackWantedUntil && !s.LongRunning {
 		cost += costWanted
@@ -307,6 +318,13 @@
 	return cost
 }
 
+// crowding returns the factor by which a best-effort task takes longer on a worker because
+// the best-effort tasks there need more than the processor time that the others leave.
+func (w *worker) crowding(need int64) float64 {
+	idle := float64(w.server.Capacity.MilliCPU) - servingUtilization*float64(w.used.MilliCPU)
+	return max(1, float64(w.bestEffortCPU+need)/max(idle, milliCPUPerCore))
+}
+
 // interferes reports whether the cost of the best worker for a best-effort task shows
 // that the task would disturb serving tasks. With UnevenDemand, the distance to its data
 // and the coldness of the server have no part in it: the first alone would exceed the
--- a/decision/cell/racks_test.go
+++ b/decision/cell/racks_test.go
@@ -176,3 +176,37 @@
 		}
 	}
 }
+
+// Guards against best-effort tasks that share the idle processor time of one rack,
+// although they would take less time outside it.
+func TestBestEffortTasksDoNotCrowdRack(t *testing.T) {
+	const seeds = 3
+	for _, share := range []float64{0.2, 0.35, 0.5} {
+		load := hotRackLoad(share)
+		load.remoteFactor = 2
+		steps := load.steps
+		load.steps = func(random *rand.Rand) []job.Step {
+			s := steps(random)
+			s[0].BestEffort = true
+			return s
+		}
+		load.slowdown = func(s Server, _ time.Duration, runs int) float64 {
+			return max(1, float64(runs+1)*4*milliCPUPerCore/float64(s.Capacity.MilliCPU))
+		}
+		var off, on unevenResult
+		for seed := range uint64(seeds) {
+			a, _ := playUneven(t, load, false, seed, 20*time.Second)
+			b, _ := playUneven(t, load, true, seed, 20*time.Second)
+			t.Logf("share %.2f, seed %d: off %v; on %v", share, seed, a, b)
+			if a.Complete < a.Jobs || b.Complete < b.Jobs {
+				t.Errorf("share %.2f, seed %d: jobs are not complete: off %v; on %v", share, seed, a, b)
+			}
+			off.Worth, on.Worth = off.Worth+a.Worth/seeds, on.Worth+b.Worth/seeds
+			off.Mean, on.Mean = off.Mean+a.Mean/seeds, on.Mean+b.Mean/seeds
+		}
+		t.Logf("share %.2f: worth %.3f off, %.3f on, mean %v and %v", share, off.Worth, on.Worth, off.Mean, on.Mean)
+		if crowded := share > 0.2; on.Worth < off.Worth || crowded && on.Worth == off.Worth {
+			t.Errorf("share %.2f: got worth %.3f, want at least %.3f, and more where the rack is crowded", share, on.Worth, off.Worth)
+		}
+	}
+}
