--- a/decision/cell/racks.go
+++ b/decision/cell/racks.go
@@ -18,6 +18,7 @@
 // it follows from the runs and the time, so a new holder needs no record of it.
 type racks struct {
 	members map[rackKey][]*worker // in the order of identifiers; nil if it has to be computed again
+	keys    []rackKey             // of members, in the order of their first workers
 	plans   map[rackKey][]plannedWorker
 	busy    map[fleet.Service]bool // result of highlyUtilized, as old as the plans
 	// plannedAt is when the plans were begun, and planning counts them. pass counts the
@@ -49,6 +50,10 @@
 	// costWanted is the cost of a server in such a rack for a task whose data is not
 	// there. It is below costRemote, so that it moves no task off its own data.
 	costWanted = 50.0
+	// crowdingWeight is the weight of the slowdown by other best-effort tasks against
+	// that by the distance: it lasts until some of these tasks end, the distance for the
+	// whole run. With a weight of 1 tasks left a rack that was just full.
+	crowdingWeight = 0.5
 	// rackWaitMargin stretches an expected wait: a prediction that is as often too
 	// short as too long costs a waiting task more than it gains.
 	rackWaitMargin = 1.25
@@ -163,10 +168,13 @@
 // rackMembers returns the workers of a rack.
 func (c *Cell) rackMembers(key rackKey) []*worker {
 	if c.racks.members == nil {
-		c.racks.members = map[rackKey][]*worker{}
+		c.racks.members, c.racks.keys = map[rackKey][]*worker{}, nil
 		for _, w := range c.sortedWorkers {
 			if rack := w.server.Rack(); rack != "" {
 				k := rackKey{w.server.Service, rack}
+				if c.racks.members[k] == nil {
+					c.racks.keys = append(c.racks.keys, k)
+				}
 				c.racks.members[k] = append(c.racks.members[k], w)
 			}
 		}
@@ -292,10 +300,17 @@
 	s := t.step.spec
 	cost := 0.0
 	if s.DataRack != "" {
-		if w.server.Rack() == s.DataRack {
-			return 0
+		slowdown, inRack := c.settings.RemoteFactor, w.server.Rack() == s.DataRack
+		if inRack {
+			slowdown = 1
+		}
+		if c.settings.UnevenDemand && s.BestEffort {
+			slowdown *= 1 + crowdingWeight*(w.crowding(s.Need.MilliCPU)-1)
+		}
+		cost = costRemote * (slowdown - 1)
+		if inRack {
+			return cost
 		}
-		cost = costRemote * (c.settings.RemoteFactor - 1)
 	}
 	if c.now.Steady < w.rackWantedUntil && !s.LongRunning {
 		cost += costWanted
@@ -303,6 +318,13 @@
 	return cost
 }
 
+// crowding returns the factor by which a best-effort task takes longer on a worker because
+// the best-effort tasks there need more than the processor time that the others leave.
+func (w *worker) crowding(need int64) float64 {
+	idle := float64(w.server.Capacity.MilliCPU) - servingUtilization*float64(w.used.MilliCPU)
+	return max(1, float64(w.bestEffortCPU+need)/max(idle, milliCPUPerCore))
+}
+
 // interferes reports whether the cost of the best worker for a best-effort task shows
 // that the task would disturb serving tasks. With UnevenDemand, the distance to its data
 // and the coldness of the server have no part in it: the first alone would exceed the
