Start a task on a cold server of a reopened data centre after 1 s

Cause: the share of a cold server was a bound, so a task that had room nowhere else would wait until the server was warm, a long-running one too, which has to run again within 6 s.

The change: a task leaves the room of a cold server to later ones for 1 s.

--- a/decision/cell/reopening.go
+++ b/decision/cell/reopening.go
@@ -20,3 +20,13 @@
 	share := max(minColdShare, float64(c.now.Steady-reopened)/float64(warm-reopened))
 	return float64(w.used.MilliCPU+w.bestEffortCPU+w.reserved.MilliCPU) >= share*float64(w.server.Capacity.MilliCPU) && len(w.runs)+len(w.reservations) > 0
 }
+
+// coldWait is how long a task waits beside room on a cold server. The platform allows a
+// task to wait beside free capacity for 3 s, and a long-running one has to run again
+// within 6 s.
+const coldWait = time.Second
+
+// waitsForWarmth reports whether a task leaves the room of a cold server to later tasks.
+func (c *Cell) waitsForWarmth(w *worker, t *task) bool {
+	return c.now.Steady-c.waitingSince(t) < coldWait && c.coldShareUsed(w)
+}
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -206,6 +206,8 @@
 		return obstacleLabel
 	case s.MaxPerServer > 0 && w.runsOfStep(t.step) >= s.MaxPerServer:
 		return obstacleMaxPerServer
+	case w.dataCentre.reopenedAt != 0 && c.waitsForWarmth(w, t):
+		return obstacleCold
 	case !s.Gang && !w.dataCentre.path.Allows():
 		return obstaclePath // the members of a gang are ordered together, or not at all
 	default:
@@ -229,8 +231,6 @@
 		return obstacleMissedTarget // of a serving task there
 	case w.unknownOrphan:
 		return obstacleOrphan
-	case w.dataCentre.reopenedAt != 0 && c.coldShareUsed(w):
-		return obstacleCold
 	default:
 		return obstacleNone
 	}
