--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -209,6 +209,8 @@
 		return obstacleMaxPerServer
 	case !c.regionAllows(w, t.step.occurrence.job):
 		return obstacleRegion
+	case w.dataCentre.reopenedAt != 0 && c.waitsForWarmth(w, t):
+		return obstacleCold
 	case !s.Gang && !w.dataCentre.path.Allows():
 		return obstaclePath // the members of a gang are ordered together, or not at all
 	default:
@@ -232,8 +234,6 @@
 		return obstacleMissedTarget // of a serving task there
 	case w.unknownOrphan:
 		return obstacleOrphan
-	case w.dataCentre.reopenedAt != 0 && c.coldShareUsed(w):
-		return obstacleCold
 	default:
 		return obstacleNone
 	}
