--- a/decision/cell/interference_free.go
+++ b/decision/cell/interference_free.go
@@ -19,7 +19,7 @@
 	w.slacksEvent, w.imageSlacks = c.events, w.imageSlacks[:0]
 next:
 	for _, s := range w.serving {
-		slack := s.loadLimit - s.task.step.load.upcomingMax(c.now.Steady) - s.addedLoad - placementMargin
+		slack := s.loadLimit - c.upcomingLoad(s) - s.addedLoad - placementMargin
 		for i := range w.imageSlacks {
 			if kept := &w.imageSlacks[i]; kept.image == s.image {
 				kept.slack = min(kept.slack, slack)
--- a/decision/cell/load.go
+++ b/decision/cell/load.go
@@ -9,6 +9,7 @@
 type loadEstimate struct {
 	known      bool
 	fast, slow float64 // the load, smoothed over two time spans
+	mean       float64 // the load, smoothed over a cycle
 	peak       float64
 	at         time.Duration // middle of the time that the newest measurement covers
 	// upcoming is the result of upcomingMax at upcomingAt; 0 if it is not known.
@@ -54,13 +55,14 @@
 	at := now - measurementLag
 	if !e.known {
 		e.known, e.fast, e.slow, e.at = true, load, load, at
-		e.peak = max(load, defaultPeak)
+		e.peak, e.mean = max(load, defaultPeak), (load+defaultLoad)/2
 		return
 	}
 	passed := at - e.at + minSampleInterval
 	e.fast += weight * gain(passed, fastSpan) * (load - e.fast)
 	e.slow += weight * gain(passed, slowSpan) * (load - e.slow)
 	e.peak = max(e.fast, e.peak-peakDecay*(at-e.at).Seconds())
+	e.addToMean(load, weight, passed)
 	e.at = at
 }
 
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -39,6 +39,7 @@
 	appliedMeasurement int     // last measurement used by the interference model
 	addedLoad          float64 // load that best-effort runs on the worker add
 	loadLimit          float64 // load at which it misses its target
+	excess             float64 // load of a serving run that is not explained
 	reason             string  // reason for the stop
 	stopSent           time.Duration
 	stopAcked          bool          // the worker has acknowledged the stop
@@ -142,6 +143,10 @@
 	attempt := max(t.attempt, (c.round-1)*attemptsPerRound) + 1
 	r := c.addRun(t, w, attempt, runOrdered)
 	c.starts++
+	if c.settings.ServingRoom && r.bestEffort {
+		r.desiredSpeed = c.admissionSpeed(r)
+		w.runListsStale = true
+	}
 	c.startTrials(r)
 	j := t.step.occurrence.job
 	ticket, _ := c.ticketFor(t.step, w) // choose has checked that it is valid
@@ -231,6 +236,7 @@
 	r.worker.runsChanged(r)
 	if r.bestEffort {
 		r.worker.recordShares(c.now.Steady)
+		c.setSpeed(r, r.desiredSpeed)
 	}
 	if w := r.worker; (r.bestEffort && w.throttling.serving > 0 || r.serves() && w.bestEffortCPU > 0) && w.extraHoldAt == 0 {
 		w.extraHoldAt = c.now.Steady + measurementWindow + clockMargin // the first measurement that covers only time with this run
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -222,7 +222,7 @@
 		return obstacleNoAnswer
 	case !w.health.acceptsTask(c.now.Steady, w):
 		return obstacleQuarantine
-	case bestEffort && w.throttling.overSince > 0:
+	case bestEffort && (w.throttling.overSince > 0 || c.settings.ServingRoom && w.holdsBack()):
 		return obstacleMissedTarget // of a serving task there
 	case w.unknownOrphan:
 		return obstacleOrphan
--- /dev/null
+++ b/decision/cell/serving_room.go
@@ -0,0 +1,241 @@
+package cell
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// The decisions of this file keep the serving tasks of a cell at work under heavy
+// best-effort load. They apply if Settings.ServingRoom is set.
+
+const (
+	// loadCycle is the time in which the load of serving tasks rises and falls once.
+	loadCycle = 10 * time.Second
+	// maxSwing bounds the deviation of a load from its mean, as a fraction of the
+	// mean: loads swing by half.
+	maxSwing = 0.6
+	// cycleSpan is the time span of the mean load.
+	cycleSpan = 8 * time.Second
+	// admissionHorizon is how far ahead the load is checked when a best-effort task
+	// is placed. A run takes two to three seconds, in which a load rises from its
+	// mean to its peak.
+	admissionHorizon = 2500 * time.Millisecond
+	// controlHorizon is how far ahead the load is checked when speeds are adjusted:
+	// the time until the next list, its order and the measurement that shows it.
+	controlHorizon = 900 * time.Millisecond
+	// cutMargin and raiseMargin are kept below the limit of a load when speeds are
+	// reduced and raised. Their difference keeps speeds from changing with each
+	// measurement, whose error is a twentieth.
+	cutMargin   = 0.03
+	raiseMargin = 0.08
+	// raiseFraction is the fraction of the room that one adjustment of the speeds
+	// uses, because the room itself is an estimate.
+	raiseFraction = 0.6
+	// trialSpeed is the speed, in percent, at which a run starts beside a serving
+	// image of which the interference is not known yet.
+	trialSpeed = 50
+	// pauseAfter is how long a target may be missed before all best-effort runs are
+	// paused: the first reduction had no sufficient effect.
+	pauseAfter = 700 * time.Millisecond
+	// minMoveBenefit is the remaining run time below which a run is not moved. A stop
+	// takes almost a second, and a restore and the start follow it.
+	minMoveBenefit = 1500 * time.Millisecond
+	// movePause is how long a run has been paused before it is moved. A paused run
+	// does not disturb while it is being stopped.
+	movePause = 500 * time.Millisecond
+	// excessWeight is the weight of a new measurement in the excess of a run.
+	excessWeight = 0.25
+	// maxExcess bounds the excess of a run.
+	maxExcess = 0.3
+)
+
+// maxWithin returns the highest load expected within a time from now. A load
+// follows a cycle of loadCycle around its mean, so a low load is expected to rise.
+func (e *loadEstimate) maxWithin(now, horizon time.Duration) float64 {
+	if !e.known {
+		return defaultPeak
+	}
+	perSecond := 2 * math.Pi / loadCycle.Seconds()
+	slope := (e.fast - e.slow) / (slowSpan - fastSpan).Seconds()
+	slope = min(max(slope, -maxSlope), maxSlope) / perSecond
+	deviation := e.fast - e.mean
+	if size, bound := math.Hypot(deviation, slope), maxSwing*e.mean; size > bound {
+		deviation, slope = deviation*bound/size, slope*bound/size
+	}
+	// The deviation after a time t is size*cos(perSecond*t - peak).
+	size, peak := math.Hypot(deviation, slope), math.Atan2(slope, deviation)
+	age := min(now-e.at, maxExtrapolation).Seconds()
+	from, to := perSecond*age, perSecond*(age+horizon.Seconds())
+	highest := size * max(math.Cos(from-peak), math.Cos(to-peak))
+	if from <= peak && peak <= to {
+		highest = size
+	}
+	return min(max(e.mean+highest, 0), 1)
+}
+
+// addToMean applies a load to the mean of the cycle.
+func (e *loadEstimate) addToMean(load, weight float64, passed time.Duration) {
+	e.mean += weight * gain(passed, cycleSpan) * (load - e.mean)
+}
+
+// upcomingLoad returns the load of a serving run that an admission has to allow for.
+func (c *Cell) upcomingLoad(s *run) float64 {
+	e := &s.task.step.load
+	if !c.settings.ServingRoom {
+		return e.upcomingMax(c.now.Steady)
+	}
+	if e.upcomingAt != c.now.Steady || c.now.Steady == 0 {
+		e.upcoming, e.upcomingAt = e.maxWithin(c.now.Steady, admissionHorizon), c.now.Steady
+	}
+	return e.upcoming + s.excess
+}
+
+// noteExcess updates the part of a serving run's load that neither its own load nor
+// the best-effort runs explain, such as that of serving tasks of other images.
+func (c *Cell) noteExcess(r *run, ownLoad float64, window []segment) {
+	expected, _ := c.interference.expectedLoad(r.image, ownLoad, window)
+	excess := c.interference.load(r.image, r.target(), float64(r.measurement)) - expected
+	r.excess = min(max(r.excess+excessWeight*(excess-r.excess), 0), maxExcess)
+}
+
+// holdsBack reports whether best-effort runs of a worker are throttled. Others would
+// take the room that they wait for.
+func (w *worker) holdsBack() bool {
+	return w.throttling.watched && slices.ContainsFunc(w.bestEffort, func(r *run) bool { return r.desiredSpeed < fullSpeed })
+}
+
+// admissionSpeed returns the speed at which a best-effort run starts on its worker.
+func (c *Cell) admissionSpeed(r *run) int {
+	w := r.worker
+	if w.throttling.serving == 0 {
+		return fullSpeed
+	}
+	c.refreshRunLists(w)
+	speed := fullSpeed
+	for _, s := range w.serving {
+		// The run itself is part of the added load.
+		added := c.interference.pressure(s.image, r.image) * r.fullShare()
+		left := s.loadLimit - c.upcomingLoad(s) - s.addedLoad + added - cutMargin
+		if p := &c.interference.pressures[s.image][r.image]; p.count < trialObservations {
+			speed = min(speed, trialSpeed)
+		}
+		if left < added {
+			speed = min(speed, int(fullSpeed*max(0, left)/added))
+		}
+	}
+	if speed < minSpeed {
+		return 0
+	}
+	return speed
+}
+
+// controlSpeeds adjusts the speeds of the best-effort runs beside serving runs to
+// the expected load of these, and to what their measurements show.
+func (c *Cell) controlSpeeds(w *worker, serving, bestEffort []*run) {
+	now, p := c.now.Steady, &w.throttling
+	shown := now-p.changedAt >= measurementWindow // the measurements show the last change
+	if shown && p.overSince > 0 && now-p.overSince >= pauseAfter {
+		for _, r := range bestEffort {
+			c.setSpeed(r, 0)
+		}
+	} else {
+		over := false
+		for _, s := range serving {
+			over = c.cutFor(s, bestEffort, shown) || over
+		}
+		if !over && shown && p.overSince == 0 {
+			c.raiseSpeeds(serving, bestEffort)
+		}
+	}
+	for _, r := range bestEffort {
+		c.setSpeed(r, r.desiredSpeed) // sent again if the last order had no answer
+		c.movePaused(r)
+	}
+}
+
+// contribution returns the load that a best-effort run adds to a serving one at its
+// desired speed.
+func (c *Cell) contribution(s, r *run) float64 {
+	return c.addedLoadOn(s, r, r.worker.bestEffortScale()*r.fullShare()*float64(r.desiredSpeed)/fullSpeed)
+}
+
+// cutFor reduces the speeds of best-effort runs until, by the estimates, a serving
+// run meets its target. It reports whether it had to. The runs that contribute most
+// come first; between equal ones that which started last.
+func (c *Cell) cutFor(s *run, bestEffort []*run, shown bool) bool {
+	total := 0.0
+	for _, r := range bestEffort {
+		total += c.contribution(s, r)
+	}
+	own := s.task.step.load.maxWithin(c.now.Steady, controlHorizon) + s.excess
+	over := own + total + cutMargin - s.loadLimit
+	scale := 1.0
+	if shown && s.missesTarget() {
+		measured := c.interference.load(s.image, s.target(), float64(s.measurement))
+		over = max(over, measured+cutMargin-s.loadLimit)
+		if added := measured - s.task.step.load.load(c.now.Steady-measurementLag); total > 0 {
+			scale = min(max(1, added/total), maxPressure)
+		}
+	}
+	if over <= 0 || total <= 0 {
+		return over > 0
+	}
+	byContribution := slices.Clone(bestEffort)
+	slices.SortStableFunc(byContribution, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(c.contribution(s, b), c.contribution(s, a)), cmp.Compare(b.orderedAt, a.orderedAt))
+	})
+	for _, r := range byContribution {
+		part := scale * c.contribution(s, r)
+		if over <= 0 || part <= 0 {
+			break
+		}
+		fraction := max(0, 1-over/part)
+		over -= part * (1 - fraction)
+		speed := int(float64(r.desiredSpeed) * fraction)
+		if speed < minSpeed {
+			speed = 0
+		}
+		c.setSpeed(r, speed)
+	}
+	return true
+}
+
+// raiseSpeeds raises the speeds of throttled runs, lowest pressure first, as far as
+// every target is still met.
+func (c *Cell) raiseSpeeds(serving, bestEffort []*run) {
+	throttled := slices.DeleteFunc(slices.Clone(bestEffort), func(r *run) bool { return r.desiredSpeed >= fullSpeed })
+	slices.SortStableFunc(throttled, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(c.maxPressureOn(serving, a), c.maxPressureOn(serving, b)), cmp.Compare(a.orderedAt, b.orderedAt))
+	})
+	for _, r := range throttled {
+		room := 1.0
+		for _, s := range serving {
+			left := s.loadLimit - raiseMargin - s.task.step.load.maxWithin(c.now.Steady, controlHorizon) - s.excess
+			for _, other := range bestEffort {
+				left -= c.contribution(s, other)
+			}
+			room = min(room, left/max(c.addedLoadOn(s, r, 1), 0.01))
+		}
+		next := min(fullSpeed, r.desiredSpeed+int(fullSpeed*raiseFraction*max(0, room)/max(r.fullShare(), minShare)))
+		if next < minSpeed || next <= r.desiredSpeed {
+			return
+		}
+		c.setSpeed(r, next)
+	}
+}
+
+// remaining returns the time that a run still needs at full speed.
+func (r *run) remaining() time.Duration {
+	return time.Duration(float64(r.task.step.spec.Estimate) * (1 - float64(min(r.percent, 100))/100))
+}
+
+// movePaused moves a paused run to a worker on which it does not interfere. The work
+// since its last checkpoint is lost, so only a run that has much left is moved.
+func (c *Cell) movePaused(r *run) {
+	if r.state != runConfirmed || r.desiredSpeed > 0 || r.speed > 0 || c.now.Steady-r.speedChangedAt < movePause || r.remaining() < minMoveBenefit {
+		return
+	}
+	c.moveAway(r)
+}
--- a/decision/cell/throttle.go
+++ b/decision/cell/throttle.go
@@ -113,7 +113,11 @@
 	case !over && !slices.ContainsFunc(serving, (*run).nearsTarget):
 		w.throttling.overSince = 0
 	}
-	if len(bestEffort) > 0 {
+	switch {
+	case len(bestEffort) == 0:
+	case c.settings.ServingRoom:
+		c.controlSpeeds(w, serving, bestEffort)
+	default:
 		c.throttleRuns(w, serving, bestEffort)
 	}
 }
@@ -132,6 +136,9 @@
 			continue
 		}
 		s := &r.task.step.load
+		if c.settings.ServingRoom {
+			c.noteExcess(r, s.load(c.now.Steady-measurementLag), window)
+		}
 		ownLoad, isolated := c.interference.observe(r.image, r.target(), float64(r.measurement), s.load(c.now.Steady-measurementLag), window)
 		if isolated {
 			s.add(c.now.Steady, ownLoad, 1)
@@ -336,7 +343,7 @@
 	effect := impact{worst: -1}
 	for _, s := range w.serving {
 		added := c.interference.pressure(s.image, image) * share
-		after := s.task.step.load.upcomingMax(c.now.Steady) + s.addedLoad + added
+		after := c.upcomingLoad(s) + s.addedLoad + added
 		over := after + placementMargin - s.loadLimit
 		effect.worst = max(effect.worst, over)
 		effect.mean += added / float64(len(w.serving))
