Weigh interference observations by the uncertainty of each pair of images

Ruled out: a fixed higher prior; a larger learning rate is listed as tried without gain in docs/POLICY.md.

Change, with Settings.ServingRoom only: a Kalman filter for each serving image holds the covariance of the pressures of all best-effort images. Work is placed by the estimate plus half a standard deviation. The record of the model carries the deviation of each pair, so that a new holder is as cautious as the old one.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -144,6 +144,9 @@
 	}
 	c.nextBatch, c.interference = newBatch(1), newInterferenceModel()
 	c.batchNumber = 1
+	if settings.ServingRoom {
+		c.interference.enableFilter()
+	}
 	return c
 }
 
--- a/decision/cell/interference.go
+++ b/decision/cell/interference.go
@@ -17,11 +17,13 @@
 // latencies to loads because the effects of several images on a load add up.
 type interferenceModel struct {
 	imageIDs     map[string]imageID
-	pressures    [][]pressure // by serving and best-effort image
-	meanPressure []average    // mean pressure of a best-effort image over all serving images
-	baselineLoad []average    // load of a serving image without best-effort tasks beside it
-	minTail      []float64    // smallest tail observed of a serving image in ms, 0 for none
-	changed      bool         // the model has changed since its last record
+	pressures    [][]pressure     // by serving and best-effort image
+	meanPressure []average        // mean pressure of a best-effort image over all serving images
+	baselineLoad []average        // load of a serving image without best-effort tasks beside it
+	minTail      []float64        // smallest tail observed of a serving image in ms, 0 for none
+	changed      bool             // the model has changed since its last record
+	filtered     bool             // observations are weighed by filters
+	filters      []pressureFilter // by serving image
 }
 
 // imageID is the index of an image in the model. It saves a look-up by name when
@@ -161,6 +163,10 @@
 	}
 	m.changed = true
 	residual := load - expected
+	if m.filtered {
+		m.correctPressures(serving, load, residual, shares)
+		shares = nil
+	}
 	for _, s := range shares {
 		p := &m.pressures[serving][s.image]
 		p.correct(m.pressure(serving, s.image), residual*s.share/norm)
@@ -249,6 +255,8 @@
 	Serving    int     `json:"s"`
 	BestEffort int     `json:"f"`
 	Pressure   float64 `json:"p"`
+	// Deviation is the standard deviation of the pressure; 0 if it is not known.
+	Deviation float64 `json:"d,omitempty"`
 }
 
 func (m *interferenceModel) record() *InterferenceRecord {
@@ -262,7 +270,11 @@
 	for serving, row := range m.pressures {
 		for bestEffort, p := range row {
 			if p.known {
-				r.Pairs = append(r.Pairs, InterferencePair{Serving: serving, BestEffort: bestEffort, Pressure: rounded(p.value)})
+				pair := InterferencePair{Serving: serving, BestEffort: bestEffort, Pressure: rounded(p.value)}
+				if m.filtered {
+					pair.Deviation = rounded(m.deviation(imageID(serving), imageID(bestEffort)))
+				}
+				r.Pairs = append(r.Pairs, pair)
 			}
 		}
 	}
@@ -286,6 +298,9 @@
 	for _, p := range r.Pairs {
 		if p.Serving < len(ids) && p.BestEffort < len(ids) && p.Serving >= 0 && p.BestEffort >= 0 {
 			m.pressures[ids[p.Serving]][ids[p.BestEffort]] = pressure{known: true, value: p.Pressure, count: averageSpan}
+			if m.filtered {
+				m.restoreDeviation(ids[p.Serving], ids[p.BestEffort], p.Deviation)
+			}
 		}
 	}
 }
--- a/decision/cell/interference_free.go
+++ b/decision/cell/interference_free.go
@@ -43,7 +43,7 @@
 		if s.slack < 0 || c.interference.inTrial(s.image, image, c.now.Steady) {
 			return -1
 		}
-		if p := c.interference.pressure(s.image, image); p > 0 {
+		if p := c.interference.cautiousPressure(s.image, image); p > 0 {
 			share = min(share, s.slack/p)
 		}
 	}
--- a/decision/cell/serving_room.go
+++ b/decision/cell/serving_room.go
@@ -30,9 +30,6 @@
 	// measurement, whose error is a twentieth.
 	cutMargin   = 0.03
 	raiseMargin = 0.08
-	// raiseFraction is the fraction of the room that one adjustment of the speeds
-	// uses, because the room itself is an estimate.
-	raiseFraction = 0.6
 	// trialSpeed is the speed, in percent, at which a run starts beside a serving
 	// image of which the interference is not known yet.
 	trialSpeed = 50
@@ -116,7 +113,7 @@
 	speed := fullSpeed
 	for _, s := range w.serving {
 		// The run itself is part of the added load.
-		added := c.interference.pressure(s.image, r.image) * r.fullShare()
+		added := c.interference.cautiousPressure(s.image, r.image) * r.fullShare()
 		left := s.loadLimit - c.upcomingLoad(s) - s.addedLoad + added - cutMargin
 		if p := &c.interference.pressures[s.image][r.image]; p.count < trialObservations {
 			speed = min(speed, trialSpeed)
@@ -218,7 +215,7 @@
 			}
 			room = min(room, left/max(c.addedLoadOn(s, r, 1), 0.01))
 		}
-		next := min(fullSpeed, r.desiredSpeed+int(fullSpeed*raiseFraction*max(0, room)/max(r.fullShare(), minShare)))
+		next := min(fullSpeed, r.desiredSpeed+int(fullSpeed*max(0, room)/max(r.fullShare(), minShare)))
 		if next < minSpeed || next <= r.desiredSpeed {
 			return
 		}
--- a/decision/cell/throttle.go
+++ b/decision/cell/throttle.go
@@ -65,7 +65,7 @@
 		// placed by the same measurements.
 		for _, r := range w.runsInOrder {
 			if r.bestEffort && r.state != runStopping {
-				s.addedLoad += c.interference.pressure(s.image, r.image) * r.fullShare() * float64(r.desiredSpeed) / fullSpeed
+				s.addedLoad += c.interference.cautiousPressure(s.image, r.image) * r.fullShare() * float64(r.desiredSpeed) / fullSpeed
 			}
 		}
 		s.loadLimit = c.interference.loadLimit(s.image, s.target())
@@ -342,7 +342,7 @@
 	c.refreshRunLists(w)
 	effect := impact{worst: -1}
 	for _, s := range w.serving {
-		added := c.interference.pressure(s.image, image) * share
+		added := c.interference.cautiousPressure(s.image, image) * share
 		after := c.upcomingLoad(s) + s.addedLoad + added
 		over := after + placementMargin - s.loadLimit
 		effect.worst = max(effect.worst, over)
