Pack serving tasks of several images on small servers

Cause: the cost of a second serving image kept serving tasks apart until every server had some. A server of 16 cores holds five serving tasks and has little room for best-effort work beside them, so that keeping images apart gains nothing there, and best-effort work has no server left on which it disturbs nobody.

Change, with Settings.ServingRoom only: the cost of a second image is in proportion to the size of the server, and as before from 64 cores on.

Also checks the deviations of a stored record.

--- a/decision/cell/cost.go
+++ b/decision/cell/cost.go
@@ -48,7 +48,7 @@
 			cost += costNoServing
 		}
 		if w.servesOtherImage(t.step.image) {
-			cost += costMixed
+			cost += c.mixedCost(w)
 		}
 		// Serving tasks are packed, so that other servers have none.
 		cost += costFreeCore*freeCores + costBestEffortCore*bestEffort
--- a/decision/cell/record_check.go
+++ b/decision/cell/record_check.go
@@ -115,6 +115,7 @@
 	}
 	for _, p := range r.Pairs {
 		within("pairs.p", p.Pressure, maxPressure)
+		within("pairs.d", p.Deviation, maxPressure)
 		if p.Serving < 0 || p.Serving >= len(r.Images) || p.BestEffort < 0 || p.BestEffort >= len(r.Images) {
 			report("pairs", fmt.Sprintf("names images %d and %d", p.Serving, p.BestEffort), fmt.Sprintf("0 to %d", len(r.Images)-1))
 		}
--- a/decision/cell/serving_room.go
+++ b/decision/cell/serving_room.go
@@ -236,3 +236,18 @@
 	}
 	c.moveAway(r)
 }
+
+// evenMixedMilliCPU is the capacity of the servers on which serving tasks of several
+// images cost as much as without room for serving tasks.
+const evenMixedMilliCPU = 64000.0
+
+// mixedCost returns the cost of a serving task on a worker with serving tasks of other
+// images. A few serving tasks fill a small server, and leave no room there that a
+// second image could spoil for best-effort tasks; packed, they leave other servers to
+// these.
+func (c *Cell) mixedCost(w *worker) float64 {
+	if !c.settings.ServingRoom {
+		return costMixed
+	}
+	return costMixed * min(1, float64(w.server.Capacity.MilliCPU)/evenMixedMilliCPU)
+}
--- a/decision/cell/serving_room_test.go
+++ b/decision/cell/serving_room_test.go
@@ -37,13 +37,21 @@
 
 // Guards against serving tasks over their target because of best-effort tasks in a
 // burst of 2.6 times the batch load, and against mending it by leaving the batch jobs
-// to expire.
+// to expire. With at most two tasks of a job on a server, no server is without serving
+// tasks unless those of several images share one.
 func TestServingUnitsUnderBatchBurst(t *testing.T) {
-	before, after := playServing(t, 4, false, 0), playServing(t, 4, true, 0)
-	if lost, bound := 1-after.meanValue(), maxLostFraction*(1-before.meanValue()); lost > bound {
-		t.Errorf("serving units lose %.3f of their value, want at most %.3f: %.2f of that without room for serving tasks", lost, bound, maxLostFraction)
-	}
-	if after.batch < minBatchFraction*before.batch {
-		t.Errorf("best-effort work of %.0f core-seconds is completed in time, want at least %.2f of %.0f", after.batch, minBatchFraction, before.batch)
+	for name, maxPerServer := range map[string]int{"packed": 0, "two tasks of a job on a server": 2} {
+		t.Run(name, func(t *testing.T) {
+			before, after := playServing(t, 4, false, maxPerServer), playServing(t, 4, true, maxPerServer)
+			if lost, bound := 1-after.meanValue(), maxLostFraction*(1-before.meanValue()); lost > bound {
+				t.Errorf("serving units lose %.3f of their value, want at most %.3f: %.2f of that without room for serving tasks", lost, bound, maxLostFraction)
+			}
+			if after.served <= before.served {
+				t.Errorf("%d of %d serving units are served, want more than %d", after.served, after.units, before.served)
+			}
+			if after.batch < minBatchFraction*before.batch {
+				t.Errorf("best-effort work of %.0f core-seconds is completed in time, want at least %.2f of %.0f", after.batch, minBatchFraction, before.batch)
+			}
+		})
 	}
 }
