Count the load that a best-effort task adds on all serving tasks of a server

Change, with Settings.ServingRoom only: the cost of a placement counts the sum of the added load, equal to the mean for two serving tasks, and work is placed by the estimate plus one standard deviation instead of a half.

--- a/decision/cell/cost.go
+++ b/decision/cell/cost.go
@@ -113,7 +113,7 @@
 	}
 	effect := c.impactOf(w, s.image, need/capacity)
 	if effect.count == 0 {
-		return cost + costServing*(1.5+effect.worst/2) + costPressure*effect.mean
+		return cost + costServing*(1.5+effect.worst/2) + costPressure*effect.added
 	}
 	return cost + costInterferes*(1+float64(effect.count)+effect.worst)
 }
--- a/decision/cell/interference_filter.go
+++ b/decision/cell/interference_filter.go
@@ -27,7 +27,7 @@
 	saturatedLoad = 0.95
 	// caution is the number of standard deviations by which a pressure is assumed to
 	// exceed its estimate when work is placed.
-	caution = 0.5
+	caution = 1.0
 )
 
 // enableFilter makes the model weigh each observation by the uncertainty of the pairs.
--- a/decision/cell/serving_room.go
+++ b/decision/cell/serving_room.go
@@ -251,3 +251,17 @@
 	}
 	return costMixed * min(1, float64(w.server.Capacity.MilliCPU)/evenMixedMilliCPU)
 }
+
+// evenServingTasks is the number of serving tasks on a server for which an added load
+// counts the same with and without room for serving tasks.
+const evenServingTasks = 2
+
+// addedLoad returns the load that a best-effort task adds to the serving tasks of a
+// worker, as it counts in the cost. A task that adds more than expected makes all of
+// them miss their targets, so with room for serving tasks their sum counts.
+func (c *Cell) addedLoad(w *worker, mean float64) float64 {
+	if !c.settings.ServingRoom {
+		return mean
+	}
+	return mean * float64(w.throttling.serving) / evenServingTasks
+}
--- a/decision/cell/throttle.go
+++ b/decision/cell/throttle.go
@@ -317,6 +317,7 @@
 	count int     // tasks that would miss their target
 	worst float64 // highest load relative to the limit of its task, negative below it
 	mean  float64 // mean load that it adds
+	added float64 // load that it adds, as it counts in the cost
 }
 
 // startTrials begins a trial with each serving image beside which a best-effort
@@ -351,6 +352,7 @@
 			effect.count++
 		}
 	}
+	effect.added = c.addedLoad(w, effect.mean)
 	return effect
 }
 
