Carry throttling and excluded pairs over a takeover; bound the time until all pause

Cause: a new holder took adopted runs for unthrottled ones, so that a paused run stood still until it was stopped as stalled. The model of interference was recorded every 3 s, so that a new holder could admit what the old one had just found to be too much. The expected load may change the speeds with each list, which put off the pause that waits for the effect of the last change.

Change, with Settings.ServingRoom only: the speeds of adopted best-effort runs beside serving tasks are set again; an estimate that has risen by 0.5 is recorded within 0.5 s; all best-effort runs pause after 1.4 s over the target at the latest.

--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -284,8 +284,8 @@
 	if !c.behind {
 		c.consolidate()
 	}
-	if c.interference.changed && c.now.Steady-c.interferenceRecordedAt >= interferenceRecordInterval {
-		c.interferenceRecordedAt, c.interference.changed = c.now.Steady, false
+	if c.interference.changed && c.now.Steady-c.interferenceRecordedAt >= c.interference.recordInterval() {
+		c.interferenceRecordedAt, c.interference.changed, c.interference.risen = c.now.Steady, false, false
 		c.nextBatch.interference = true
 	}
 	for _, j := range c.jobs {
--- a/decision/cell/interference.go
+++ b/decision/cell/interference.go
@@ -24,6 +24,7 @@
 	changed      bool             // the model has changed since its last record
 	filtered     bool             // observations are weighed by filters
 	filters      []pressureFilter // by serving image
+	risen        bool             // an estimate has risen by risenPressure since the last record
 }
 
 // imageID is the index of an image in the model. It saves a look-up by name when
@@ -33,9 +34,10 @@
 // pressure is the load that one image adds to another when it uses a whole
 // server.
 type pressure struct {
-	known bool
-	value float64
-	count int // observations
+	known    bool
+	value    float64
+	count    int     // observations
+	recorded float64 // value in the last record
 	// trialUntil is the end of the trial of a first task of the best-effort
 	// image beside one of the serving image.
 	trialUntil time.Duration
@@ -297,7 +299,7 @@
 	}
 	for _, p := range r.Pairs {
 		if p.Serving < len(ids) && p.BestEffort < len(ids) && p.Serving >= 0 && p.BestEffort >= 0 {
-			m.pressures[ids[p.Serving]][ids[p.BestEffort]] = pressure{known: true, value: p.Pressure, count: averageSpan}
+			m.pressures[ids[p.Serving]][ids[p.BestEffort]] = pressure{known: true, value: p.Pressure, count: averageSpan, recorded: p.Pressure}
 			if m.filtered {
 				m.restoreDeviation(ids[p.Serving], ids[p.BestEffort], p.Deviation)
 			}
--- a/decision/cell/interference_filter.go
+++ b/decision/cell/interference_filter.go
@@ -1,6 +1,9 @@
 package cell
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // pressureFilter is the covariance of the errors of the pressures of all best-effort
 // images on one serving image. One measurement shows the sum of the loads that several
@@ -28,11 +31,36 @@
 	// caution is the number of standard deviations by which a pressure is assumed to
 	// exceed its estimate when work is placed.
 	caution = 1.0
+	// risenPressure is the rise of an estimate after which the model is recorded early:
+	// half of it is lost in the noise of one observation.
+	risenPressure = 0.5
+	// risenRecordInterval is the least time between two records of which one is early. A
+	// record of 180 pairs has five kilobytes.
+	risenRecordInterval = 500 * time.Millisecond
 )
 
 // enableFilter makes the model weigh each observation by the uncertainty of the pairs.
 func (m *interferenceModel) enableFilter() { m.filtered = true }
 
+// recordInterval returns the least time since the last record of the model. What a
+// holder has found to be too much is recorded soon, so that the next one does not admit
+// it.
+func (m *interferenceModel) recordInterval() time.Duration {
+	if m.risen {
+		return risenRecordInterval
+	}
+	return interferenceRecordInterval
+}
+
+// markRecorded notes that the model is in a record.
+func (m *interferenceModel) markRecorded() {
+	for _, row := range m.pressures {
+		for i := range row {
+			row[i].recorded = row[i].value
+		}
+	}
+}
+
 // filterOf returns the filter of a serving image, extended to all images.
 func (m *interferenceModel) filterOf(serving imageID) *pressureFilter {
 	for len(m.filters) < len(m.imageIDs) {
@@ -79,6 +107,7 @@
 	for i := range gain {
 		if p := &m.pressures[serving][i]; p.known {
 			p.value = min(maxPressure, max(0, p.value+residual*gain[i]/variance))
+			m.risen = m.risen || p.value > p.recorded+risenPressure
 		}
 	}
 	for i, row := range f.covariance {
--- a/decision/cell/reconcile.go
+++ b/decision/cell/reconcile.go
@@ -80,6 +80,7 @@
 		return nil
 	}
 	r := c.addRun(t, w, row.Attempt, runConfirmed)
+	r.speedUnknown = c.settings.ServingRoom && r.bestEffort
 	r.confirmedAt = c.now.Steady
 	t.step.occurrence.job.started = true
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(i int) bool { return i == t.index })
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -159,6 +159,7 @@
 	}
 	if taken.interference {
 		b.Records = append(b.Records, Record{Key: interferenceKey, Interference: c.interference.record()})
+		c.interference.markRecorded()
 	}
 	if taken.leases {
 		b.Records = append(b.Records, Record{Key: leasesKey, Leases: c.leaseRecord(taken)})
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -35,6 +35,7 @@
 	speed              int // acknowledged speed, in percent
 	desiredSpeed       int
 	speedChangedAt     time.Duration
+	speedUnknown       bool // an earlier holder may have set another speed
 	image              imageID
 	appliedMeasurement int     // last measurement used by the interference model
 	addedLoad          float64 // load that best-effort runs on the worker add
--- a/decision/cell/serving_law_test.go
+++ b/decision/cell/serving_law_test.go
@@ -154,6 +154,7 @@
 func (r *servingResult) add(other servingResult) {
 	r.units, r.served, r.value = r.units+other.units, r.served+other.served, r.value+other.value
 	r.batch, r.batchAll, r.batchWork = r.batch+other.batch, r.batchAll+other.batchAll, r.batchWork+other.batchWork
+	r.longest = max(r.longest, other.longest)
 	r.over, r.overSelf, r.down, r.stops = r.over+other.over, r.overSelf+other.overSelf, r.down+other.down, r.stops+other.stops
 }
 
@@ -172,6 +173,10 @@
 				continue
 			}
 			atWork[r.job]++
+			if r.mean(&r.tails) <= target || r.mean(&r.tailsAlone) > target {
+				r.metAt = s.now
+			}
+			s.result.longest = max(s.result.longest, s.now-r.metAt)
 			if r.mean(&r.tails) <= target {
 				continue
 			}
--- a/decision/cell/serving_room.go
+++ b/decision/cell/serving_room.go
@@ -34,7 +34,9 @@
 	// image of which the interference is not known yet.
 	trialSpeed = 50
 	// pauseAfter is how long a target may be missed before all best-effort runs are
-	// paused: the first reduction had no sufficient effect.
+	// paused: the first reduction had no sufficient effect. After twice this time they
+	// are paused even if the measurements do not show the last change yet: the expected
+	// load may change the speeds with each list.
 	pauseAfter = 700 * time.Millisecond
 	// minMoveBenefit is the remaining run time below which a run is not moved. A stop
 	// takes almost a second, and a restore and the start follow it.
@@ -132,8 +134,13 @@
 // the expected load of these, and to what their measurements show.
 func (c *Cell) controlSpeeds(w *worker, serving, bestEffort []*run) {
 	now, p := c.now.Steady, &w.throttling
+	for _, r := range bestEffort {
+		if r.speedUnknown {
+			r.desiredSpeed = min(r.desiredSpeed, c.admissionSpeed(r))
+		}
+	}
 	shown := now-p.changedAt >= measurementWindow // the measurements show the last change
-	if shown && p.overSince > 0 && now-p.overSince >= pauseAfter {
+	if over := now - p.overSince; p.overSince > 0 && (shown && over >= pauseAfter || over >= 2*pauseAfter) {
 		for _, r := range bestEffort {
 			c.setSpeed(r, 0)
 		}
--- a/decision/cell/serving_room_test.go
+++ b/decision/cell/serving_room_test.go
@@ -46,6 +46,9 @@
 			if lost, bound := 1-after.meanValue(), maxLostFraction*(1-before.meanValue()); lost > bound {
 				t.Errorf("serving units lose %.3f of their value, want at most %.3f: %.2f of that without room for serving tasks", lost, bound, maxLostFraction)
 			}
+			if limit := 4500 * time.Millisecond; after.longest > limit {
+				t.Errorf("a serving task is over its target because of best-effort tasks for %v, want at most %v", after.longest, limit)
+			}
 			if after.served <= before.served {
 				t.Errorf("%d of %d serving units are served, want more than %d", after.served, after.units, before.served)
 			}
--- a/decision/cell/serving_sim_test.go
+++ b/decision/cell/serving_sim_test.go
@@ -58,6 +58,7 @@
 	tails      [simWindow]float64
 	tailsAlone [simWindow]float64 // without the best-effort tasks beside it
 	ticks      int
+	metAt      time.Duration // last time at which best-effort tasks made it miss no target
 }
 
 type simJob struct {
@@ -93,6 +94,7 @@
 	over, overSelf float64 // seconds of serving tasks over their target, and of those without best-effort tasks as the cause
 	down           float64 // seconds of serving tasks without a run at work
 	stops          int
+	longest        time.Duration // over a target because of best-effort tasks
 }
 
 const (
@@ -299,7 +301,7 @@
 		return
 	}
 	j := s.jobs[o.Task.Job]
-	r := &simRun{key: runKey{o.Task, o.Attempt}, job: j, step: &j.spec.Steps[o.Task.Step], server: server, startedAt: s.now, speed: fullSpeed}
+	r := &simRun{key: runKey{o.Task, o.Attempt}, job: j, step: &j.spec.Steps[o.Task.Step], server: server, startedAt: s.now, metAt: s.now, speed: fullSpeed}
 	if o.Checkpoint != "" {
 		_, _ = fmt.Sscanf(o.Checkpoint, "%f", &r.saved)
 		r.done = r.saved
--- a/decision/cell/throttle.go
+++ b/decision/cell/throttle.go
@@ -358,7 +358,7 @@
 
 // setSpeed orders a speed unless it is already in effect.
 func (c *Cell) setSpeed(r *run, speed int) {
-	if !c.authority || r.state != runConfirmed || speed == r.desiredSpeed && r.speed == speed {
+	if !c.authority || r.state != runConfirmed || speed == r.desiredSpeed && r.speed == speed && !r.speedUnknown {
 		return
 	}
 	if speed != r.desiredSpeed {
@@ -376,7 +376,7 @@
 		return
 	}
 	if r := w.runs[runKey{e.Task, e.Attempt}]; r != nil {
-		r.speed = e.Percent
+		r.speed, r.speedUnknown = e.Percent, false
 		r.progressAt = c.now.Steady
 		w.recordShares(c.now.Steady)
 	}
