Log and count why the speed of a best-effort task changes; bound the cost of a sum

Cause: operators could not tell a reduction that prevents a missed target from one that follows it.

Change: task_paced carries the reason of the speed (admission, expected_load, over_target, room; empty without room for serving tasks), counted by lacewingfork_task_speed_changes_total. The sum of the added load is bounded by the cost of a missed target. Servers with throttled runs are found by the runs themselves.

--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -36,6 +36,7 @@
 	desiredSpeed       int
 	speedChangedAt     time.Duration
 	speedUnknown       bool // an earlier holder may have set another speed
+	speedReason        SpeedReason
 	image              imageID
 	appliedMeasurement int     // last measurement used by the interference model
 	addedLoad          float64 // load that best-effort runs on the worker add
@@ -145,8 +146,7 @@
 	r := c.addRun(t, w, attempt, runOrdered)
 	c.starts++
 	if c.settings.ServingRoom && r.bestEffort {
-		r.desiredSpeed = c.admissionSpeed(r)
-		w.runListsStale = true
+		c.admit(r)
 	}
 	c.startTrials(r)
 	j := t.step.occurrence.job
--- a/decision/cell/serving_room.go
+++ b/decision/cell/serving_room.go
@@ -99,10 +99,43 @@
 	r.excess = min(max(r.excess+excessWeight*(excess-r.excess), 0), maxExcess)
 }
 
-// holdsBack reports whether best-effort runs of a worker are throttled. Others would
-// take the room that they wait for.
+// holdsBack reports whether best-effort runs beside serving tasks of a worker are
+// throttled. Others would take the room that they wait for.
 func (w *worker) holdsBack() bool {
-	return w.throttling.watched && slices.ContainsFunc(w.bestEffort, func(r *run) bool { return r.desiredSpeed < fullSpeed })
+	return w.throttling.serving > 0 && slices.ContainsFunc(w.runsInOrder, func(r *run) bool {
+		return r.bestEffort && r.state != runStopping && r.desiredSpeed < fullSpeed
+	})
+}
+
+// SpeedReason is the reason of the last change of the speed of a run, in log lines and
+// metrics. It is empty without room for serving tasks.
+type SpeedReason string
+
+// The reasons of a change of speed.
+const (
+	SpeedAdmission    SpeedReason = "admission"     // the run starts below full speed
+	SpeedExpectedLoad SpeedReason = "expected_load" // a serving task is expected to miss its target
+	SpeedOverTarget   SpeedReason = "over_target"   // a serving task misses its target
+	SpeedRoom         SpeedReason = "room"          // there is room for a higher speed
+)
+
+// changeSpeed sets the speed of a run for a reason.
+func (c *Cell) changeSpeed(r *run, speed int, reason SpeedReason) {
+	r.speedReason = reason
+	c.setSpeed(r, speed)
+}
+
+// admit determines the speed at which a best-effort run starts.
+func (c *Cell) admit(r *run) {
+	w := r.worker
+	r.desiredSpeed = c.admissionSpeed(r)
+	w.runListsStale = true
+	if r.desiredSpeed < fullSpeed {
+		r.speedReason, r.speedChangedAt = SpeedAdmission, c.now.Steady
+		c.emit(Note{Event: NoteTaskThrottled, Job: r.key.task.Job, Task: r.key.task.String(), Server: w.server.ID, Detail: map[string]any{
+			"percent": r.desiredSpeed, "before": fullSpeed, "reason": SpeedAdmission,
+		}})
+	}
 }
 
 // admissionSpeed returns the speed at which a best-effort run starts on its worker.
@@ -142,7 +175,7 @@
 	shown := now-p.changedAt >= measurementWindow // the measurements show the last change
 	if over := now - p.overSince; p.overSince > 0 && (shown && over >= pauseAfter || over >= 2*pauseAfter) {
 		for _, r := range bestEffort {
-			c.setSpeed(r, 0)
+			c.changeSpeed(r, 0, SpeedOverTarget)
 		}
 	} else {
 		over := false
@@ -175,9 +208,10 @@
 	}
 	own := s.task.step.load.maxWithin(c.now.Steady, controlHorizon) + s.excess
 	over := own + total + cutMargin - s.loadLimit
-	scale := 1.0
+	scale, reason := 1.0, SpeedExpectedLoad
 	if shown && s.missesTarget() {
 		measured := c.interference.load(s.image, s.target(), float64(s.measurement))
+		reason = SpeedOverTarget
 		over = max(over, measured+cutMargin-s.loadLimit)
 		if added := measured - s.task.step.load.load(c.now.Steady-measurementLag); total > 0 {
 			scale = min(max(1, added/total), maxPressure)
@@ -201,7 +235,7 @@
 		if speed < minSpeed {
 			speed = 0
 		}
-		c.setSpeed(r, speed)
+		c.changeSpeed(r, speed, reason)
 	}
 	return true
 }
@@ -226,7 +260,7 @@
 		if next < minSpeed || next <= r.desiredSpeed {
 			return
 		}
-		c.setSpeed(r, next)
+		c.changeSpeed(r, next, SpeedRoom)
 	}
 }
 
@@ -270,5 +304,6 @@
 	if !c.settings.ServingRoom {
 		return mean
 	}
-	return mean * float64(w.throttling.serving) / evenServingTasks
+	// Bounded, so that it never costs more than a missed target.
+	return min(mean*float64(w.throttling.serving)/evenServingTasks, max(mean, costInterferes/costPressure))
 }
--- a/decision/cell/serving_room_test.go
+++ b/decision/cell/serving_room_test.go
@@ -1,8 +1,13 @@
 package cell
 
 import (
+	"fmt"
+	"reflect"
 	"testing"
 	"time"
+
+	"lacewingfork.example/lacewingfork/decision/job"
+	"lacewingfork.example/lacewingfork/fleet"
 )
 
 const (
@@ -58,3 +63,66 @@
 		})
 	}
 }
+
+// Guards against a step whose tasks start on other workers than if each worker were
+// rated for each task, with room for serving tasks.
+func TestStepPlacementEqualsFullScanWithServingRoom(t *testing.T) {
+	starts := 0
+	for seed := range uint64(randomCells) {
+		c, steps := newRandomCell(seed)
+		reference, same := newRandomCell(seed)
+		for _, cell := range []*Cell{c, reference} {
+			cell.settings.ServingRoom = true
+			cell.interference.enableFilter()
+			for _, w := range cell.sortedWorkers {
+				w.runListsStale = true // they were computed without room for serving tasks
+				for _, r := range w.runsInOrder {
+					r.task.step.load.upcomingAt = 0
+				}
+			}
+		}
+		for i := range steps {
+			c.startTasks(steps[i])
+			reference.referenceStarts(same[i])
+		}
+		if !reflect.DeepEqual(c.actions, reference.actions) {
+			t.Fatalf("seed %d: got actions %+v, want %+v", seed, c.actions, reference.actions)
+		}
+		starts += len(c.actions)
+	}
+	if starts < randomCells {
+		t.Errorf("got %d actions in %d cells, want more", starts, randomCells)
+	}
+}
+
+// BenchmarkStartsBesideServingTasks measures the placement of a best-effort step of 20
+// tasks beside serving tasks, for each start, with room for serving tasks.
+func BenchmarkStartsBesideServingTasks(b *testing.B) {
+	const tasks = 20
+	for _, workers := range []int{50, 5400} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			f := newServiceFixture(workers, 0)
+			f.cell.settings.ServingRoom = true
+			f.cell.interference.enableFilter()
+			step := job.Step{Count: tasks, Need: fleet.Resources{MilliCPU: 100, MemoryMiB: 10}, Estimate: time.Second, BestEffort: true, Image: "image-1"}
+			j := &jobState{job: job.Job{ID: "000000000000d001", Queue: "q", Steps: []job.Step{step}}, stored: true, completed: map[int]bool{}, occurrences: map[int]*occurrence{}}
+			s := f.cell.newOccurrence(j, 0).steps[0]
+			m := f.cell.interference
+			m.pressures[m.id("serving")][s.image].count = trialObservations
+			for b.Loop() {
+				for n := range s.tasks {
+					s.waiting = append(s.waiting, n)
+				}
+				f.cell.startTasks(s)
+				if len(s.waiting) > 0 {
+					b.Fatalf("got %d tasks without a worker, want none", len(s.waiting))
+				}
+				for _, t := range s.tasks {
+					f.cell.removeRun(t.runs[0])
+				}
+				f.cell.actions = f.cell.actions[:0]
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tasks), "ns/start")
+		})
+	}
+}
--- a/decision/cell/throttle.go
+++ b/decision/cell/throttle.go
@@ -362,7 +362,7 @@
 		return
 	}
 	if speed != r.desiredSpeed {
-		c.emit(Note{Event: NoteTaskThrottled, Job: r.key.task.Job, Task: r.key.task.String(), Server: r.worker.server.ID, Detail: map[string]any{"percent": speed, "before": r.desiredSpeed}})
+		c.emit(Note{Event: NoteTaskThrottled, Job: r.key.task.Job, Task: r.key.task.String(), Server: r.worker.server.ID, Detail: map[string]any{"percent": speed, "before": r.desiredSpeed, "reason": r.speedReason}})
 		r.worker.throttling.changedAt, r.speedChangedAt = c.now.Steady, c.now.Steady
 		r.worker.runListsStale = true
 	}
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -15,6 +15,7 @@
 	taskWaitSeconds prometheus.Histogram
 	jobSeconds      prometheus.Histogram
 	taskWaits       *prometheus.CounterVec
+	speedChanges    *prometheus.CounterVec
 	takeovers       prometheus.Counter
 	unreadResponses prometheus.Counter
 	lag             prometheus.Gauge
@@ -48,10 +49,13 @@
 			Name: "lacewingfork_answers_unread_total", Help: "Responses dropped because the caller no longer waited.",
 		}),
 	}
+	m.speedChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lacewingfork_task_speed_changes_total", Help: "Changes of the speed of best-effort tasks beside serving tasks, by reason.",
+	}, []string{"reason"})
 	m.lag = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "lacewingfork_holder_lag_seconds", Help: "Longest time that an answer of a worker has waited for the holder since its last tick.",
 	})
-	registry.MustRegister(m.lag, m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.jobSeconds, m.takeovers, m.unreadResponses)
+	registry.MustRegister(m.lag, m.speedChanges, m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.jobSeconds, m.takeovers, m.unreadResponses)
 	return m
 }
 
@@ -79,6 +83,10 @@
 		if reason, ok := n.Detail["reason"].(string); ok {
 			m.taskWaits.WithLabelValues(reason).Inc()
 		}
+	case cell.NoteTaskThrottled:
+		if reason, ok := n.Detail["reason"].(cell.SpeedReason); ok && reason != "" {
+			m.speedChanges.WithLabelValues(string(reason)).Inc()
+		}
 	case cell.NoteJobEnded:
 		observe(m.jobSeconds, n, "after_ms", 1e3)
 	}
