--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -163,6 +163,9 @@
 	}
 	c.nextBatch, c.interference = newBatch(1), newInterferenceModel()
 	c.batchNumber = 1
+	if settings.ServingRoom {
+		c.interference.enableFilter()
+	}
 	return c
 }
 
@@ -307,8 +310,8 @@
 	if !c.behind {
 		c.consolidate()
 	}
-	if c.interference.changed && c.now.Steady-c.interferenceRecordedAt >= interferenceRecordInterval {
-		c.interferenceRecordedAt, c.interference.changed = c.now.Steady, false
+	if c.interference.changed && c.now.Steady-c.interferenceRecordedAt >= c.interference.recordInterval() {
+		c.interferenceRecordedAt, c.interference.changed, c.interference.risen = c.now.Steady, false, false
 		c.nextBatch.interference = true
 	}
 	c.startCopies()
--- a/decision/cell/cost.go
+++ b/decision/cell/cost.go
@@ -53,7 +53,7 @@
 			cost += costNoServing
 		}
 		if w.servesOtherImage(t.step.image) {
-			cost += costMixed
+			cost += c.mixedCost(w)
 		}
 		// Serving tasks are packed, so that other servers have none.
 		cost += costFreeCore*freeCores + costBestEffortCore*bestEffort
@@ -118,7 +118,7 @@
 	}
 	effect := c.impactOf(w, s.image, need/capacity)
 	if effect.count == 0 {
-		return cost + costServing*(1.5+effect.worst/2) + costPressure*effect.mean
+		return cost + costServing*(1.5+effect.worst/2) + costPressure*effect.added
 	}
 	return cost + costInterferes*(1+float64(effect.count)+effect.worst)
 }
--- a/decision/cell/interference_free.go
+++ b/decision/cell/interference_free.go
@@ -19,7 +19,7 @@
 	w.slacksEvent, w.imageSlacks = c.events, w.imageSlacks[:0]
 next:
 	for _, s := range w.serving {
-		slack := s.loadLimit - s.task.step.load.upcomingMax(c.now.Steady) - s.addedLoad - placementMargin
+		slack := s.loadLimit - c.upcomingLoad(s) - s.addedLoad - placementMargin
 		for i := range w.imageSlacks {
 			if kept := &w.imageSlacks[i]; kept.image == s.image {
 				kept.slack = min(kept.slack, slack)
@@ -43,7 +43,7 @@
 		if s.slack < 0 || c.interference.inTrial(s.image, image, c.now.Steady) {
 			return -1
 		}
-		if p := c.interference.pressure(s.image, image); p > 0 {
+		if p := c.interference.cautiousPressure(s.image, image); p > 0 {
 			share = min(share, s.slack/p)
 		}
 	}
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -39,10 +39,13 @@
 	speed              int // acknowledged speed, in percent
 	desiredSpeed       int
 	speedChangedAt     time.Duration
+	speedUnknown       bool // an earlier holder may have set another speed
+	speedReason        SpeedReason
 	image              imageID
 	appliedMeasurement int     // last measurement used by the interference model
 	addedLoad          float64 // load that best-effort runs on the worker add
 	loadLimit          float64 // load at which it misses its target
+	excess             float64 // load of a serving run that is not explained
 	reason             string  // reason for the stop
 	stopSent           time.Duration
 	stopAcked          bool          // the worker has acknowledged the stop
@@ -147,6 +150,9 @@
 	r := c.addRun(t, w, attempt, runOrdered)
 	r.fresh, r.copy = t.checkpoint == "", len(t.runs) > 1
 	c.starts++
+	if c.settings.ServingRoom && r.bestEffort {
+		c.admit(r)
+	}
 	c.startTrials(r)
 	c.racks.started(c, r)
 	if w.cold.until > c.now.Steady {
@@ -254,6 +260,7 @@
 	r.worker.runsChanged(r)
 	if r.bestEffort {
 		r.worker.recordShares(c.now.Steady)
+		c.setSpeed(r, r.desiredSpeed)
 	}
 	if w := r.worker; (r.bestEffort && w.throttling.serving > 0 || r.serves() && w.bestEffortCPU > 0) && w.extraHoldAt == 0 {
 		w.extraHoldAt = c.now.Steady + measurementWindow + clockMargin // the first measurement that covers only time with this run
--- a/decision/cell/throttle.go
+++ b/decision/cell/throttle.go
@@ -65,7 +65,7 @@
 		// placed by the same measurements.
 		for _, r := range w.runsInOrder {
 			if r.bestEffort && r.state != runStopping {
-				s.addedLoad += c.interference.pressure(s.image, r.image) * r.fullShare() * float64(r.desiredSpeed) / fullSpeed
+				s.addedLoad += c.interference.cautiousPressure(s.image, r.image) * r.fullShare() * float64(r.desiredSpeed) / fullSpeed
 			}
 		}
 		s.loadLimit = c.interference.loadLimit(s.image, s.target())
@@ -113,7 +113,11 @@
 	case !over && !slices.ContainsFunc(serving, (*run).nearsTarget):
 		w.throttling.overSince = 0
 	}
-	if len(bestEffort) > 0 {
+	switch {
+	case len(bestEffort) == 0:
+	case c.settings.ServingRoom:
+		c.controlSpeeds(w, serving, bestEffort)
+	default:
 		c.throttleRuns(w, serving, bestEffort)
 	}
 }
@@ -132,6 +136,9 @@
 			continue
 		}
 		s := &r.task.step.load
+		if c.settings.ServingRoom {
+			c.noteExcess(r, s.load(c.now.Steady-measurementLag), window)
+		}
 		ownLoad, isolated := c.interference.observe(r.image, r.target(), float64(r.measurement), s.load(c.now.Steady-measurementLag), window)
 		if isolated {
 			s.add(c.now.Steady, ownLoad, 1)
@@ -310,6 +317,7 @@
 	count int     // tasks that would miss their target
 	worst float64 // highest load relative to the limit of its task, negative below it
 	mean  float64 // mean load that it adds
+	added float64 // load that it adds, as it counts in the cost
 }
 
 // startTrials begins a trial with each serving image beside which a best-effort
@@ -335,8 +343,8 @@
 	c.refreshRunLists(w)
 	effect := impact{worst: -1}
 	for _, s := range w.serving {
-		added := c.interference.pressure(s.image, image) * share
-		after := s.task.step.load.upcomingMax(c.now.Steady) + s.addedLoad + added
+		added := c.interference.cautiousPressure(s.image, image) * share
+		after := c.upcomingLoad(s) + s.addedLoad + added
 		over := after + placementMargin - s.loadLimit
 		effect.worst = max(effect.worst, over)
 		effect.mean += added / float64(len(w.serving))
@@ -344,16 +352,17 @@
 			effect.count++
 		}
 	}
+	effect.added = c.addedLoad(w, effect.mean)
 	return effect
 }
 
 // setSpeed orders a speed unless it is already in effect.
 func (c *Cell) setSpeed(r *run, speed int) {
-	if !c.authority || r.state != runConfirmed || speed == r.desiredSpeed && r.speed == speed {
+	if !c.authority || r.state != runConfirmed || speed == r.desiredSpeed && r.speed == speed && !r.speedUnknown {
 		return
 	}
 	if speed != r.desiredSpeed {
-		c.emit(Note{Event: NoteTaskThrottled, Job: r.key.task.Job, Task: r.key.task.String(), Server: r.worker.server.ID, Detail: map[string]any{"percent": speed, "before": r.desiredSpeed}})
+		c.emit(Note{Event: NoteTaskThrottled, Job: r.key.task.Job, Task: r.key.task.String(), Server: r.worker.server.ID, Detail: map[string]any{"percent": speed, "before": r.desiredSpeed, "reason": r.speedReason}})
 		r.worker.throttling.changedAt, r.speedChangedAt = c.now.Steady, c.now.Steady
 		r.worker.runListsStale = true
 	}
@@ -367,7 +376,7 @@
 		return
 	}
 	if r := w.runs[runKey{e.Task, e.Attempt}]; r != nil {
-		r.speed = e.Percent
+		r.speed, r.speedUnknown = e.Percent, false
 		r.progressAt = c.now.Steady
 		w.recordShares(c.now.Steady)
 	}
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -19,6 +19,7 @@
 	taskWaits       *prometheus.CounterVec
 	uneven          *prometheus.CounterVec
 	triage          *prometheus.CounterVec
+	speedChanges    *prometheus.CounterVec
 	takeovers       prometheus.Counter
 	unreadResponses prometheus.Counter
 	lag             prometheus.Gauge
@@ -60,10 +61,13 @@
 		}),
 	}
 	m.evacuations = newEvacuationMetrics(registry)
+	m.speedChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lacewingfork_task_speed_changes_total", Help: "Changes of the speed of best-effort tasks beside serving tasks, by reason.",
+	}, []string{"reason"})
 	m.lag = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "lacewingfork_holder_lag_seconds", Help: "Longest time that an answer of a worker has waited for the holder since its last tick.",
 	})
-	registry.MustRegister(m.lag, m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.uneven, m.triage, m.jobSeconds, m.takeovers, m.unreadResponses)
+	registry.MustRegister(m.lag, m.requests, m.decisions, m.acceptSeconds, m.taskWaitSeconds, m.taskWaits, m.uneven, m.triage, m.speedChanges, m.jobSeconds, m.takeovers, m.unreadResponses)
 	return m
 }
 
@@ -106,6 +110,10 @@
 		m.observeTriage("rejected", n)
 	case cell.NoteRoomMade:
 		m.observeTriage("stopped", n)
+	case cell.NoteTaskThrottled:
+		if reason, ok := n.Detail["reason"].(cell.SpeedReason); ok && reason != "" {
+			m.speedChanges.WithLabelValues(string(reason)).Inc()
+		}
 	case cell.NoteJobEnded:
 		observe(m.jobSeconds, n, "after_ms", 1e3)
 	}
