--- a/decision/cell/copies.go
+++ b/decision/cell/copies.go
@@ -94,13 +94,13 @@
 }
 
 // mayCopy reports whether the task of a run may have a second one. A task that has
-// failed, or that may crash its server, gets none, nor does a job while a crash under it
-// is being recorded.
+// failed or lost a run, or that may crash its server, gets none, nor does a job while a
+// crash under it is being recorded: a task that crashes servers would take two at a time.
 func (c *Cell) mayCopy(r *run) bool {
 	t := r.task
 	s := t.step
 	if !s.spec.Speculative || s.spec.Gang || s.spec.Estimate <= 0 || r.state != runConfirmed || len(t.runs) != 1 || t.done ||
-		s.occurrence.job.ended || len(t.failed) > 0 || t.isSuspect() || c.crashUnrecorded(s.occurrence.job) || t.copies >= maxCopiesPerTask {
+		s.occurrence.job.ended || len(t.failed) > 0 || t.requeuedAt > 0 || t.isSuspect() || c.crashUnrecorded(s.occurrence.job) || t.copies >= maxCopiesPerTask {
 		return false
 	}
 	times := c.runTimes[c.kindOf(s)]
