--- a/decision/cell/migration.go
+++ b/decision/cell/migration.go
@@ -194,11 +194,6 @@
 	}
 }
 
-// remaining returns the estimated time until a finite run ends.
-func (r *run) remaining() time.Duration {
-	return r.task.step.spec.Estimate * time.Duration(fullSpeed-min(r.percent, fullSpeed)) / fullSpeed
-}
-
 // moving returns the number of tasks of the step that are on their way.
 func (s *stepState) moving() int {
 	count := 0
