--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -207,7 +207,6 @@
 	w.lastEndApplied, w.lastEndRecorded, w.lastEndForgotten, w.listClock, w.moreEnds = 0, 0, 0, 0, false
 	w.holdAck, w.extraHoldAck = 0, 0
 	w.nextHoldAt, w.answers.stops = 0, 0
-	w.server.Incarnation = incarnation
 	if w.stored && !slices.Contains(c.nextBatch.servers, w) {
 		c.nextBatch.servers = append(c.nextBatch.servers, w) // a later holder tells by it that calls may be late
 	}
