--- a/decision/cell/triage_bench_test.go
+++ b/decision/cell/triage_bench_test.go
@@ -109,3 +109,42 @@
 		})
 	}
 }
+
+// BenchmarkStart measures the start of each task of a step in a scheduling pass, with
+// the order by priority and by cost. Its metric ns/start is the cost of a decision.
+func BenchmarkStart(b *testing.B) {
+	const tasks = 64 // fewer than maxUnansweredCalls
+	for _, workers := range []int{50, 5400} {
+		for _, byCost := range []bool{false, true} {
+			b.Run(fmt.Sprintf("workers=%d/by-cost=%v", workers, byCost), func(b *testing.B) {
+				f := newBenchFixture(workers)
+				f.cell.settings.TriageByCost = byCost
+				step := oneTaskStep()
+				step.Count, step.Need.MilliCPU = tasks, 100
+				n, spent, starts := 0, time.Duration(0), 0
+				for b.Loop() {
+					n++
+					f.now += time.Second
+					id := fleet.JobID(fmt.Sprintf("%016x", 1<<33+n))
+					f.cell.Handle(f.moment(), Submitted{Token: 1, Job: job.Job{ID: id, Queue: "q", Steps: []job.Step{step}}})
+					batch, _ := f.cell.TakeBatch()
+					f.cell.Handle(f.moment(), Committed{Batch: batch.Number})
+					began := time.Now()
+					f.cell.schedule()
+					spent += time.Since(began)
+					for _, t := range f.cell.jobs[id].occurrences[0].steps[0].tasks {
+						for _, r := range slices.Clone(t.runs) {
+							starts++
+							f.cell.removeRun(r)
+						}
+					}
+					f.cell.endJob(f.cell.jobs[id])
+					delete(f.cell.jobs, id)
+					f.cell.actions = nil
+				}
+				b.ReportMetric(float64(spent.Nanoseconds())/float64(max(1, starts)), "ns/start")
+				b.ReportMetric(float64(starts)/float64(n), "starts")
+			})
+		}
+	}
+}
