--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -24,7 +24,9 @@
 	c.crowdingMeasured = false
 	c.countLateStarts()
 	c.forgetRoom()
-	c.racks.beginPass(c.now.Steady)
+	if c.settings.UnevenDemand {
+		c.racks.beginPass(c.now.Steady)
+	}
 	c.orderSteps()
 	for _, s := range c.ready {
 		if c.startsExhausted() {
@@ -73,7 +75,7 @@
 		if mayAvoidInterference && len(t.avoid) == 0 && c.interferesEverywhere(s) {
 			return // as below, without rating the workers
 		}
-		if c.awaitsRack(t) {
+		if c.settings.UnevenDemand && c.awaitsRack(t) {
 			continue // one of those behind it may expect too long a wait
 		}
 		w, cost := c.findCandidate(&found, t)
@@ -207,7 +209,7 @@
 		return obstacleLabel
 	case s.MaxPerServer > 0 && w.runsOfStep(t.step) >= s.MaxPerServer:
 		return obstacleMaxPerServer
-	case !c.regionAllows(w, t.step.occurrence.job):
+	case len(c.regions.allowed) > 0 && !c.regionAllows(w, t.step.occurrence.job):
 		return obstacleRegion
 	case w.dataCentre.reopenedAt != 0 && c.waitsForWarmth(w, t):
 		return obstacleCold
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -92,15 +92,15 @@
 	health            health
 	answers           answers
 	dataCentre        *dataCentre
-	cold              coldness
-	region            fleet.Region    // empty if the region of its data centre is not known
 	reserved          fleet.Resources // of reservations, for tasks that are being moved
 	reservations      []*reservation
-	rackWantedUntil   time.Duration // tasks without data in its rack prefer others until then
 	throttling        throttling
 	suspectRuns       int          // runs of tasks that may crash it
 	lastCrash         *crash       // nil if none was observed
 	lapsedRuns        []crashedRun // ended with its lease; it may have crashed under them
+	region            fleet.Region // empty if the region of its data centre is not known
+	cold              coldness
+	rackWantedUntil   time.Duration // tasks without data in its rack prefer others until then
 }
 
 // clockSample relates the worker's clock to the holder's.
