--- a/scheduler/settings/settings.go
+++ b/scheduler/settings/settings.go
@@ -19,14 +19,15 @@
 // changed sections and the state dump prints all fields, so the field names are
 // visible outside.
 type Settings struct {
-	Instance Instance
-	Listen   Listen
-	Callers  Callers
-	Store    Store
-	Advisor  Advisor
-	Platform Platform
-	Bounds   Bounds
-	Process  Process
+	Instance  Instance
+	Listen    Listen
+	Callers   Callers
+	Store     Store
+	Advisor   Advisor
+	Platform  Platform
+	Decisions Decisions
+	Bounds    Bounds
+	Process   Process
 }
 
 // Instance identifies the instance and gives its location and size.
@@ -65,6 +66,9 @@
 // queues.
 type Advisor struct{ Address string }
 
+// Decisions switches on decisions that not every deployment gains from.
+type Decisions struct{ ServingRoom bool }
+
 // Platform says which parts of the platform's rules are in force.
 type Platform struct {
 	Contracts string
@@ -207,6 +211,12 @@
 			Range: "DATA_CENTRE=REGION separated by commas", Valid: func(string) bool { return true }, Field: func(s *Settings) any { return &s.Platform.Zones },
 		},
 	}},
+	{Name: "decisions", Keys: []tomlfile.Key[Settings]{
+		{
+			Name: "serving_room", Description: "keep best-effort work from pushing serving tasks over their targets, at the cost of its own throughput; for deployments whose serving tasks need up to half of the processors",
+			Default: false, Field: func(s *Settings) any { return &s.Decisions.ServingRoom },
+		},
+	}},
 	{Name: "bounds", Keys: []tomlfile.Key[Settings]{
 		{
 			Name: "lease_max", Description: "longest lease that a worker grants",
--- a/scheduler/wiring.go
+++ b/scheduler/wiring.go
@@ -142,7 +142,7 @@
 	s.StatusRetention, s.MaxTimeOverTarget, s.RemoteFactor = b.StatusKept, b.Impact, b.RemoteFactor
 	s.Regions = all.Regions()
 	uneven := all.HasContract(settings.ContractPlaces)
-	s.TriageByCost, s.ServingRoom, s.UnevenDemand = uneven, uneven, uneven
+	s.TriageByCost, s.ServingRoom, s.UnevenDemand = uneven, all.Decisions.ServingRoom, uneven
 	return s
 }
 
