--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 # Packages with property tests run with the fixed seed; other test binaries reject
 # the flag -rapid.seed.
 PROPERTY_PACKAGES = $(shell go list -f '{{.ImportPath}} {{.TestImports}} {{.XTestImports}}' ./... | grep 'pgregory.net/rapid' | cut -d' ' -f1)
-OTHER_PACKAGES = $(filter-out $(PROPERTY_PACKAGES),$(shell go list ./...))
+# The tests of crowds of clients bound the memory of processes, so they run apart from
+# all others.
+CROWD_PACKAGES = $(shell go list ./platform/crowd)
+OTHER_PACKAGES = $(filter-out $(PROPERTY_PACKAGES) $(CROWD_PACKAGES),$(shell go list ./...))
 # Tests listed in KNOWN-RED.txt ("test: Name" lines) are skipped, and the file is
 # printed.
 KNOWN_RED = $(shell sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
@@ -33,6 +36,7 @@
 	go test $(TEST_FLAGS) $(OTHER_PACKAGES)
 	@if [ -n "$(PROPERTY_PACKAGES)" ]; then echo go test $(TEST_FLAGS) -rapid.seed=$(SEED) $(PROPERTY_PACKAGES); \
 	go test $(TEST_FLAGS) $(PROPERTY_PACKAGES) -rapid.seed=$(SEED) -rapid.nofailfile; fi
+	go test $(TEST_FLAGS) $(CROWD_PACKAGES)
 
 # Injects random faults into real processes: RUNS consecutive seeds starting at
 # SEED, SECONDS seconds each.
