--- a/scheduler/store/evacuations_test.go
+++ b/scheduler/store/evacuations_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,7 @@
 // requestStore is a store with requests to evacuate data centres.
 type requestStore struct {
 	api.Store
+	mu    sync.Mutex // guards the rest, which the test changes while the duty reads
 	items []api.Item
 	end   fleet.Offset
 	fails bool
@@ -28,6 +30,8 @@
 }
 
 func (s *requestStore) Newest(context.Context, api.Topic) ([]api.Item, fleet.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.reads++
 	if s.fails {
 		return nil, 0, errors.New("store fails")
@@ -35,6 +39,26 @@
 	return s.items, s.end, nil
 }
 
+// set replaces the requests and the end of the store.
+func (s *requestStore) set(items []api.Item, end fleet.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.end = items, end
+}
+
+// fail makes all further reads fail.
+func (s *requestStore) fail() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fails = true
+}
+
+func (s *requestStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 // keyRecords decodes keys that are names of data centres.
 type keyRecords struct{ api.RecordDecoder }
 
@@ -61,20 +85,20 @@
 			records(api.Item{Key: "west", Value: []byte("{}"), Offset: 5})
 		}, time.Millisecond, "west", false},
 		{"left out by the tail", nil, func(s *requestStore, _ func(...api.Item)) {
-			s.items, s.end = []api.Item{{Key: "west", Value: []byte("{}"), Offset: 5}}, 6
+			s.set([]api.Item{{Key: "west", Value: []byte("{}"), Offset: 5}}, 6)
 		}, evacuationReadInterval, "west", false},
 		{"withdrawn", []api.Item{east}, func(_ *requestStore, records func(...api.Item)) { records(withdrawn) }, time.Millisecond, "", false},
-		{"withdrawn and left out", []api.Item{east}, func(s *requestStore, _ func(...api.Item)) { s.items, s.end = nil, 6 }, evacuationReadInterval, "", false},
+		{"withdrawn and left out", []api.Item{east}, func(s *requestStore, _ func(...api.Item)) { s.set(nil, 6) }, evacuationReadInterval, "", false},
 		{"tail repeats a request that was withdrawn", []api.Item{east}, func(s *requestStore, records func(...api.Item)) {
-			s.items, s.end = nil, 6
+			s.set(nil, 6)
 			time.Sleep(evacuationReadInterval)
 			records(east)
 		}, time.Millisecond, "", false},
 		{"older page of the store", nil, func(_ *requestStore, records func(...api.Item)) {
 			records(api.Item{Key: "west", Value: []byte("{}"), Offset: 5}) // the store still ends at 5
 		}, 3 * evacuationReadInterval, "west", false},
-		{"one read fails", []api.Item{east}, func(s *requestStore, _ func(...api.Item)) { s.fails = true }, evacuationReadInterval, "east", false},
-		{"reads fail", []api.Item{east}, func(s *requestStore, _ func(...api.Item)) { s.fails = true }, evacuationReadInterval + readRetryInterval, "", true},
+		{"one read fails", []api.Item{east}, func(s *requestStore, _ func(...api.Item)) { s.fail() }, evacuationReadInterval, "east", false},
+		{"reads fail", []api.Item{east}, func(s *requestStore, _ func(...api.Item)) { s.fail() }, evacuationReadInterval + readRetryInterval, "", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -87,8 +111,8 @@
 				e := NewEvacuations(tree, store, keyRecords{}, clock.New(), logs.New(), follow, changes)
 				go func() { _ = e.run(ctx, nil) }()
 				time.Sleep(time.Second)
-				if store.reads > 0 {
-					t.Errorf("got %d reads by an instance that is not the holder, want none", store.reads)
+				if reads := store.readCount(); reads > 0 {
+					t.Errorf("got %d reads by an instance that is not the holder, want none", reads)
 				}
 				_ = follow.Put(ctx, true)
 				time.Sleep(time.Millisecond)
