--- a/decision/cell/evacuation_test.go
+++ b/decision/cell/evacuation_test.go
@@ -123,6 +123,38 @@
 	}
 }
 
+// Guards against serving tasks that are moved into a crowd, where they and their neighbours
+// disturb each other.
+func TestServingTasksStayWhileItIsCrowdedElsewhere(t *testing.T) {
+	serving := withStep(longRunningStep(6), func(s *job.Step) { s.LatencyTarget = 100 * time.Millisecond })
+	for _, c := range []struct {
+		name      string
+		elsewhere int
+		moved     bool
+	}{{"free elsewhere", 12, true}, {"crowded elsewhere", 3, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSites(t, 1, map[fleet.DataCentre]int{"east": 3})
+			s.cell.settings.TriageByCost = true
+			s.play(time.Second)
+			s.submit(testJob, serving)
+			s.play(time.Second)
+			for i := range c.elsewhere {
+				s.list("west", i)
+			}
+			if !c.moved {
+				s.play(time.Second)
+				s.submit("00000000000000ab", withStep(longRunningStep(6), func(s *job.Step) { s.Need.MilliCPU = 5000 }))
+				s.play(time.Second)
+			}
+			s.requested = []fleet.DataCentre{"east"}
+			s.play(15 * time.Second)
+			if got := len(s.stops) > 0; got != c.moved {
+				t.Errorf("got stops %v, want moved %t", s.stops, c.moved)
+			}
+		})
+	}
+}
+
 // Guards against a task that has been stopped for a move and then waits because others
 // have taken the room.
 func TestMovedTaskKeepsItsPlace(t *testing.T) {
--- a/decision/cell/migration.go
+++ b/decision/cell/migration.go
@@ -166,10 +166,11 @@
 	staysBound               // its step allows no further unavailable task
 	staysClaim               // its next place becomes free soon
 	staysRoom                // there was no room for it elsewhere lately
+	staysCrowded             // its users lose less while it stays than in the crowd elsewhere
 	stayingCount
 )
 
-var stayingNames = [stayingCount]string{"to_move", "moving", "unreachable", "ending", "unavailable_bound", "place_claimed", "no_room"}
+var stayingNames = [stayingCount]string{"to_move", "moving", "unreachable", "ending", "unavailable_bound", "place_claimed", "no_room", "crowded"}
 
 // stays returns why a run in an evacuated data centre is not moved now.
 func (c *Cell) stays(r *run) staying {
@@ -189,11 +190,19 @@
 		return staysBound
 	case c.now.Steady < s.nextMigration:
 		return staysRoom
+	case c.settings.TriageByCost && r.serves() && c.crowdedElsewhere(c.queueOf(s.occurrence.job).Service):
+		return staysCrowded
 	default:
 		return staysNot
 	}
 }
 
+// crowdedElsewhere reports whether the data centres that are not evacuated have so little
+// free capacity that a further serving task there and its neighbours disturb each other.
+func (c *Cell) crowdedElsewhere(service fleet.Service) bool {
+	return c.maxInterferenceWait(service) == highUtilizationWait
+}
+
 // moving returns the number of tasks of the step that are on their way.
 func (s *stepState) moving() int {
 	count := 0
