--- a/decision/cell/candidates_test.go
+++ b/decision/cell/candidates_test.go
@@ -87,6 +87,7 @@
 // Guards against a step whose tasks start on other workers than if each worker were
 // rated for each task.
 func TestStepPlacementEqualsFullScan(t *testing.T) {
+	t.Parallel()
 	starts, held := 0, 0
 	for seed := range uint64(randomCells) {
 		c, steps := newRandomCell(seed)
--- a/decision/cell/equivalence_test.go
+++ b/decision/cell/equivalence_test.go
@@ -20,14 +20,19 @@
 // Guards against a shortcut of the scheduling pass that changes which tasks start, on
 // which workers or in which order.
 func TestPassEqualsReference(t *testing.T) {
+	t.Parallel()
 	for _, uneven := range []bool{false, true} {
-		t.Run(fmt.Sprintf("uneven=%t", uneven), func(t *testing.T) { playHistories(t, equivalenceSeeds, false, uneven) })
+		t.Run(fmt.Sprintf("uneven=%t", uneven), func(t *testing.T) {
+			t.Parallel()
+			playHistories(t, equivalenceSeeds, false, uneven)
+		})
 	}
 }
 
 // Guards against the same with triage by cost, and against an amount of work left that
 // differs from the tasks that are left.
 func TestPassByCostEqualsReference(t *testing.T) {
+	t.Parallel()
 	playHistories(t, equivalenceSeeds/2, true, false)
 }
 
