--- a/decision/cell/event.go
+++ b/decision/cell/event.go
@@ -105,12 +105,13 @@
 	}
 	// StopAnswered is the outcome of a Stop.
 	StopAnswered struct {
-		Server  fleet.BackendServerID
-		Task    job.TaskRef
-		Attempt int
-		OK      bool
-		Fenced  bool
-		Sent    time.Duration
+		Server     fleet.BackendServerID
+		Task       job.TaskRef
+		Attempt    int
+		Generation int // of the Stop
+		OK         bool
+		Fenced     bool
+		Sent       time.Duration
 	}
 	// ThrottleAnswered is the outcome of a Throttle.
 	ThrottleAnswered struct {
@@ -217,10 +218,11 @@
 	// Hold extends the lease of a worker and requests its lists of running and
 	// finished runs.
 	Hold struct {
-		Server  fleet.BackendServerID
-		Address string
-		Number  uint64
-		Ack     int64 // acknowledges all ends up to this number
+		Server     fleet.BackendServerID
+		Address    string
+		Generation int // of the worker; with the holder's epoch, the fencing token
+		Number     uint64
+		Ack        int64 // acknowledges all ends up to this number
 		// Deadline is the end of the lease on the worker's clock; 0 leaves the
 		// lease unchanged.
 		Deadline time.Duration
@@ -236,6 +238,7 @@
 	Start struct {
 		Server     fleet.BackendServerID
 		Address    string
+		Generation int // as that of a Hold
 		Task       job.TaskRef
 		Attempt    int
 		Spec       string
@@ -246,19 +249,21 @@
 	}
 	// Stop orders the end of a run and of all lower attempts of its task.
 	Stop struct {
-		Server  fleet.BackendServerID
-		Address string
-		Task    job.TaskRef
-		Attempt int
-		Timeout time.Duration // time limit of the call
+		Server     fleet.BackendServerID
+		Address    string
+		Generation int // as that of a Hold
+		Task       job.TaskRef
+		Attempt    int
+		Timeout    time.Duration // time limit of the call
 	}
 	// Throttle sets the speed of a run, in percent of full speed.
 	Throttle struct {
-		Server  fleet.BackendServerID
-		Address string
-		Task    job.TaskRef
-		Attempt int
-		Percent int
+		Server     fleet.BackendServerID
+		Address    string
+		Generation int // as that of a Hold
+		Task       job.TaskRef
+		Attempt    int
+		Percent    int
 	}
 	// Advise calls the advisor to determine which workers may run a step.
 	Advise struct {
--- a/decision/cell/former_incarnation.go
+++ b/decision/cell/former_incarnation.go
@@ -8,8 +8,11 @@
 // A worker that starts again under its identifier knows nothing of before, and its clock
 // starts anew. A call to its former incarnation that had no answer may still be carried
 // out by the present one: the deadline of a lease, on the former clock, is then cut at the
-// longest lease, and a start is not refused by a stop that only the former incarnation
-// has seen.
+// longest lease, a start is not refused by a stop that only the former incarnation has
+// seen, and an acknowledgement makes it forget ends that the holder does not know. Each
+// incarnation that the holder learns of is therefore a generation with a fencing token of
+// its own: from its first answer to a call with that token on, the worker refuses what was
+// sent to former ones, and its lists show all that they have started.
 
 // leaseCalls are the holds with a lease that have no answer of the present incarnation of
 // a worker. Such a hold may be carried out seconds later, also by the next incarnation.
@@ -57,7 +60,7 @@
 // incarnation may grant to the next one.
 func (c *Cell) noteRestart(w *worker, incarnation int64) {
 	c.emit(Note{Event: NoteWorkerRestarted, Server: w.server.ID, Detail: map[string]any{
-		"born": incarnation, "before": w.incarnation, "runs": len(w.runs), "heard_ms_ago": (c.now.Steady - w.lastAnswerAt).Milliseconds(),
+		"born": incarnation, "before": w.incarnation, "generation": w.generation + 1, "runs": len(w.runs), "heard_ms_ago": (c.now.Steady - w.lastAnswerAt).Milliseconds(),
 		"lease_call_ms_ago": w.leaseCalls.sinceMs(c.now.Steady), "lease_call_deadline_ms": w.leaseCalls.deadline.Milliseconds(),
 	}})
 }
@@ -89,6 +92,21 @@
 	}
 }
 
+// callFenced handles a call that a worker has refused because it has received a higher
+// token. Only that of another holder is higher than that of the present generation.
+func (c *Cell) callFenced(w *worker, generation int) {
+	if generation == w.generation {
+		c.emit(Superseded{Server: w.server.ID})
+	}
+}
+
+// boundLateLease lowers lateOrderUntil when the present incarnation of a worker refuses
+// all calls to former ones: those carried out before have granted the longest lease.
+func (c *Cell) boundLateLease(w *worker) {
+	w.lateOrderUntil = min(w.lateOrderUntil, c.now.Steady+c.longestLease())
+	c.awaitLeaseRecord(w)
+}
+
 // awaitLeaseRecord keeps a worker from use until a durable record tells a later holder
 // how long its lease may last, if that is longer than a holder assumes.
 func (c *Cell) awaitLeaseRecord(w *worker) {
@@ -119,10 +137,10 @@
 	w.settledStarts = slices.DeleteFunc(w.settledStarts, func(s settledStart) bool { return now >= s.orderedAt+maxOrderDelay })
 }
 
-// stopSettledStarts tracks the settled starts that a new incarnation may carry out as
-// uncertain runs and stops them there. A task that waits does not start elsewhere
-// before that.
-func (c *Cell) stopSettledStarts(w *worker) {
+// trackSettledStarts tracks the settled starts that a new incarnation may carry out as
+// uncertain runs, until its lists show whether it has. A task that waits does not start
+// elsewhere before that.
+func (c *Cell) trackSettledStarts(w *worker) {
 	w.dropSettledStarts(c.now.Steady)
 	for _, settled := range w.settledStarts {
 		t, key := settled.task, runKey{settled.task.ref(), settled.attempt}
@@ -130,10 +148,9 @@
 			continue
 		}
 		r := c.addRun(t, w, settled.attempt, runUncertain)
-		r.orderedAt, r.reason = settled.orderedAt, "start_unanswered"
+		r.orderedAt, r.reason, r.generation = settled.orderedAt, "start_unanswered", w.generation-1
 		t.step.waiting = slices.DeleteFunc(t.step.waiting, func(i int) bool { return i == t.index })
 		w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(settled.orderedAt))
-		c.sendStop(r)
 	}
 	w.settledStarts = nil
 }
--- a/decision/cell/hold.go
+++ b/decision/cell/hold.go
@@ -66,7 +66,7 @@
 func (c *Cell) sendHold(w *worker, wait time.Duration, ack int64, extra bool) uint64 {
 	c.holdNumber++
 	h := Hold{
-		Server: w.server.ID, Address: w.server.Address, Number: c.holdNumber, Ack: ack, Wait: wait, Extra: extra,
+		Server: w.server.ID, Address: w.server.Address, Generation: w.generation, Number: c.holdNumber, Ack: ack, Wait: wait, Extra: extra,
 		Timeout: w.dataCentre.path.Timeout(),
 	}
 	// A call to a worker that does not answer carries no lease: each call may
@@ -76,6 +76,11 @@
 		w.leaseGranted, w.leaseLimit = max(w.leaseGranted, h.Deadline), c.latestLeaseEnd(c.now.Steady)
 		w.leaseCalls.sent(c.now.Steady, h.Deadline, extra)
 	}
+	if extra {
+		w.extraHoldGeneration = w.generation
+	} else {
+		w.holdGeneration = w.generation
+	}
 	c.emit(h)
 	return c.holdNumber
 }
@@ -99,7 +104,11 @@
 		return
 	}
 	extra := e.Number == w.extraHoldInFlight && e.Number != 0
-	own := e.OK && e.Incarnation == w.incarnation
+	answered := e.Fenced || e.OK && e.Incarnation == w.incarnation
+	generation := w.holdGeneration
+	if extra {
+		generation = w.extraHoldGeneration
+	}
 	switch e.Number {
 	case w.holdInFlight:
 		w.holdInFlight = 0
@@ -108,17 +117,17 @@
 	default:
 		return // an answer to a hold of an earlier holder duty
 	}
-	w.leaseCalls.ended(extra, own)
+	w.leaseCalls.ended(extra, answered)
 	switch {
 	case e.Fenced:
-		c.emit(Superseded{Server: e.Server})
 		w.nextHoldAt = c.now.Steady + unreachableRetry
+		c.callFenced(w, generation)
 		return
 	case !e.OK:
 		c.holdUnanswered(w, extra, e.OtherIncarnation, e.Broke)
 		return
 	}
-	if !c.holdSucceeded(w, e) {
+	if !c.holdSucceeded(w, e, generation) {
 		w.nextHoldAt = c.now.Steady + unreachableRetry
 		return
 	}
@@ -173,9 +182,10 @@
 	c.needsScheduling = true
 }
 
-// holdSucceeded applies the clock and the lists of a successful hold. It returns
-// false for the late answer of an earlier incarnation, which has no effect.
-func (c *Cell) holdSucceeded(w *worker, e HoldAnswered) bool {
+// holdSucceeded applies the clock and the lists of a successful hold, which was sent to
+// the given generation of the worker. It returns false for the late answer of an earlier
+// incarnation, which has no effect.
+func (c *Cell) holdSucceeded(w *worker, e HoldAnswered, generation int) bool {
 	if e.Incarnation != 0 && w.incarnation != 0 && e.Incarnation < w.incarnation {
 		return false
 	}
@@ -190,20 +200,23 @@
 	}
 	if w.incarnation == 0 && w.recordedIncarnation != 0 && e.Incarnation > w.recordedIncarnation {
 		c.expectLateLease(w) // it has restarted without the earlier holder's knowledge
-		c.awaitLeaseRecord(w)
 	}
 	c.heard(w)
 	w.missedCalls, w.incarnation, w.lastAnswerAt = 0, e.Incarnation, c.now.Steady
 	w.updateClock(e.Clock, c.now.Steady)
+	if generation < w.generation {
+		return true // later calls to a former incarnation may change what it lists
+	}
 	if !w.fenced {
 		w.fenced = true
+		c.boundLateLease(w)
 		if len(e.Running) > 0 {
 			w.leaseGranted = max(w.leaseGranted, e.Clock+c.settings.Lease+clockMargin) // by the earlier holder
 			w.leaseLimit = c.latestLeaseEnd(c.now.Steady)
 		}
 		c.queueRecord(w)
 		c.emit(Note{Event: NoteWorkerFenced, Server: w.server.ID, Detail: map[string]any{
-			"running": len(e.Running), "finished": len(e.Finished), "more_ends": e.MoreEnds, "born": e.Incarnation,
+			"running": len(e.Running), "finished": len(e.Finished), "more_ends": e.MoreEnds, "born": e.Incarnation, "generation": w.generation,
 		}})
 		c.needsScheduling = true
 	}
--- a/decision/cell/model_restart_test.go
+++ b/decision/cell/model_restart_test.go
@@ -46,6 +46,12 @@
 	checkSeeds(t, modelRestartSeeds, restartedAndCutOff(modelFaults{delayedCalls: 0.02, delayedHolds: 0.1}))
 }
 
+// Guards against a late acknowledgement that makes the next incarnation of a worker forget
+// ends which the holder does not know (TWICE, review/8).
+func TestModelLateAcknowledgements(t *testing.T) {
+	checkSeeds(t, modelRestartSeeds, restartedAndCutOff(modelFaults{delayedHolds: 0.05}))
+}
+
 // Guards against second runs by any late call that the next incarnation obeys: a start
 // that was settled with the former one, and an acknowledgement that makes it forget ends
 // which the holder has not seen (TWICE; issue 35).
--- a/decision/cell/reconcile.go
+++ b/decision/cell/reconcile.go
@@ -44,7 +44,7 @@
 	if row.Percent != r.percent {
 		r.percent, r.progressAt = row.Percent, c.now.Steady
 	}
-	r.measurement, r.listedAt, r.listed = row.Measurement, c.now.Steady, true
+	r.measurement, r.listedAt, r.listed, r.generation = row.Measurement, c.now.Steady, true, r.worker.generation
 	c.clearIfOutlived(r)
 	if r.task.step.spec.LongRunning && r.percent >= fullSpeed && r.orderedAt >= r.worker.health.quarantinedUntil &&
 		c.now.Steady-r.confirmedAt >= healthyAfter {
@@ -60,7 +60,12 @@
 // runUnlisted handles a run that is missing from a list requested at sent.
 func (c *Cell) runUnlisted(r *run, sent time.Duration) {
 	switch {
-	case r.state == runConfirmed && sent > r.confirmedAt:
+	case r.generation < r.worker.generation && r.state != runConfirmed:
+		// The worker refuses the start from now on.
+		c.startSettledUnanswered(r)
+		c.removeRun(r)
+		c.requeue(r.task)
+	case r.generation < r.worker.generation, r.state == runConfirmed && sent > r.confirmedAt:
 		c.runEnded(r, job.EndLost, "")
 	case (r.state == runUncertain || r.state == runStopping) && r.stopAcked && sent > r.stopAckedAt:
 		// The stop was acknowledged before the list was requested, so the run has
@@ -77,7 +82,7 @@
 	t := c.lookup(row.Task)
 	if t == nil || !validAttempt(row.Attempt) || t.done || t.step.occurrence.job.ended || row.Attempt < t.attempt || len(t.runs) > 0 && !t.step.spec.Speculative {
 		c.emit(Note{Event: NoteRunWithoutTask, Job: row.Task.Job, Task: row.Task.String(), Server: w.server.ID, Detail: map[string]any{"attempt": row.Attempt}})
-		c.emit(Stop{Server: w.server.ID, Address: w.server.Address, Task: row.Task, Attempt: row.Attempt})
+		c.emit(Stop{Server: w.server.ID, Address: w.server.Address, Generation: w.generation, Task: row.Task, Attempt: row.Attempt})
 		c.accountOrphan(w, row.Task)
 		return nil
 	}
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -26,6 +26,7 @@
 	need               fleet.Resources
 	bestEffort         bool
 	state              runState
+	generation         int // of its worker, when it was ordered or last listed
 	orderedAt          time.Duration
 	confirmedAt        time.Duration
 	percent            int
@@ -62,7 +63,7 @@
 func (c *Cell) addRun(t *task, w *worker, attempt int, state runState) *run {
 	r := &run{
 		key: runKey{task: t.ref(), attempt: attempt}, task: t, worker: w, need: t.step.spec.Need, bestEffort: t.step.spec.BestEffort,
-		state: state, image: t.step.image, orderedAt: c.now.Steady, progressAt: c.now.Steady, speed: fullSpeed, desiredSpeed: fullSpeed,
+		state: state, generation: w.generation, image: t.step.image, orderedAt: c.now.Steady, progressAt: c.now.Steady, speed: fullSpeed, desiredSpeed: fullSpeed,
 	}
 	if state == runOrdered {
 		c.unansweredStarts++
@@ -162,7 +163,7 @@
 	deadline := c.leaseEnd(w)
 	w.leaseGranted, w.leaseLimit = max(w.leaseGranted, deadline), c.latestLeaseEnd(c.now.Steady)
 	c.emit(Start{
-		Server: w.server.ID, Address: w.server.Address, Task: r.key.task, Attempt: attempt, Spec: j.job.Spec,
+		Server: w.server.ID, Address: w.server.Address, Generation: w.generation, Task: r.key.task, Attempt: attempt, Spec: j.job.Spec,
 		Deadline: deadline, Checkpoint: t.checkpoint, Ticket: ticket, Timeout: r.path.Timeout(),
 	})
 	detail := map[string]any{
@@ -216,7 +217,7 @@
 		c.withdrawRun(r, startRetryDelay)
 		c.orderUnanswered(w)
 	case StartFenced:
-		c.emit(Superseded{Server: e.Server})
+		c.callFenced(w, r.generation)
 		c.withdrawRun(r, startRetryDelay)
 	case StartInvalid:
 		c.withdrawRun(r, startRetryDelay)
@@ -309,7 +310,7 @@
 	r.stops++
 	r.worker.answers.stopSent(c.now.Steady)
 	c.emit(Stop{
-		Server: r.worker.server.ID, Address: r.worker.server.Address, Task: r.key.task, Attempt: r.key.attempt,
+		Server: r.worker.server.ID, Address: r.worker.server.Address, Generation: r.worker.generation, Task: r.key.task, Attempt: r.key.attempt,
 		Timeout: r.worker.dataCentre.path.Timeout(),
 	})
 }
@@ -333,14 +334,12 @@
 	if w == nil {
 		return
 	}
-	if e.Fenced {
-		c.emit(Superseded{Server: e.Server})
-	}
-	if e.Sent < w.replacedAt {
+	if e.Generation < w.generation {
 		return // the former incarnation may have answered, and the present one refuses nothing
 	}
 	w.answers.stopEnded()
 	if e.Fenced {
+		c.callFenced(w, e.Generation)
 		return
 	}
 	if !e.OK {
--- a/decision/cell/throttle.go
+++ b/decision/cell/throttle.go
@@ -367,7 +367,7 @@
 		r.worker.runListsStale = true
 	}
 	r.desiredSpeed = speed
-	c.emit(Throttle{Server: r.worker.server.ID, Address: r.worker.server.Address, Task: r.key.task, Attempt: r.key.attempt, Percent: speed})
+	c.emit(Throttle{Server: r.worker.server.ID, Address: r.worker.server.Address, Generation: r.worker.generation, Task: r.key.task, Attempt: r.key.attempt, Percent: speed})
 }
 
 func (c *Cell) throttleAnswered(e ThrottleAnswered) {
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -31,7 +31,12 @@
 	// replacedAt is when the holder learnt that it replaced another one; 0 if it has
 	// not.
 	replacedAt time.Duration
-	fenced     bool
+	// generation is the number of times that it did so. It is part of the fencing token:
+	// once the incarnation has answered a call of its generation, it does nothing for
+	// calls to former ones.
+	generation  int
+	unfenceable bool // its generations are used up; no run is started until the next holder
+	fenced      bool // the incarnation has answered a hold of its generation
 	// unreachable means that the last call got no answer; missedCalls counts
 	// such calls.
 	unreachable      bool
@@ -73,34 +78,36 @@
 	// orphanResources are the resources of listed runs that belong to no task
 	// and are being stopped. unknownOrphan means that the need of such a run is
 	// not known.
-	orphanResources   fleet.Resources
-	unknownOrphan     bool
-	holdInFlight      uint64        // number of the hold in flight, 0 when none
-	nextHoldAt        time.Duration // time of the next hold
-	listedAt          time.Duration // time of the answer to the last hold
-	listBytes         int           // estimated size of that answer
-	extraHoldAt       time.Duration // time of an extra hold; 0 if none is needed
-	extraHoldInFlight uint64
-	listClock         time.Duration // worker's clock at the newest list applied
-	moreEnds          bool          // that list may lack ends
-	lastEndApplied    int64         // number of the highest end applied
-	lastEndRecorded   int64         // number of the highest end that may be acknowledged
-	lastEndForgotten  int64         // number of the highest end that the worker has forgotten
-	holdAck           int64         // acknowledged by the hold in flight
-	extraHoldAck      int64         // acknowledged by the extra hold in flight
-	leaseCalls        leaseCalls
-	health            health
-	answers           answers
-	dataCentre        *dataCentre
-	reserved          fleet.Resources // of reservations, for tasks that are being moved
-	reservations      []*reservation
-	throttling        throttling
-	suspectRuns       int          // runs of tasks that may crash it
-	lastCrash         *crash       // nil if none was observed
-	lapsedRuns        []crashedRun // ended with its lease; it may have crashed under them
-	region            fleet.Region // empty if the region of its data centre is not known
-	cold              coldness
-	rackWantedUntil   time.Duration // tasks without data in its rack prefer others until then
+	orphanResources     fleet.Resources
+	unknownOrphan       bool
+	holdInFlight        uint64        // number of the hold in flight, 0 when none
+	holdGeneration      int           // of that hold
+	nextHoldAt          time.Duration // time of the next hold
+	listedAt            time.Duration // time of the answer to the last hold
+	listBytes           int           // estimated size of that answer
+	extraHoldAt         time.Duration // time of an extra hold; 0 if none is needed
+	extraHoldInFlight   uint64
+	extraHoldGeneration int
+	listClock           time.Duration // worker's clock at the newest list applied
+	moreEnds            bool          // that list may lack ends
+	lastEndApplied      int64         // number of the highest end applied
+	lastEndRecorded     int64         // number of the highest end that may be acknowledged
+	lastEndForgotten    int64         // number of the highest end that the worker has forgotten
+	holdAck             int64         // acknowledged by the hold in flight
+	extraHoldAck        int64         // acknowledged by the extra hold in flight
+	leaseCalls          leaseCalls
+	health              health
+	answers             answers
+	dataCentre          *dataCentre
+	reserved            fleet.Resources // of reservations, for tasks that are being moved
+	reservations        []*reservation
+	throttling          throttling
+	suspectRuns         int          // runs of tasks that may crash it
+	lastCrash           *crash       // nil if none was observed
+	lapsedRuns          []crashedRun // ended with its lease; it may have crashed under them
+	region              fleet.Region // empty if the region of its data centre is not known
+	cold                coldness
+	rackWantedUntil     time.Duration // tasks without data in its rack prefer others until then
 }
 
 // clockSample relates the worker's clock to the holder's.
@@ -135,7 +142,7 @@
 
 // usable reports whether a run may be started on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.fenced && w.stored && (w.bound == nil || w.bound.full) && !w.awaitsLeaseRecord && !w.unreachable && !w.server.Draining
+	return !w.unfenceable && w.listed && w.fenced && w.stored && (w.bound == nil || w.bound.full) && !w.awaitsLeaseRecord && !w.unreachable && !w.server.Draining
 }
 
 func (c *Cell) serverListed(s Server) {
@@ -197,8 +204,9 @@
 }
 
 // newIncarnation resets the state after a restart of a worker. The runs that it has
-// listed have ended. Calls without an answer may still reach the new incarnation, and a
-// run that only the answer to its start has confirmed may be on either.
+// listed have ended. Until it has answered a call of its generation, the new incarnation
+// may carry out calls without an answer, and a run that only the answer to its start has
+// confirmed may be on either.
 func (c *Cell) newIncarnation(w *worker, incarnation int64) {
 	c.noteRestart(w, incarnation)
 	c.serverCrashed(w)
@@ -207,6 +215,11 @@
 	w.lastEndApplied, w.lastEndRecorded, w.lastEndForgotten, w.listClock, w.moreEnds = 0, 0, 0, 0, false
 	w.holdAck, w.extraHoldAck = 0, 0
 	w.nextHoldAt, w.answers.stops = 0, 0
+	if w.holdInFlight != 0 {
+		w.extraHoldAt = c.now.Steady // the hold in flight does not fence the new incarnation
+	}
+	w.unfenceable = w.generation == fleet.MaxGeneration
+	w.generation = min(w.generation+1, fleet.MaxGeneration)
 	if w.stored && !slices.Contains(c.nextBatch.servers, w) {
 		c.nextBatch.servers = append(c.nextBatch.servers, w) // a later holder tells by it that calls may be late
 	}
@@ -214,19 +227,17 @@
 	c.startedCold(w)
 	for _, r := range slices.Clone(w.runsInOrder) {
 		switch {
-		case r.state == runOrdered, r.state == runUncertain, r.state == runStopping && !r.listed:
+		case r.listed:
+			c.runEnded(r, job.EndLost, "")
+		case r.state == runConfirmed:
+			w.lateOrderUntil = max(w.lateOrderUntil, r.confirmedAt+c.longestLease())
+		default:
 			c.setState(r, runUncertain)
 			r.stopAcked = false
 			w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(r.orderedAt))
-			c.sendStop(r)
-		case !r.listed: // a list of the new incarnation shows whether it has it
-			w.lateOrderUntil = max(w.lateOrderUntil, r.confirmedAt+c.longestLease())
-		default:
-			c.runEnded(r, job.EndLost, "")
 		}
 	}
-	c.stopSettledStarts(w)
-	c.awaitLeaseRecord(w)
+	c.trackSettledStarts(w)
 }
 
 // removeUnlisted removes workers that are not listed, do not answer and run
--- a/decision/election/election.go
+++ b/decision/election/election.go
@@ -97,9 +97,9 @@
 // claimants of the same round get different epochs.
 const randomBits = 16
 
-// MaxRound bounds the rounds: one takeover every second for 136 years. A higher
-// round leads to epochs that overflow, and to attempt numbers that do.
-const MaxRound = 1 << 32
+// MaxRound bounds the rounds: one takeover every minute for 63 years. A higher round
+// leads to fencing tokens that overflow.
+const MaxRound = 1<<25 - 1
 
 // NextEpoch returns an epoch of the given round, with the low bits of random. It is
 // higher than every epoch of an earlier round.
