--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -137,6 +137,8 @@
 	orderChecks      uint64        // computations of the place of a step in the order
 
 	restoredAt         time.Duration
+	startsUntil        time.Duration                  // starts that the start record does not name may be carried out until then
+	startsRecorded     bool                           // the last start record that was taken names starts
 	steppedDown        bool                           // the holder gives no more orders
 	inLeaseRecord      map[fleet.BackendServerID]bool // named by the last lease record that was taken
 	lastLeasesRecorded bool                           // the lease record of the step down is durable
@@ -303,6 +305,7 @@
 		c.resendStops(w)
 	}
 	c.recordLeasesIfDue()
+	c.recordStartsIfDue()
 	c.countLateStarts()
 	c.removeUnlisted()
 	c.checkBlocked()
--- a/decision/cell/copies.go
+++ b/decision/cell/copies.go
@@ -126,7 +126,7 @@
 	short := map[fleet.Service]bool{}
 	for _, s := range c.ready {
 		for _, i := range s.waiting {
-			if t := s.tasks[i]; !t.awaitsRack && c.now.Steady >= t.notBefore && !s.occurrence.job.ended {
+			if t := s.tasks[i]; !t.awaitsRack && c.now.Steady >= t.startsFrom() && !s.occurrence.job.ended {
 				short[c.queueOf(s.occurrence.job).Service] = true
 				break
 			}
--- a/decision/cell/cost.go
+++ b/decision/cell/cost.go
@@ -51,7 +51,7 @@
 		if c.now.Steady < w.vacatingUntil {
 			cost += costVacating
 		}
-		if w.lateOrderUntil-c.now.Steady > c.settings.Lease {
+		if w.lateLeaseUntil-c.now.Steady > c.settings.Lease {
 			cost += costLateLease
 		}
 		if serving == 0 {
--- a/decision/cell/crash.go
+++ b/decision/cell/crash.go
@@ -127,8 +127,8 @@
 	var last []crashedRun
 	for _, r := range w.runsInOrder {
 		age := lost.to - r.orderedAt
-		if r.orderedAt < w.replacedAt {
-			continue // counted with the end of an earlier incarnation
+		if r.orderedAt < w.replacedAt || r.generation < w.generation {
+			continue // counted with the end of an earlier incarnation, or not carried out
 		}
 		if age >= 0 && age <= suspectAge && r.orderedAt >= lastOrder-lastStarts && !r.task.done && !r.task.step.occurrence.job.ended {
 			last = append(last, crashedRun{task: r.task, age: age, soon: lost.from-r.orderedAt <= lastStarts})
--- a/decision/cell/former_incarnation.go
+++ b/decision/cell/former_incarnation.go
@@ -81,17 +81,6 @@
 	return c.settings.AuthorityBound + time.Duration(float64(c.settings.Lease)/(1-clockDrift)) + clockMargin
 }
 
-// expectLateLease raises lateOrderUntil by the holds to former incarnations of a worker
-// that may still be carried out.
-func (c *Cell) expectLateLease(w *worker) {
-	if sent := w.leaseCalls.newest(); sent > 0 {
-		w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(sent))
-	}
-	if authority := c.restoredAt + c.settings.AuthorityBound; c.round > 1 && c.now.Steady < c.latestLeaseEnd(authority) {
-		w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(authority)) // by calls of an earlier holder
-	}
-}
-
 // callFenced handles a call that a worker has refused because it has received a higher
 // token. Only that of another holder is higher than that of the present generation.
 func (c *Cell) callFenced(w *worker, generation int) {
@@ -100,65 +89,38 @@
 	}
 }
 
-// boundLateLease lowers lateOrderUntil when the present incarnation of a worker refuses
-// all calls to former ones: those carried out before have granted the longest lease.
+// boundLateLease sets lateLeaseUntil when the present incarnation of a worker begins to
+// refuse all calls to former ones: those that it has carried out before have granted the
+// longest lease.
 func (c *Cell) boundLateLease(w *worker) {
-	w.lateOrderUntil = min(w.lateOrderUntil, c.now.Steady+c.longestLease())
+	if w.generation == 0 && (w.recordedIncarnation == 0 || w.incarnation == w.recordedIncarnation) {
+		return // it has not restarted
+	}
+	sent := max(w.leaseCalls.newest(), w.newestUnanswered())
+	if c.round > 1 {
+		sent = max(sent, c.restoredAt+c.settings.AuthorityBound) // by an earlier holder
+	}
+	if w.stored && !slices.Contains(c.nextBatch.servers, w) {
+		c.nextBatch.servers = append(c.nextBatch.servers, w) // until then, a later holder counts on late calls
+	}
+	if sent > 0 {
+		w.lateLeaseUntil = max(w.lateLeaseUntil, min(c.now.Steady, sent+maxOrderDelay)+c.longestLease())
+	}
 	c.awaitLeaseRecord(w)
 }
 
 // awaitLeaseRecord keeps a worker from use until a durable record tells a later holder
 // how long its lease may last, if that is longer than a holder assumes.
 func (c *Cell) awaitLeaseRecord(w *worker) {
-	if w.lateOrderUntil-c.now.Steady > c.longestWait() {
+	if w.lateLeaseUntil-c.now.Steady > c.longestWait() {
 		w.awaitsLeaseRecord, c.nextBatch.leases = true, true
 	}
 }
 
-// settledStart is a start without an answer that the incarnation of its time has not
-// carried out, and refuses since.
-type settledStart struct {
-	task      *task
-	attempt   int
-	orderedAt time.Duration
-}
-
-// startSettledUnanswered keeps a start without an answer that is settled, until it can
-// no longer be carried out.
-func (c *Cell) startSettledUnanswered(r *run) {
-	w := r.worker
-	w.dropSettledStarts(c.now.Steady)
-	if r.confirmedAt == 0 && !r.listed && c.now.Steady < r.orderedAt+maxOrderDelay {
-		w.settledStarts = append(w.settledStarts, settledStart{task: r.task, attempt: r.key.attempt, orderedAt: r.orderedAt})
-	}
-}
-
-func (w *worker) dropSettledStarts(now time.Duration) {
-	w.settledStarts = slices.DeleteFunc(w.settledStarts, func(s settledStart) bool { return now >= s.orderedAt+maxOrderDelay })
-}
-
-// trackSettledStarts tracks the settled starts that a new incarnation may carry out as
-// uncertain runs, until its lists show whether it has. A task that waits does not start
-// elsewhere before that.
-func (c *Cell) trackSettledStarts(w *worker) {
-	w.dropSettledStarts(c.now.Steady)
-	for _, settled := range w.settledStarts {
-		t, key := settled.task, runKey{settled.task.ref(), settled.attempt}
-		if w.runs[key] != nil || c.jobs[key.task.Job] != t.step.occurrence.job {
-			continue
-		}
-		r := c.addRun(t, w, settled.attempt, runUncertain)
-		r.orderedAt, r.reason, r.generation = settled.orderedAt, "start_unanswered", w.generation-1
-		t.step.waiting = slices.DeleteFunc(t.step.waiting, func(i int) bool { return i == t.index })
-		w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(settled.orderedAt))
-	}
-	w.settledStarts = nil
-}
-
 // expectsLateCalls reports whether calls to former incarnations of a worker may still be
 // carried out or have an effect.
 func (c *Cell) expectsLateCalls(w *worker) bool {
 	w.dropSettledStarts(c.now.Steady)
 	sent := w.leaseCalls.newest()
-	return len(w.settledStarts) > 0 || c.now.Steady < w.lateOrderUntil || sent > 0 && c.now.Steady < c.latestLeaseEnd(sent)
+	return len(w.settledStarts) > 0 || c.now.Steady < w.lateLeaseUntil || sent > 0 && c.now.Steady < c.latestLeaseEnd(sent)
 }
--- a/decision/cell/gang.go
+++ b/decision/cell/gang.go
@@ -14,7 +14,7 @@
 	}
 	attempt := 0
 	for _, t := range s.tasks {
-		if c.now.Steady < t.notBefore {
+		if c.now.Steady < t.startsFrom() {
 			return
 		}
 		attempt = max(attempt, t.attempt)
--- a/decision/cell/hold.go
+++ b/decision/cell/hold.go
@@ -11,11 +11,11 @@
 // ended if no further call reaches it.
 func (w *worker) leaseExpiry() time.Duration {
 	if w.leaseGranted == 0 || !w.clock.known {
-		return w.lateOrderUntil
+		return w.lateLeaseUntil
 	}
 	// The samples of the clock may be of another incarnation than the lease.
 	left := float64(w.leaseGranted-w.clock.workerTime) / (1 - clockDrift)
-	return max(w.lateOrderUntil, min(w.leaseLimit, w.clock.received+time.Duration(left)+clockMargin))
+	return max(w.lateLeaseUntil, min(w.leaseLimit, w.clock.received+time.Duration(left)+clockMargin))
 }
 
 // holdIfDue sends the next hold of a worker, or an extra one, if due.
@@ -154,10 +154,12 @@
 	}
 	if !w.unreachable {
 		w.unreachable, w.unreachableSince, w.connectionBroke = true, c.now.Steady, broke
+		c.trackSettledStarts(w, false)
+		c.nextBatch.starts = c.nextBatch.starts || w.hasUnansweredStarts()
 		c.emit(Note{Event: NoteWorkerUnreachable, Server: w.server.ID, Detail: map[string]any{
 			"runs": len(w.runs), "heard_ms_ago": (c.now.Steady - w.lastAnswerAt).Milliseconds(),
 			"lease_left_ms": (w.leaseExpiry() - c.now.Steady).Milliseconds(), "other_life": otherIncarnation,
-			"late_call_left_ms": max(0, w.lateOrderUntil-c.now.Steady).Milliseconds(), "lease_call_ms_ago": w.leaseCalls.sinceMs(c.now.Steady),
+			"late_call_left_ms": max(0, w.lateLeaseUntil-c.now.Steady).Milliseconds(), "lease_call_ms_ago": w.leaseCalls.sinceMs(c.now.Steady),
 		}})
 	}
 	if extra {
@@ -198,9 +200,6 @@
 		w.unreachable = false
 		c.needsScheduling = true
 	}
-	if w.incarnation == 0 && w.recordedIncarnation != 0 && e.Incarnation > w.recordedIncarnation {
-		c.expectLateLease(w) // it has restarted without the earlier holder's knowledge
-	}
 	c.heard(w)
 	w.missedCalls, w.incarnation, w.lastAnswerAt = 0, e.Incarnation, c.now.Steady
 	w.updateClock(e.Clock, c.now.Steady)
@@ -266,14 +265,29 @@
 		w.earlierHolderUntil = 0
 		c.emit(Note{Event: NoteWorkerLeaseExpired, Server: w.server.ID, Detail: map[string]any{"holder": "earlier"}})
 	}
-	if !w.unreachable || len(w.runs) == 0 || c.now.Steady < w.leaseExpiry() {
+	if !w.unreachable || len(w.runs) == 0 {
+		return
+	}
+	var ended []*run
+	tasks := map[*task]bool{}
+	for _, r := range w.runsInOrder {
+		if c.now.Steady >= w.endOf(r) {
+			ended = append(ended, r)
+			tasks[r.task] = true
+		}
+	}
+	if len(ended) == 0 {
 		return
 	}
 	c.emit(Note{Event: NoteWorkerLeaseExpired, Server: w.server.ID, Detail: map[string]any{
-		"runs": len(w.runs), "silent_ms": (c.now.Steady - w.unreachableSince).Milliseconds(),
+		"runs": len(ended), "unanswered_starts": len(w.runs) - len(ended), "silent_ms": (c.now.Steady - w.unreachableSince).Milliseconds(),
 	}})
-	w.lapsedRuns = w.lastRuns(w.lostAt(c.now.Steady))
-	for _, r := range slices.Clone(w.runsInOrder) {
+	for _, last := range w.lastRuns(w.lostAt(c.now.Steady)) {
+		if tasks[last.task] {
+			w.lapsedRuns = append(w.lapsedRuns, last)
+		}
+	}
+	for _, r := range ended {
 		c.runEnded(r, job.EndLeaseExpired, "")
 	}
 	c.needsScheduling = true
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -89,11 +89,14 @@
 	attempt    int   // highest attempt used or observed
 	failed     []int // attempts that ended as failed; several workers may list them in any order
 	checkpoint string
-	notBefore  time.Duration           // the next run starts no earlier
-	avoid      []fleet.BackendServerID // servers where it failed or stalled
-	requeuedAt time.Duration           // time of the last end that requires another run
-	lastRunAt  time.Duration           // end of the last run, or its last sign of life if that is not known
-	moves      int                     // moves off servers where it interfered
+	notBefore  time.Duration // the next run starts no earlier
+	// lateStartUntil is the time until which an earlier start may be carried out by an
+	// incarnation of its worker that the holder does not know; 0 if none may.
+	lateStartUntil time.Duration
+	avoid          []fleet.BackendServerID // servers where it failed or stalled
+	requeuedAt     time.Duration           // time of the last end that requires another run
+	lastRunAt      time.Duration           // end of the last run, or its last sign of life if that is not known
+	moves          int                     // moves off servers where it interfered
 	// disruptedAt is the time of the last stop of the task by preemption or
 	// consolidation.
 	disruptedAt time.Duration
@@ -111,6 +114,9 @@
 	return job.TaskRef{Job: t.step.occurrence.job.job.ID, Occurrence: t.step.occurrence.number, Step: t.step.index, Index: t.index}
 }
 
+// startsFrom returns the time from which the task may start.
+func (t *task) startsFrom() time.Duration { return max(t.notBefore, t.lateStartUntil) }
+
 func (j *jobState) state() job.State {
 	switch {
 	case j.cancelled:
--- a/decision/cell/lease_record.go
+++ b/decision/cell/lease_record.go
@@ -74,7 +74,7 @@
 	case c.steppedDown, w.unreachable && now-w.unreachableSince >= quietAfter, !w.fenced && now-c.restoredAt >= quietAfter:
 	case w.fenced && w.server.Draining && !w.unreachable:
 		renewed = drainLease
-	case w.fenced && w.lateOrderUntil-now > c.longestWait():
+	case w.fenced && w.lateLeaseUntil-now > c.longestWait():
 		renewed = c.settings.Lease
 	default:
 		return WorkerLease{}, false
@@ -91,7 +91,7 @@
 func (c *Cell) recordLeasesIfDue() {
 	for _, w := range c.sortedWorkers {
 		lease, ok := c.leaseOf(w)
-		w.awaitsLeaseRecord = w.awaitsLeaseRecord && w.lateOrderUntil-c.now.Steady > c.longestWait()
+		w.awaitsLeaseRecord = w.awaitsLeaseRecord && w.lateLeaseUntil-c.now.Steady > c.longestWait()
 		switch {
 		case !ok && w.bound == nil:
 		case !ok || w.bound == nil, lease.RenewedMs != w.bound.renewed.Milliseconds(),
@@ -118,7 +118,7 @@
 		}
 		renewed := time.Duration(lease.RenewedMs) * time.Millisecond
 		w.bound = &leaseBound{renewed: renewed, full: renewed >= c.settings.Lease, wait: lease.wait(c.settings)}
-		b.bound, b.late[w] = append(b.bound, w), w.lateOrderUntil
+		b.bound, b.late[w] = append(b.bound, w), w.lateLeaseUntil
 		record.Workers, c.inLeaseRecord[w.server.ID] = append(record.Workers, lease), true
 	}
 	if len(record.Workers) > maxLeaseRows {
@@ -136,7 +136,7 @@
 func (c *Cell) leasesRecorded(b *batch) {
 	c.lastLeasesRecorded = c.lastLeasesRecorded || b.lastLeases
 	for _, w := range b.bound {
-		w.awaitsLeaseRecord = w.awaitsLeaseRecord && w.lateOrderUntil != b.late[w]
+		w.awaitsLeaseRecord = w.awaitsLeaseRecord && w.lateLeaseUntil != b.late[w]
 	}
 	for _, w := range b.unbound {
 		if w.bound = nil; c.workers[w.server.ID] == w {
--- a/decision/cell/migration.go
+++ b/decision/cell/migration.go
@@ -82,7 +82,7 @@
 	queue := c.queueOf(s.occurrence.job)
 	for _, index := range slices.Clone(s.waiting) {
 		t := s.tasks[index]
-		if t.reservation == nil || c.now.Steady < t.notBefore || c.startsExhausted() {
+		if t.reservation == nil || c.now.Steady < t.startsFrom() || c.startsExhausted() {
 			continue
 		}
 		w := t.reservation.worker
--- a/decision/cell/model_run_test.go
+++ b/decision/cell/model_run_test.go
@@ -35,6 +35,10 @@
 	}.run(seed)
 }
 
+// lateCallTime is the time after the last submission in which calls may still be delayed.
+// A task whose start is delayed may start again up to maxOrderDelay later.
+const lateCallTime = 8 * time.Second
+
 // run runs the scenario with jobs and faults drawn from the seed and returns the
 // model at its end.
 func (s scenario) run(seed uint64) *model {
@@ -56,6 +60,7 @@
 		}
 	}
 	m.after(time.Second, submitNext)
+	m.after(s.submitUntil+lateCallTime, func() { m.faults.delayedCalls, m.faults.delayedHolds = 0, 0 })
 	for range s.minFaults + m.random.IntN(s.maxFaults-s.minFaults+1) {
 		at := time.Duration(m.random.Int64N(int64(s.submitUntil - 2*time.Second)))
 		m.after(2*time.Second+at, s.fault(m))
--- a/decision/cell/order.go
+++ b/decision/cell/order.go
@@ -98,7 +98,7 @@
 // takeovers in a series would let it wait anew each time.
 func (c *Cell) overdue(t *task) bool {
 	j := t.step.occurrence.job
-	if !t.step.spec.LongRunning || t.attempt == 0 && !j.restored || c.now.Steady < t.notBefore {
+	if !t.step.spec.LongRunning || t.attempt == 0 && !j.restored || c.now.Steady < t.startsFrom() {
 		return false
 	}
 	since := c.waitingSince(t)
--- a/decision/cell/preempt.go
+++ b/decision/cell/preempt.go
@@ -44,7 +44,7 @@
 	now := c.now.Steady
 	t := s.tasks[s.waiting[0]]
 	if s.spec.LongRunning || s.spec.BestEffort || s.spec.Gang || c.blocked || now < c.nextPreemption || now < s.nextPreemption ||
-		now-max(c.waitingSince(t), t.notBefore) < preemptAfter || !c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
+		now-max(c.waitingSince(t), t.startsFrom()) < preemptAfter || !c.crowdedByLongRunning(c.queueOf(s.occurrence.job).Service) {
 		return
 	}
 	c.nextPreemption = now + c.preemptionInterval()
--- a/decision/cell/reconcile.go
+++ b/decision/cell/reconcile.go
@@ -65,6 +65,7 @@
 		c.startSettledUnanswered(r)
 		c.removeRun(r)
 		c.requeue(r.task)
+		c.restartInPlace(r)
 	case r.generation < r.worker.generation, r.state == runConfirmed && sent > r.confirmedAt:
 		c.runEnded(r, job.EndLost, "")
 	case (r.state == runUncertain || r.state == runStopping) && r.stopAcked && sent > r.stopAckedAt:
@@ -73,6 +74,7 @@
 		c.startSettledUnanswered(r)
 		c.removeRun(r)
 		c.requeue(r.task)
+		c.restartInPlace(r)
 	}
 }
 
@@ -80,6 +82,9 @@
 // unknown or must not run, adopt stops the run and returns nil.
 func (c *Cell) adopt(w *worker, row RunningRow) *run {
 	t := c.lookup(row.Task)
+	if t != nil {
+		c.dropEarlierStarts(t, row.Attempt)
+	}
 	if t == nil || !validAttempt(row.Attempt) || t.done || t.step.occurrence.job.ended || row.Attempt < t.attempt || len(t.runs) > 0 && !t.step.spec.Speculative {
 		c.emit(Note{Event: NoteRunWithoutTask, Job: row.Task.Job, Task: row.Task.String(), Server: w.server.ID, Detail: map[string]any{"attempt": row.Attempt}})
 		c.emit(Stop{Server: w.server.ID, Address: w.server.Address, Generation: w.generation, Task: row.Task, Attempt: row.Attempt})
--- a/decision/cell/record.go
+++ b/decision/cell/record.go
@@ -38,11 +38,12 @@
 	Interference *InterferenceRecord `json:"learnt,omitempty"`
 	Leases       *LeaseRecord        `json:"leases,omitempty"`
 	Evacuations  *EvacuationRecord   `json:"evacuations,omitempty"`
+	Starts       *StartRecord        `json:"starts,omitempty"`
 }
 
 // Deletes reports whether the record deletes its key.
 func (r Record) Deletes() bool {
-	return r.Job == nil && r.Progress == nil && r.Server == nil && r.Interference == nil && r.Leases == nil && r.Evacuations == nil
+	return r.Job == nil && r.Progress == nil && r.Server == nil && r.Interference == nil && r.Leases == nil && r.Evacuations == nil && r.Starts == nil
 }
 
 // JobRecord is an accepted job.
@@ -92,9 +93,10 @@
 	interference bool
 	leases       bool
 	evacuations  bool
+	starts       bool
 	unbound      []*worker                 // workers that the lease record of the batch does not name any more
 	bound        []*worker                 // workers that it names
-	late         map[*worker]time.Duration // their lateOrderUntil
+	late         map[*worker]time.Duration // their lateLeaseUntil
 	lastLeases   bool                      // its lease record was taken after the holder had stepped down
 	// unknownJobs are the requests for jobs that do not exist, which a later holder
 	// may know: the append of the batch shows that there was none.
@@ -119,7 +121,7 @@
 
 func (b *batch) empty() bool {
 	return len(b.jobs) == 0 && len(b.dirty) == 0 && len(b.servers) == 0 &&
-		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference && !b.leases && !b.evacuations && len(b.unknownJobs) == 0
+		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference && !b.leases && !b.evacuations && !b.starts && len(b.unknownJobs) == 0
 }
 
 func (c *Cell) markDirty(j *jobState) { c.nextBatch.dirty[j] = true }
@@ -172,6 +174,9 @@
 	if taken.evacuations {
 		b.Records = append(b.Records, Record{Key: evacuationsKey, Evacuations: c.evacuationRecord()})
 	}
+	if taken.starts {
+		b.Records = append(b.Records, Record{Key: startsKey, Starts: c.startRecord()})
+	}
 	for _, key := range taken.deletions {
 		b.Records = append(b.Records, Record{Key: key})
 	}
@@ -229,7 +234,7 @@
 	next.servers = append(b.servers, next.servers...)
 	next.deletions = append(b.deletions, next.deletions...)
 	next.interference, next.leases = next.interference || b.interference, next.leases || b.leases
-	next.evacuations = next.evacuations || b.evacuations
+	next.evacuations, next.starts = next.evacuations || b.evacuations, next.starts || b.starts
 	next.unknownJobs = append(b.unknownJobs, next.unknownJobs...)
 	for j := range b.dirty {
 		next.dirty[j] = true
@@ -311,7 +316,7 @@
 					w.earlierHolderUntil = now.Steady + min(wait, longestBound)
 				}
 			}
-			w.lateOrderUntil = w.earlierHolderUntil
+			w.lateLeaseUntil = w.earlierHolderUntil
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
@@ -320,6 +325,11 @@
 		}
 		c.reopen(c.jobs[id])
 	}
+	for _, r := range records {
+		if r.Starts != nil {
+			c.restoreStarts(r.Starts)
+		}
+	}
 	c.blocked = len(c.sortedWorkers) > 0 || len(c.jobs) > 0
 	c.emit(Note{Event: NoteRestored, Detail: map[string]any{"jobs": len(c.jobs), "workers": len(c.sortedWorkers), "round": c.round}})
 }
--- a/decision/cell/record_check.go
+++ b/decision/cell/record_check.go
@@ -65,8 +65,12 @@
 		checkKey(evacuationsKey)
 		r.Evacuations.check(report)
 	}
+	if r.Starts != nil {
+		checkKey(startsKey)
+		r.Starts.check(report)
+	}
 	if contents != 1 {
-		report("", fmt.Sprintf("has %d contents", contents), "one of job, progress, server, learnt, leases and evacuations")
+		report("", fmt.Sprintf("has %d contents", contents), "one of job, progress, server, learnt, leases, evacuations and starts")
 	}
 	return list.Err()
 }
--- a/decision/cell/run.go
+++ b/decision/cell/run.go
@@ -29,6 +29,9 @@
 	generation         int // of its worker, when it was ordered or last listed
 	orderedAt          time.Duration
 	confirmedAt        time.Duration
+	refused            bool // its start was refused or not sent
+	restarts           int  // starts without an answer before it, in a row on the same worker
+	onUnknown          bool // an incarnation that the holder does not know has accepted its start
 	percent            int
 	listedAt           time.Duration // when its worker last listed or confirmed it
 	listed             bool          // the present incarnation of its worker has listed it
@@ -146,7 +149,7 @@
 }
 
 // startRun orders a run of a waiting task.
-func (c *Cell) startRun(t *task, w *worker) {
+func (c *Cell) startRun(t *task, w *worker) *run {
 	attempt := max(t.attempt, (c.round-1)*attemptsPerRound) + 1
 	r := c.addRun(t, w, attempt, runOrdered)
 	r.fresh, r.copy = t.checkpoint == "", len(t.runs) > 1
@@ -175,6 +178,7 @@
 		detail["copy"] = true
 	}
 	c.emit(Note{Event: NoteStartOrdered, Job: j.job.ID, Task: r.key.task.String(), Server: w.server.ID, Detail: detail})
+	return r
 }
 
 func (c *Cell) startAnswered(e StartAnswered) {
@@ -183,10 +187,14 @@
 		return
 	}
 	r := w.runs[runKey{e.Task, e.Attempt}]
-	if r == nil || r.state != runOrdered {
+	if r == nil {
 		return
 	}
 	c.needsScheduling = true
+	if r.state != runOrdered {
+		c.startAnsweredLate(r, e.Outcome)
+		return
+	}
 	if e.Outcome != StartAccepted {
 		c.emit(Note{Event: NoteStartAnswered, Job: e.Task.Job, Task: e.Task.String(), Server: e.Server, Detail: map[string]any{
 			"attempt": e.Attempt, "outcome": startOutcomeNames[e.Outcome], "took_ms": (c.now.Steady - e.Sent).Milliseconds(),
@@ -207,10 +215,14 @@
 	}
 	switch e.Outcome {
 	case StartAccepted:
+		if r.onUnknown = w.answeredByUnknown(r, e.Clock); r.onUnknown {
+			w.extraHoldAt = c.now.Steady
+		}
 		c.confirm(r)
 	case StartUnknown:
 		c.setState(r, runUncertain)
 		r.reason = "start_unanswered"
+		c.nextBatch.starts = true
 		c.sendStop(r)
 		c.orderUnanswered(w)
 	case StartNotConnected:
@@ -222,6 +234,7 @@
 	case StartInvalid:
 		c.withdrawRun(r, startRetryDelay)
 		w.unreachable, w.nextHoldAt = true, 0 // until the next hold shows which incarnation answers
+		c.trackSettledStarts(w, false)
 		c.holdIfDue(w)
 	case StartNotSent:
 		c.withdrawRun(r, startRetryDelay)
@@ -236,6 +249,19 @@
 	}
 }
 
+// startAnsweredLate applies the answer to the start of a run that is being stopped, or
+// whose worker has restarted since.
+func (c *Cell) startAnsweredLate(r *run, outcome StartOutcome) {
+	switch {
+	case outcome == StartUnknown || r.state == runConfirmed:
+	case outcome == StartAccepted:
+		r.confirmedAt = c.now.Steady
+	default:
+		r.refused = true
+		c.withdrawRun(r, startRetryDelay)
+	}
+}
+
 // startOutcomeNames are the names of the outcomes in the log.
 var startOutcomeNames = map[StartOutcome]string{
 	StartUnknown: "unknown", StartAccepted: "accepted", StartFenced: "fenced", StartOldAttempt: "old_attempt",
--- a/decision/cell/schedule.go
+++ b/decision/cell/schedule.go
@@ -11,7 +11,7 @@
 // compareSteps. A step without a suitable worker does not delay the steps after
 // it.
 func (c *Cell) schedule() {
-	if !c.authority || !c.serverListRead || !c.evacuationsCurrent() || len(c.ready) == 0 {
+	if !c.mayStart() || len(c.ready) == 0 {
 		return
 	}
 	c.ready = slices.DeleteFunc(c.ready, func(s *stepState) bool {
@@ -32,7 +32,7 @@
 		if c.startsExhausted() {
 			return // the answers trigger the next pass
 		}
-		if c.blocked && s.occurrence.job.restored || c.crashUnrecorded(s.occurrence.job) {
+		if c.mustWait(s.occurrence.job) {
 			continue
 		}
 		if !c.ensureAdvice(s) {
@@ -49,6 +49,13 @@
 	}
 }
 
+// mayStart reports whether the holder may start tasks at all.
+func (c *Cell) mayStart() bool { return c.authority && c.serverListRead && c.evacuationsCurrent() }
+
+// mustWait reports whether no task of a job may start: one may still run on a worker that
+// is not fenced, or has to be recorded as a suspect first.
+func (c *Cell) mustWait(j *jobState) bool { return c.blocked && j.restored || c.crashUnrecorded(j) }
+
 // startTasks starts the waiting tasks of a step while workers have room. The
 // tasks are identical, so none is tried after one without a worker. The attempts of
 // finite tasks are checked nevertheless if that one avoids servers.
@@ -65,7 +72,7 @@
 	}
 	for _, index := range waiting {
 		t := s.tasks[index]
-		if c.now.Steady < t.notBefore {
+		if c.now.Steady < t.startsFrom() {
 			continue
 		}
 		if c.failIfAttemptsExhausted(t) || c.startsExhausted() {
--- a/decision/cell/triage_preempt.go
+++ b/decision/cell/triage_preempt.go
@@ -17,7 +17,7 @@
 	now := c.now.Steady
 	t := s.tasks[s.waiting[0]]
 	if s.spec.BestEffort || s.spec.Gang || c.blocked || now < c.nextPreemption || now < s.nextPreemption ||
-		now-max(c.waitingSince(t), t.notBefore) < preemptAfter {
+		now-max(c.waitingSince(t), t.startsFrom()) < preemptAfter {
 		return
 	}
 	waiting, _ := c.workOfStep(s)
--- a/decision/cell/waits.go
+++ b/decision/cell/waits.go
@@ -128,7 +128,7 @@
 		return waitTakeover
 	case c.crashUnrecorded(s.occurrence.job):
 		return waitCrashRecord
-	case c.now.Steady < t.notBefore:
+	case c.now.Steady < t.startsFrom():
 		return waitRetry
 	case t.awaitsRack:
 		return waitRack
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -54,10 +54,11 @@
 	leaseGranted       time.Duration // latest lease end sent, on the worker's clock
 	// leaseLimit is the end of the longest lease that any call sent so far can grant.
 	leaseLimit time.Duration
-	// lateOrderUntil is the time until which the present incarnation may run a
-	// task by an order to an earlier one, or hold a lease by one; 0 if it cannot.
-	lateOrderUntil time.Duration
-	// awaitsLeaseRecord means that lateOrderUntil is later than a new holder assumes, and
+	// lateLeaseUntil is the time until which the present incarnation may hold a lease by
+	// a call to an earlier one, or of an earlier holder; 0 if it cannot. Until the
+	// incarnation is fenced, leaseLimit bounds such leases.
+	lateLeaseUntil time.Duration
+	// awaitsLeaseRecord means that lateLeaseUntil is later than a new holder assumes, and
 	// that no durable record says so.
 	awaitsLeaseRecord bool
 	settledStarts     []settledStart
@@ -164,6 +165,7 @@
 	w.server, w.listed, w.dataCentre, w.region = s, true, c.dataCentreOf(s.DataCentre), c.settings.Regions[s.DataCentre]
 	c.racks.members = nil
 	if s.Draining {
+		w.releaseSettledStarts()
 		c.moveOffDraining(w)
 	}
 	c.needsScheduling = true
@@ -220,24 +222,19 @@
 	}
 	w.unfenceable = w.generation == fleet.MaxGeneration
 	w.generation = min(w.generation+1, fleet.MaxGeneration)
-	if w.stored && !slices.Contains(c.nextBatch.servers, w) {
-		c.nextBatch.servers = append(c.nextBatch.servers, w) // a later holder tells by it that calls may be late
-	}
-	c.expectLateLease(w)
+	w.lateLeaseUntil = 0
 	c.startedCold(w)
 	for _, r := range slices.Clone(w.runsInOrder) {
 		switch {
 		case r.listed:
 			c.runEnded(r, job.EndLost, "")
-		case r.state == runConfirmed:
-			w.lateOrderUntil = max(w.lateOrderUntil, r.confirmedAt+c.longestLease())
-		default:
+		case r.state != runConfirmed:
 			c.setState(r, runUncertain)
 			r.stopAcked = false
-			w.lateOrderUntil = max(w.lateOrderUntil, c.latestLeaseEnd(r.orderedAt))
 		}
 	}
-	c.trackSettledStarts(w)
+	c.trackSettledStarts(w, true)
+	c.nextBatch.starts = c.nextBatch.starts || len(w.runs) > 0
 }
 
 // removeUnlisted removes workers that are not listed, do not answer and run
@@ -269,7 +266,7 @@
 // earlier holder may have used has been fenced and has listed all its ends, or its
 // lease has certainly expired.
 func (c *Cell) checkBlocked() {
-	if !c.blocked || !c.serverListRead {
+	if !c.blocked || !c.serverListRead || c.now.Steady < c.startsUntil {
 		return
 	}
 	for _, w := range c.sortedWorkers {
