--- a/decision/cell/batch.go
+++ b/decision/cell/batch.go
@@ -2,18 +2,21 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
 
-// batch is the content of one append and the state to update once it is durable.
+// batch is the content of one append and the state to update once it is durable. It has one
+// operation for each key, the last one: a key that is written after its deletion is not
+// deleted, and one that is deleted is not written.
 type batch struct {
 	number       uint64
 	jobs         []*jobState
 	dirty        map[*jobState]bool
 	ended        []*jobState // jobs whose final state is in the records
 	servers      []*worker
-	deletions    []Key
+	deletions    map[Key]bool // those that the batch also writes have no effect
 	cursors      map[*worker]endCursor
 	interference bool
 	leases       bool
@@ -36,7 +39,7 @@
 }
 
 func newBatch(number uint64) *batch {
-	return &batch{number: number, dirty: map[*jobState]bool{}, cursors: map[*worker]endCursor{}, late: map[*worker]time.Duration{}}
+	return &batch{number: number, dirty: map[*jobState]bool{}, deletions: map[Key]bool{}, cursors: map[*worker]endCursor{}, late: map[*worker]time.Duration{}}
 }
 
 // addCursor adds the number of the highest end applied from a worker.
@@ -44,6 +47,18 @@
 	b.cursors[w] = endCursor{incarnation: w.incarnation, lastEndApplied: w.lastEndApplied}
 }
 
+// deleteServer deletes the record of a worker.
+func (b *batch) deleteServer(w *worker) {
+	b.servers = slices.DeleteFunc(b.servers, func(other *worker) bool { return other.server.ID == w.server.ID })
+	b.deletions[serverKey(w.server.ID)] = true
+}
+
+// deleteJob deletes the records of a stored job.
+func (b *batch) deleteJob(j *jobState) {
+	delete(b.dirty, j)
+	b.deletions[jobKey(j.job.ID)], b.deletions[progressKey(j.job.ID)] = true, true
+}
+
 func (b *batch) empty() bool {
 	return len(b.jobs) == 0 && len(b.dirty) == 0 && len(b.servers) == 0 &&
 		len(b.deletions) == 0 && len(b.cursors) == 0 && !b.interference && !b.leases && !b.evacuations && !b.starts && len(b.unknownJobs) == 0
@@ -102,8 +117,14 @@
 	if taken.starts {
 		b.Records = append(b.Records, Record{Key: startsKey, Starts: c.startRecord()})
 	}
-	for _, key := range taken.deletions {
-		b.Records = append(b.Records, Record{Key: key})
+	written := map[Key]bool{}
+	for _, r := range b.Records {
+		written[r.Key] = true
+	}
+	for _, key := range slices.Sorted(maps.Keys(taken.deletions)) {
+		if !written[key] {
+			b.Records = append(b.Records, Record{Key: key})
+		}
 	}
 	return b, true
 }
@@ -156,12 +177,19 @@
 	}
 	c.inFlight = nil
 	next := c.nextBatch
-	next.servers = append(b.servers, next.servers...)
-	next.deletions = append(b.deletions, next.deletions...)
+	for _, w := range b.servers {
+		if c.workers[w.server.ID] == w && !slices.Contains(next.servers, w) {
+			next.servers = append(next.servers, w)
+		}
+	}
+	maps.Copy(next.deletions, b.deletions) // also of jobs whose new records are refused
 	next.interference, next.leases = next.interference || b.interference, next.leases || b.leases
 	next.evacuations, next.starts = next.evacuations || b.evacuations, next.starts || b.starts
 	next.unknownJobs = append(b.unknownJobs, next.unknownJobs...)
 	for j := range b.dirty {
+		if c.jobs[j.job.ID] != j {
+			continue // removed since
+		}
 		next.dirty[j] = true
 		if j.crashBatch == b.number {
 			j.crashBatch = next.number
--- a/decision/cell/jobs.go
+++ b/decision/cell/jobs.go
@@ -360,7 +360,7 @@
 	if !j.finalStored || c.now.Steady-j.endedAt < c.settings.StatusRetention || j.countRuns() > 0 || !j.stored {
 		return
 	}
-	c.nextBatch.deletions = append(c.nextBatch.deletions, jobKey(j.job.ID), progressKey(j.job.ID))
+	c.nextBatch.deleteJob(j)
 	delete(c.jobs, j.job.ID)
 }
 
--- a/decision/cell/worker.go
+++ b/decision/cell/worker.go
@@ -251,7 +251,7 @@
 			return false // until the record is durable, so that its deletion follows it
 		}
 		if w.stored {
-			c.nextBatch.deletions = append(c.nextBatch.deletions, serverKey(w.server.ID))
+			c.nextBatch.deleteServer(w)
 		}
 		delete(c.workers, w.server.ID)
 		return true
