--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -102,6 +104,13 @@
 	f()
 }
 
+// result returns the counts and the violations so far. Workers may still report.
+func (c *checker) result() (counts map[string]int, violations []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.counts), slices.Compact(slices.Sorted(slices.Values(c.violations)))
+}
+
 // observe processes an event of a worker.
 func (c *checker) observe(e standin.Event) {
 	c.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -115,9 +114,9 @@
 	}
 	d.awaitExpectedStates()
 	d.checker.checkRejected()
-	t.Logf("seed %d: faults %v, %d jobs, %d starts, counts %v", seed, injected, d.checker.counts["jobs"], d.checker.counts["starts"], d.checker.counts)
-	slices.Sort(d.checker.violations)
-	for _, violation := range slices.Compact(d.checker.violations) {
+	counts, violations := d.checker.result()
+	t.Logf("seed %d: faults %v, %d jobs, %d starts, counts %v", seed, injected, counts["jobs"], counts["starts"], counts)
+	for _, violation := range violations {
 		t.Error(violation)
 	}
 }
