--- a/decision/cell/uneven_sim_test.go
+++ b/decision/cell/uneven_sim_test.go
@@ -104,7 +104,8 @@
 	}
 	r := s.result
 	r.Jobs = len(s.jobs)
-	for _, j := range s.jobs {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) { // a sum depends on its order
+		j := s.jobs[id]
 		if j.after == 0 {
 			continue
 		}
