--- a/scheduler/store/servers.go
+++ b/scheduler/store/servers.go
@@ -18,6 +18,11 @@
 // it to drain, which is several seconds, and each call to the store has a cost.
 const serverReadInterval = 600 * time.Millisecond
 
+// serverReadLimits let the holder read the list on another connection 2 s after a read, with
+// serverReadInterval, if the present one has gone silent: no task may start on a server
+// 2.5 s after it has reported that it drains.
+var serverReadLimits = readLimits{wait: 500 * time.Millisecond, allowance: 600 * time.Millisecond}
+
 // Servers is the duty that follows the server list while this instance holds
 // the cell.
 type Servers struct {
@@ -87,7 +92,7 @@
 
 // newTail returns a tail that starts with the full list.
 func (s *Servers) newTail() *tail {
-	return &tail{store: s.store, log: s.log, topic: api.ServerTopic, interval: serverReadInterval, onSnapshot: s.replaceList, onChange: s.applyChanges}
+	return &tail{store: s.store, log: s.log, topic: api.ServerTopic, interval: serverReadInterval, limits: serverReadLimits, onSnapshot: s.replaceList, onChange: s.applyChanges}
 }
 
 // replaceList replaces the list by the newest record of every server and
--- a/scheduler/store/tail.go
+++ b/scheduler/store/tail.go
@@ -13,8 +13,7 @@
 )
 
 const (
-	// readWait is how long a read waits for a record. A dead connection is
-	// detected only after it.
+	// readWait is how long a read waits for a record.
 	readWait = 2 * time.Second
 	// readAllowance is added to readWait to form the timeout of a read.
 	readAllowance = 1200 * time.Millisecond
@@ -30,6 +29,8 @@
 	// interval is the time between two reads. It limits the calls for a busy
 	// topic.
 	interval time.Duration
+	// limits bound each read; the zero value stands for defaultReadLimits.
+	limits readLimits
 	// onSnapshot receives the newest record of every key, onChange the records
 	// appended after it.
 	onSnapshot func(ctx context.Context, items []api.Item) error
@@ -38,15 +39,36 @@
 	next       fleet.Offset
 	positioned bool // next is valid
 	failing    bool // the last read failed
+	patient    bool // the last read failed or took long, so that defaultReadLimits apply
+}
+
+// readLimits bound the time after which a connection that has gone silent is given up:
+// wait and allowance, and readRetryInterval until the next read.
+type readLimits struct {
+	wait      time.Duration // for a record
+	allowance time.Duration // for the response
+}
+
+var defaultReadLimits = readLimits{wait: readWait, allowance: readAllowance}
+
+// currentLimits returns the limits of the next read. A store that answers late is given the
+// default ones, so that its reads do not fail again and again.
+func (t *tail) currentLimits() readLimits {
+	if t.limits == (readLimits{}) || t.patient || !t.positioned {
+		return defaultReadLimits
+	}
+	return t.limits
 }
 
 // readOnce reads once. It returns an error only if ctx has ended or a callback
 // has failed.
 func (t *tail) readOnce(ctx context.Context) error {
+	began := time.Now()
 	items, err := t.read(ctx)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	t.patient = err != nil || time.Since(began) > t.limits.wait+t.limits.allowance/2
 	t.logHealth(err)
 	switch {
 	case errors.Is(err, api.ErrTrimmed):
@@ -69,7 +91,8 @@
 // history has expired, it passes the newest record of each key to onSnapshot
 // instead.
 func (t *tail) read(ctx context.Context) ([]api.Item, error) {
-	ctx, cancel := context.WithTimeout(ctx, readWait+readAllowance)
+	limits := t.currentLimits()
+	ctx, cancel := context.WithTimeout(ctx, limits.wait+limits.allowance)
 	defer cancel()
 	if !t.positioned {
 		items, end, err := t.store.Newest(ctx, t.topic)
@@ -82,7 +105,7 @@
 		t.next, t.positioned = end, true
 		return nil, nil
 	}
-	items, next, err := t.store.Read(ctx, t.topic, t.next, readWait)
+	items, next, err := t.store.Read(ctx, t.topic, t.next, limits.wait)
 	if err != nil {
 		return nil, err
 	}
