--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -114,6 +114,7 @@
 	admission         admission
 
 	interference           *interferenceModel
+	nextEviction           time.Duration // no search for images to let go before
 	interferenceRecordedAt time.Duration // time of the last record of the model
 	nextPreemption         time.Duration // no search for a task to preempt before
 	// consolidatedAt is the time of the last move of a serving task.
@@ -351,6 +352,10 @@
 	AwaitingRack int  `json:"awaiting_rack,omitempty"` // part of WaitingTasks
 	Blocked      bool `json:"blocked"`
 	Authority    bool `json:"authority"`
+	// Images is the number of images in the interference model, and ImageEvictions that
+	// of the images that it has let go.
+	Images         int    `json:"images"`
+	ImageEvictions uint64 `json:"image_evictions,omitempty"`
 	// Evacuations holds the evacuated data centres and what still runs there.
 	Evacuations []EvacuationStats `json:"evacuations,omitempty"`
 }
@@ -358,6 +363,7 @@
 // Stats returns the counts of the cell.
 func (c *Cell) Stats() Stats {
 	s := Stats{Jobs: len(c.jobs), Workers: len(c.sortedWorkers), AwaitingRack: c.racks.waiting, Blocked: c.blocked, Authority: c.authority}
+	s.Images, s.ImageEvictions = len(c.interference.imageIDs)-1, c.interference.evictions
 	for _, w := range c.sortedWorkers {
 		s.Runs += len(w.runs)
 		if w.usable() {
--- a/decision/cell/interference.go
+++ b/decision/cell/interference.go
@@ -1,8 +1,6 @@
 package cell
 
 import (
-	"math"
-	"slices"
 	"time"
 )
 
@@ -16,7 +14,7 @@
 // images have to be kept away from a serving task. The model converts tail
 // latencies to loads because the effects of several images on a load add up.
 type interferenceModel struct {
-	imageIDs     map[string]imageID
+	images
 	pressures    [][]pressure     // by serving and best-effort image
 	meanPressure []average        // mean pressure of a best-effort image over all serving images
 	baselineLoad []average        // load of a serving image without best-effort tasks beside it
@@ -87,24 +85,29 @@
 )
 
 func newInterferenceModel() *interferenceModel {
-	return &interferenceModel{imageIDs: map[string]imageID{}}
+	m := &interferenceModel{images: newImages()}
+	m.addSlot()
+	return m
 }
 
-// id returns the index of an image, adding the image if it is new.
+// id returns the index of an image, adding the image if it is new and there is room for it.
 func (m *interferenceModel) id(image string) imageID {
-	if id, ok := m.imageIDs[image]; ok {
-		return id
+	id, added := m.index(image)
+	if added && int(id) == len(m.pressures) {
+		m.addSlot()
 	}
-	id := imageID(len(m.imageIDs))
-	m.imageIDs[image] = id
+	return id
+}
+
+// addSlot adds an image of which nothing is known.
+func (m *interferenceModel) addSlot() {
 	m.meanPressure = append(m.meanPressure, average{value: priorPressure})
 	m.minTail = append(m.minTail, 0)
 	m.baselineLoad = append(m.baselineLoad, average{value: defaultLoad})
 	for i := range m.pressures {
 		m.pressures[i] = append(m.pressures[i], pressure{})
 	}
-	m.pressures = append(m.pressures, make([]pressure, len(m.imageIDs)))
-	return id
+	m.pressures = append(m.pressures, make([]pressure, len(m.pressures)+1))
 }
 
 // pressure returns the load that one image adds to another when it uses a whole
@@ -241,68 +244,3 @@
 	}
 	return 1 - 1/tail, shares
 }
-
-// InterferenceRecord is the stored interference model, from which the next
-// holder continues.
-type InterferenceRecord struct {
-	Images       []string           `json:"images"`
-	MinTailMS    []float64          `json:"idle"`  // smallest tail in ms, 0 if none was observed
-	MeanPressure []float64          `json:"usual"` // of each image on all serving images
-	Pairs        []InterferencePair `json:"pairs"`
-}
-
-// InterferencePair is the pressure of a best-effort image on a serving image.
-// Both are indexes into InterferenceRecord.Images.
-type InterferencePair struct {
-	Serving    int     `json:"s"`
-	BestEffort int     `json:"f"`
-	Pressure   float64 `json:"p"`
-	// Deviation is the standard deviation of the pressure; 0 if it is not known.
-	Deviation float64 `json:"d,omitempty"`
-}
-
-func (m *interferenceModel) record() *InterferenceRecord {
-	r := &InterferenceRecord{Images: make([]string, len(m.imageIDs)), MinTailMS: slices.Clone(m.minTail)}
-	for image, id := range m.imageIDs {
-		r.Images[id] = image
-	}
-	for _, a := range m.meanPressure {
-		r.MeanPressure = append(r.MeanPressure, rounded(a.value))
-	}
-	for serving, row := range m.pressures {
-		for bestEffort, p := range row {
-			if p.known {
-				pair := InterferencePair{Serving: serving, BestEffort: bestEffort, Pressure: rounded(p.value)}
-				if m.filtered {
-					pair.Deviation = rounded(m.deviation(imageID(serving), imageID(bestEffort)))
-				}
-				r.Pairs = append(r.Pairs, pair)
-			}
-		}
-	}
-	return r
-}
-
-// rounded keeps records short; the third digit of a pressure is noise.
-func rounded(value float64) float64 { return math.Round(value*100) / 100 }
-
-func (m *interferenceModel) restore(r *InterferenceRecord) {
-	ids := make([]imageID, len(r.Images))
-	for i, image := range r.Images {
-		ids[i] = m.id(image)
-		if i < len(r.MinTailMS) {
-			m.minTail[ids[i]] = r.MinTailMS[i]
-		}
-		if i < len(r.MeanPressure) {
-			m.meanPressure[ids[i]] = average{value: r.MeanPressure[i], count: averageSpan}
-		}
-	}
-	for _, p := range r.Pairs {
-		if p.Serving < len(ids) && p.BestEffort < len(ids) && p.Serving >= 0 && p.BestEffort >= 0 {
-			m.pressures[ids[p.Serving]][ids[p.BestEffort]] = pressure{known: true, value: p.Pressure, count: averageSpan, recorded: p.Pressure}
-			if m.filtered {
-				m.restoreDeviation(ids[p.Serving], ids[p.BestEffort], p.Deviation)
-			}
-		}
-	}
-}
--- a/decision/cell/interference_filter.go
+++ b/decision/cell/interference_filter.go
@@ -63,17 +63,17 @@
 
 // filterOf returns the filter of a serving image, extended to all images.
 func (m *interferenceModel) filterOf(serving imageID) *pressureFilter {
-	for len(m.filters) < len(m.imageIDs) {
+	for len(m.filters) < len(m.names) {
 		m.filters = append(m.filters, pressureFilter{})
 	}
 	f := &m.filters[serving]
 	for i := range f.covariance {
-		for len(f.covariance[i]) < len(m.imageIDs) {
+		for len(f.covariance[i]) < len(m.names) {
 			f.covariance[i] = append(f.covariance[i], 0)
 		}
 	}
-	for len(f.covariance) < len(m.imageIDs) {
-		row := make([]float64, len(m.imageIDs))
+	for len(f.covariance) < len(m.names) {
+		row := make([]float64, len(m.names))
 		row[len(f.covariance)] = priorDeviation * priorDeviation
 		f.covariance = append(f.covariance, row)
 	}
--- a/decision/cell/steps.go
+++ b/decision/cell/steps.go
@@ -40,15 +40,15 @@
 	if j.job.Repeats > 0 {
 		o.dueAt = max(j.acceptedAt, c.now.Steady-c.now.Wall.Sub(j.due(number)))
 	}
+	j.occurrences[number] = o // its images are in use from now on
 	for i := range j.job.Steps {
-		s := &stepState{occurrence: o, index: i, spec: &j.job.Steps[i], image: c.interference.id(j.job.Steps[i].Image)}
+		s := &stepState{occurrence: o, index: i, spec: &j.job.Steps[i], image: c.imageOf(j.job.Steps[i].Image)}
 		s.tasks = make([]*task, s.spec.Count)
 		for n := range s.tasks {
 			s.tasks[n] = &task{step: s, index: n}
 		}
 		o.steps = append(o.steps, s)
 	}
-	j.occurrences[number] = o
 	return o
 }
 
--- a/decision/cell/triage_admission.go
+++ b/decision/cell/triage_admission.go
@@ -182,7 +182,7 @@
 
 // hasRoomFor reports whether a worker has room for a task of the first step of a job.
 func (c *Cell) hasRoomFor(j *jobState) bool {
-	first := &stepState{occurrence: &occurrence{job: j}, spec: &j.job.Steps[0], image: c.interference.id(j.job.Steps[0].Image)}
+	first := &stepState{occurrence: &occurrence{job: j}, spec: &j.job.Steps[0], image: c.imageOf(j.job.Steps[0].Image)}
 	t := &task{step: first}
 	service := c.queueOf(j).Service
 	for _, w := range c.sortedWorkers {
