--- a/decision/cell/cell.go
+++ b/decision/cell/cell.go
@@ -4,14 +4,15 @@
 //
 // Invariants:
 //
-//   - Only the holder orders starts, with its epoch as fencing token, so the
+//   - Only the holder orders starts, with its epoch in the fencing token, so the
 //     capacity of each worker is accounted for in one place. A run occupies its
 //     resources from the order to start it until the worker lists its end, its
 //     lease has certainly expired, or its server has restarted.
 //   - A task has at most one run at a time unless its step is speculative. A
-//     start without an answer is resolved by a stop of that attempt followed by
-//     a later list of its worker, or by the expiry of the lease; never by a
-//     timeout alone.
+//     start without an answer is refused after a stop of that attempt, which a
+//     later list of its worker confirms. It may still be carried out by a later
+//     incarnation of the worker, within the bounds of unanswered_start.go, and
+//     its task does not start on another worker before that.
 //   - A new holder starts nothing that an earlier holder may have started until
 //     every worker that the earlier one could reach has been fenced or its
 //     lease has certainly expired.
