Review case 12: a start in flight at a takeover runs beside the next one

Cause: such a start is in no record, and the next holder waits for less than the 12 s in which a new life of the minion may carry it out. Ruled out: the load alone.

--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -19,6 +19,9 @@
 	cases["wide-gang"] = wideGang
 	cases["stale-holder"] = staleHolder
 	cases["failing-watch"] = failingWatch
+	cases["late-start-and-ack"] = lateStartAndAck
+	cases["two-late-starts"] = twoLateStarts
+	cases["start-at-takeover"] = startAtTakeover
 }
 
 // waitsWithRoom watches a job until end. It returns the longest time in which nothing of
@@ -380,3 +383,196 @@
 	}
 	return held
 }
+
+// load hands jobs in until stop is closed, and returns a function that waits for the
+// clients.
+func (s *system) load(r route, every time.Duration, estimateMs int64, stop chan struct{}) *sync.WaitGroup {
+	var clients sync.WaitGroup
+	clients.Add(1)
+	go func() {
+		defer clients.Done()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(every):
+			}
+			id := fmt.Sprintf("%016x", 0x1000+n)
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				s.submit(r, id, jobBody{Spec: "x", Phases: []stepBody{{Count: 6, CPU: 4000, MemMB: 1000, EstimateMs: estimateMs}}})
+			}()
+		}
+	}()
+	return &clients
+}
+
+// sawTwice reports whether the minions saw a task run twice.
+func (s *system) sawTwice(c *checker) bool {
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	return len(c.broken) > 0
+}
+
+// lateStartAndAck: a minion leaves a start and a hold unanswered and crashes; its next life,
+// which is cut off for a while, carries out the start and then the hold.
+func lateStartAndAck(root string, record *recorder, trouble bool) int {
+	r := newRoute("reafilado")
+	s, err := newSystem(root, record, 6, 12, []route{r})
+	defer s.close()
+	if err != nil || !s.ready(r) {
+		record.printf("could not start: %v", err)
+		return couldNot
+	}
+	c := newChecker(s.world)
+	stop := make(chan struct{})
+	clients := s.load(r, 150*time.Millisecond, 900, stop)
+	time.Sleep(5 * time.Second)
+	if trouble {
+		// Neither call is answered; the hold acknowledges ends of this life.
+		captured := make(chan *minion, 1)
+		var mu sync.Mutex
+		var chosen *minion
+		var startAt time.Time
+		done := false
+		for _, m := range s.world.minions {
+			m.late = func(path string, c command) time.Duration {
+				s.world.mu.Lock()
+				busy := len(m.runs) >= 4
+				s.world.mu.Unlock()
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case done:
+				case path == "/run-start" && busy && time.Since(startAt) > 2*time.Second:
+					chosen, startAt = m, time.Now()
+					record.printf("minion %s leaves the start of %s attempt %d unanswered", m.id, c.Task, c.Attempt)
+					return 2500 * time.Millisecond
+				case path == "/hold" && m == chosen && c.AckCursor > 0 && time.Since(startAt) < 600*time.Millisecond:
+					done = true
+					record.printf("minion %s leaves a hold with ack-cursor %d unanswered", m.id, c.AckCursor)
+					captured <- m
+					return 5 * time.Second
+				}
+				return 0
+			}
+		}
+		select {
+		case m := <-captured:
+			if !m.rebornBehindCut(5500 * time.Millisecond) {
+				return couldNot
+			}
+		case <-time.After(30 * time.Second):
+			record.printf("no minion got both calls")
+			return couldNot
+		}
+	}
+	time.Sleep(16 * time.Second)
+	close(stop)
+	clients.Wait()
+	time.Sleep(5 * time.Second)
+	if s.sawTwice(c) {
+		return broken
+	}
+	return held
+}
+
+// startAtTakeover: a minion leaves a start unanswered, and right then the leader is killed
+// and the minion crashes. Its next life is cut off for a while and carries the start out.
+func startAtTakeover(root string, record *recorder, trouble bool) int {
+	r := newRoute("reafilado")
+	s, err := newSystem(root, record, 6, 12, []route{r})
+	defer s.close()
+	if err != nil || !s.ready(r) {
+		record.printf("could not start: %v", err)
+		return couldNot
+	}
+	c := newChecker(s.world)
+	stop := make(chan struct{})
+	clients := s.load(r, 150*time.Millisecond, 2500, stop)
+	time.Sleep(5 * time.Second)
+	m := s.world.busiest()
+	if trouble {
+		captured := make(chan string, 1)
+		var once sync.Once
+		m.late = func(path string, c command) (after time.Duration) {
+			if path == "/run-start" {
+				once.Do(func() {
+					after = 11900 * time.Millisecond
+					record.printf("minion %s leaves the start of %s attempt %d unanswered", m.id, c.Task, c.Attempt)
+					captured <- c.Task
+				})
+			}
+			return after
+		}
+		select {
+		case <-captured:
+		case <-time.After(20 * time.Second):
+			record.printf("the minion got no start")
+			return couldNot
+		}
+		n := s.store.writer()
+		record.printf("SIGKILL to process %d, which last wrote to the store", n)
+		s.nodes[n].signal(syscall.SIGKILL)
+		if !m.rebornBehindCut(12 * time.Second) {
+			return couldNot
+		}
+	}
+	time.Sleep(16 * time.Second)
+	close(stop)
+	clients.Wait()
+	time.Sleep(5 * time.Second)
+	if s.sawTwice(c) {
+		return broken
+	}
+	return held
+}
+
+// twoLateStarts: a minion leaves two starts in a row of a task that lasts unanswered, and
+// crashes. Its next life is cut off for a while and carries both out.
+func twoLateStarts(root string, record *recorder, trouble bool) int {
+	r := newRoute("restauracion")
+	s, err := newSystem(root, record, 6, 12, []route{r})
+	defer s.close()
+	if err != nil || !s.ready(r) {
+		record.printf("could not start: %v", err)
+		return couldNot
+	}
+	c := newChecker(s.world)
+	captured := make(chan *minion, 2)
+	var mu sync.Mutex
+	found := 0
+	for _, m := range s.world.minions {
+		m.late = func(path string, c command) time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			if !trouble || path != "/run-start" || found == 2 {
+				return 0
+			}
+			found++
+			record.printf("minion %s leaves the start of %s attempt %d unanswered", m.id, c.Task, c.Attempt)
+			captured <- m
+			return 5 * time.Second
+		}
+	}
+	if !s.submit(r, "00000000000000a1", jobBody{Spec: "watch", Phases: []stepBody{{Count: 1, CPU: 4000, MemMB: 1000, EstimateMs: 1000, LongRunning: true}}}) {
+		return couldNot
+	}
+	if trouble {
+		m := <-captured
+		if again := <-captured; again != m {
+			record.printf("the second start went to another minion")
+			return held
+		}
+		time.Sleep(300 * time.Millisecond)
+		if !m.rebornBehindCut(5500 * time.Millisecond) {
+			return couldNot
+		}
+	}
+	time.Sleep(16 * time.Second)
+	if s.sawTwice(c) {
+		return broken
+	}
+	return held
+}
--- a/review/rig3/minion.go
+++ b/review/rig3/minion.go
@@ -106,6 +106,13 @@
 	return n
 }
 
+// busiest returns the minion with the most runs.
+func (w *world) busiest() *minion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.MaxFunc(w.minions, func(a, b *minion) int { return len(a.runs) - len(b.runs) })
+}
+
 // used returns the share of the capacity of all minions that is in use.
 func (w *world) used() float64 {
 	w.mu.Lock()
@@ -150,13 +157,16 @@
 	refused  map[string]int // by task, the highest attempt that was stopped or has ended
 	finished [][]any
 	ends     int64
+	lapsed   int64 // number of the last end before the lease lapsed
 	changed  chan struct{}
 	sequence int64
 	draining bool
 	downTill time.Time // it has crashed and is not back yet; zero while it is up
 	downFrom time.Time
-	cutTill  time.Time // no call reaches it until then
-	server   *http.Server
+	// late returns how much later a call is carried out that gets no answer; 0 for others.
+	late    func(path string, c command) time.Duration
+	cutTill time.Time // no call reaches it until then
+	server  *http.Server
 }
 
 // crash ends the minion for a time: its connections break and it knows nothing of before.
@@ -169,7 +179,7 @@
 			m.world.check.gone(m.id, r)
 		}
 	}
-	m.runs, m.refused, m.finished, m.ends, m.token, m.deadline = map[string]*run{}, map[string]int{}, nil, 0, 0, 0
+	m.runs, m.refused, m.finished, m.ends, m.lapsed, m.token, m.deadline = map[string]*run{}, map[string]int{}, nil, 0, 0, 0, 0
 	close(m.changed)
 	m.changed = make(chan struct{})
 	m.world.mu.Unlock()
@@ -192,6 +202,20 @@
 	return nil
 }
 
+// rebornBehindCut cuts the minion off from all machines for a time; it crashes at once and
+// is back 0.6 s later, behind the cut.
+func (m *minion) rebornBehindCut(cut time.Duration) bool {
+	m.cutTill = time.Now().Add(cut)
+	m.world.record.printf("minion %s is cut off from all machines for %s, and crashes behind the cut", m.id, cut)
+	m.crash(600 * time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
+	if err := m.comeBack(); err != nil {
+		m.world.record.printf("minion %s cannot come back: %v", m.id, err)
+		return false
+	}
+	return true
+}
+
 func newMinion(w *world, id, zone, rack string, cpu int64) *minion {
 	m := &minion{world: w, id: id, zone: zone, rack: rack, cpu: cpu, changed: make(chan struct{}), runs: map[string]*run{}, refused: map[string]int{}}
 	m.born, m.origin = time.Now().UnixMilli(), time.Now().Add(-time.Second)
@@ -260,6 +284,9 @@
 
 func (m *minion) tick(now time.Time) {
 	lapsed := m.deadline <= m.clock()
+	if lapsed {
+		m.lapsed = m.ends
+	}
 	for key, r := range m.runs {
 		worked := r.before
 		if !r.began.IsZero() {
@@ -345,6 +372,18 @@
 		<-r.Context().Done()
 		return
 	}
+	if m.late != nil {
+		if after := m.late(r.URL.Path, c); after > 0 {
+			go func() {
+				time.Sleep(after)
+				m.world.record.printf("minion %s: carries out a late %s %s attempt %d ack-cursor %d", m.id, r.URL.Path, c.Task, c.Attempt, c.AckCursor)
+				defer func() { _ = recover() }() // the minion is down
+				m.carryOut(httptest.NewRecorder(), r.Clone(context.Background()), c)
+			}()
+			<-r.Context().Done()
+			return
+		}
+	}
 	if share := m.world.lostShare; share > 0 && rand.Float64() < share {
 		m.carryOut(httptest.NewRecorder(), r, c)
 		<-r.Context().Done()
@@ -423,7 +462,11 @@
 	for len(m.finished) > 0 && m.finished[0][0].(int64) <= cursor {
 		row := m.finished[0]
 		m.finished = m.finished[1:]
-		m.world.note(event{kind: "noted", minion: m.id, task: row[1].(string), attempt: row[2].(int), how: row[3].(string)})
+		how := row[3].(string)
+		if row[0].(int64) <= m.lapsed {
+			how += " (the lease lapsed between)"
+		}
+		m.world.note(event{kind: "noted", minion: m.id, task: row[1].(string), attempt: row[2].(int), how: how})
 	}
 }
 
--- a/review/rig3/search.go
+++ b/review/rig3/search.go
@@ -28,6 +28,18 @@
 	alone   int
 }
 
+// newChecker checks what the minions of w see from now on.
+func newChecker(w *world) *checker {
+	c := &checker{
+		world: w, running: map[string]map[string]int{}, ended: map[string]bool{}, noted: map[string]bool{},
+		doneBy: map[string]bool{}, after: map[string]bool{}, fails: map[string]map[int]bool{},
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check = c
+	return c
+}
+
 func (c *checker) report(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	c.broken = append(c.broken, text)
@@ -119,10 +131,7 @@
 	if err != nil || !s.ready(r) {
 		return couldNot
 	}
-	c := &checker{world: s.world, running: map[string]map[string]int{}, ended: map[string]bool{}, noted: map[string]bool{}, after: map[string]bool{}, doneBy: map[string]bool{}, fails: map[string]map[int]bool{}}
-	s.world.mu.Lock()
-	s.world.check = c
-	s.world.mu.Unlock()
+	c := newChecker(s.world)
 	var clients sync.WaitGroup
 	var mu sync.Mutex
 	type handed struct {
