--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -19,6 +20,7 @@
 	cases["wide-gang"] = wideGang
 	cases["stale-holder"] = staleHolder
 	cases["failing-watch"] = failingWatch
+	cases["long-append"] = longAppend
 	cases["late-start-and-ack"] = lateStartAndAck
 	cases["two-late-starts"] = twoLateStarts
 	cases["start-at-takeover"] = startAtTakeover
@@ -576,3 +578,110 @@
 	}
 	return held
 }
+
+// longAppend: the store refuses all calls for 4.5 s while many jobs are at work.
+func longAppend(root string, record *recorder, trouble bool) int {
+	r, other := newRoute("reafilado"), newRoute("control")
+	s, err := newSystem(root, record, 6, 48, []route{r, other})
+	defer s.close()
+	if err != nil || !s.ready(r) {
+		record.printf("could not start: %v", err)
+		return couldNot
+	}
+	s.world.quiet = true
+	begin := time.Now()
+	progress := func() {
+		s.world.mu.Lock()
+		starts, ends, noted := s.world.starts, s.world.ends, s.world.noted
+		s.world.mu.Unlock()
+		s.store.mu.Lock()
+		defer s.store.mu.Unlock()
+		record.printf("starts %d, ends %d, ends taken note of %d; store: %d appends accepted, %d refused as too large, largest record %d bytes, largest append %d bytes, last writer node %d",
+			starts, ends, noted, s.store.accepted, s.store.refused, s.store.largest, s.store.longest, s.store.lastWriter)
+	}
+	const jobs = 100
+	for i := range jobs {
+		j := jobBody{Spec: "x", varied: 3}
+		for step := range 4 {
+			p := stepBody{Count: 160, CPU: 185, MemMB: 100, EstimateMs: 600, Checkpointing: true}
+			if step > 0 {
+				p.DependsOn = []int{step - 1}
+			}
+			if step == 3 {
+				p.EstimateMs = 40000
+			}
+			j.Phases = append(j.Phases, p)
+		}
+		j.Phases = append(j.Phases, stepBody{Count: 1, CPU: 230, MemMB: 100, EstimateMs: 120000, DependsOn: []int{3}})
+		if !s.submit(r, fmt.Sprintf("%016x", 0xb00+i), j) {
+			return couldNot
+		}
+		time.Sleep(200 * time.Millisecond)
+		if i%8 == 0 {
+			progress()
+		}
+	}
+	var small []string
+	for i := range 20 {
+		id := fmt.Sprintf("%016x", 0xc00+i)
+		small = append(small, id)
+		if !s.submit(other, id, jobBody{Spec: "watch", Phases: []stepBody{{Count: 1, CPU: 250, MemMB: 100, EstimateMs: 1000, LongRunning: true}}}) {
+			return couldNot
+		}
+	}
+	for time.Since(begin) < 62*time.Second {
+		time.Sleep(2 * time.Second)
+		progress()
+	}
+	if trouble {
+		record.printf("the store refuses all calls for 4.5 s")
+		for n := range s.nodes {
+			s.store.setFault(n, "busy")
+		}
+		time.Sleep(4500 * time.Millisecond)
+		for n := range s.nodes {
+			s.store.setFault(n, "")
+		}
+		record.printf("the store is back")
+	} else {
+		time.Sleep(4500 * time.Millisecond)
+	}
+	for range 4 {
+		time.Sleep(2 * time.Second)
+		progress()
+	}
+	// Within ack-ms, counted from the first send.
+	const ack = 4 * time.Second
+	var answered, unanswered atomic.Int64
+	var clients sync.WaitGroup
+	for n, id := range small {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			sent := time.Now()
+			for attempt := 0; time.Since(sent) < 2*ack; attempt++ {
+				status, text := s.call("DELETE", (n+attempt)%len(s.nodes), other, id, nil)
+				record.printf("client: DELETE %s: %d %s", id, status, text)
+				if (status == 200 || status == 410) && time.Since(sent) <= ack {
+					answered.Add(1)
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+			unanswered.Add(1)
+		}()
+	}
+	clients.Wait()
+	progress()
+	record.printf("cancels that were answered within ack-ms: %d, not answered: %d", answered.Load(), unanswered.Load())
+	for time.Since(begin) < 96*time.Second {
+		time.Sleep(4 * time.Second)
+		progress()
+	}
+	status, text := s.call("POST", 0, other, "00000000000000d1", []byte(`{"spec":"x","phases":[{"count":1,"cpu":100,"mem-mb":10,"estimate-ms":10}]}`))
+	record.printf("client: POST of a small job at the end: %d %s", status, text)
+	if unanswered.Load() >= 3 {
+		return broken
+	}
+	return held
+}
--- a/review/rig3/minion.go
+++ b/review/rig3/minion.go
@@ -523,7 +523,7 @@
 		return refuse("ticket")
 	}
 	m.extend(c.DeadlineMs)
-	r := &run{task: c.Task, attempt: c.Attempt, step: job.Phases[step], created: time.Now(), need: job.workOf(step)}
+	r := &run{task: c.Task, attempt: c.Attempt, step: job.Phases[step], created: time.Now(), need: job.workOf(step, c.Task)}
 	if c.Checkpoint != "" {
 		ms, _ := strconv.ParseInt(c.Checkpoint[:8], 16, 64)
 		r.before, r.saved = time.Duration(ms)*time.Millisecond, c.Checkpoint
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -63,6 +63,7 @@
 	lastWriter int
 	refused    int   // appends beyond record-bytes or call-bytes
 	largest    int   // largest record of an append
+	longest    int   // largest append
 	accepted   int64 // appends under an epoch that were accepted
 	fault      map[int]string
 	// lateWrite returns how much later a write is done that gets no answer; 0 for others.
@@ -218,7 +219,7 @@
 		total, largest = total+size, max(largest, size)
 		rest = rest[4+size:]
 	}
-	s.largest = max(s.largest, largest)
+	s.largest, s.longest = max(s.largest, largest), max(s.longest, total)
 	if largest > recordBytes || total > callBytes {
 		s.refused++
 		return http.StatusRequestEntityTooLarge, map[string]string{"error": "more than record-bytes or call-bytes"}
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -333,16 +334,21 @@
 	StartAtMs  int64      `json:"start-at-ms,omitempty"`
 	IntervalMs int64      `json:"interval-ms,omitempty"`
 
-	work    []time.Duration
+	// varied is a step whose tasks work one to two times their estimate; 0 for none.
+	varied  int
 	advised bool
 	fails   float64
 }
 
-func (j jobBody) workOf(step int) time.Duration {
-	if step < len(j.work) {
-		return j.work[step]
+// workOf returns the work of a task of a step.
+func (j jobBody) workOf(step int, task string) time.Duration {
+	work := time.Duration(j.Phases[step].EstimateMs) * time.Millisecond
+	if step > 0 && step == j.varied {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(task))
+		work += time.Duration(float64(work) * float64(h.Sum32()%1000) / 1000)
 	}
-	return time.Duration(j.Phases[step].EstimateMs) * time.Millisecond
+	return work
 }
 
 var client = &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
